--- /dev/null
+++ b/crates/skylarkgw/src/bin/skylarkctl.rs
@@ -0,0 +1,2 @@
+//! The operators' client.
+fn main() {}
--- /dev/null
+++ b/crates/skylarkgw/src/decision.rs
@@ -0,0 +1,19 @@
+//! The pure part: every decision as a deterministic state machine.
+//!
+//! Nothing below this module does I/O, reads a clock or draws from a global
+//! source of randomness. Time comes in as a [`std::time::Duration`] since the
+//! start of the process, randomness from a seed, and what is to be done goes
+//! out as typed effects. The control thread owns the one [`HostMachine`] of a
+//! process; tests run several of them against a queue that loses messages.
+
+pub mod allowance;
+pub mod host;
+pub mod invariant;
+pub mod keys;
+pub mod membership;
+pub mod message;
+pub mod orders;
+pub mod routing;
+pub mod shares;
+
+pub use host::HostMachine;
--- /dev/null
+++ b/crates/skylarkgw/src/decision/host.rs
@@ -0,0 +1,791 @@
+//! The state machine of one host: every input goes in here, effects come out.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::sync::Arc;
+use std::time::Duration;
+
+use rand::SeedableRng;
+use rand::seq::IteratorRandom;
+use rand_chacha::ChaCha8Rng;
+
+use crate::configuration::FleetConfiguration;
+use crate::decision::allowance::{AllowanceBucket, LoanOffer};
+use crate::decision::invariant::Invariant;
+use crate::decision::keys::WithdrawnSet;
+use crate::decision::membership::{CONTACT_WINDOW, MemberEntry, MemberPhase, MemberTable};
+use crate::decision::message::{LoanId, PeerMessage};
+use crate::decision::routing::{
+    FULL_RETRY_AFTER, LoadReport, RouteRefusal, RouteTable, RouteTarget, RoutingPolicy,
+};
+use crate::decision::shares::{KeeperView, PlatformCall, PlatformOutcome, ShareKeeper};
+use crate::ids::{EndpointId, HostId, KeyHash, Revision, Tokens, WorkspaceId};
+
+/// Longest wait for a loan before a request is refused.
+pub const LOAN_WAIT: Duration = Duration::from_millis(60);
+/// Members that are asked for a loan at once.
+pub const LOAN_FANOUT: usize = 3;
+/// Rounds of asking within [`LOAN_WAIT`].
+pub const LOAN_ROUNDS: u32 = 3;
+/// Pause after a round of asking that brought nothing.
+pub const LOAN_PAUSE: Duration = Duration::from_millis(100);
+/// Time between two looks at whether demand outgrows the share.
+pub const PREFETCH_INTERVAL: Duration = Duration::from_millis(1_000);
+/// Requests of one workspace that wait for a loan at once.
+pub const WAITING_LIMIT: usize = 1_024;
+/// Hosts of one data centre that watch the platform; others hear from them.
+pub const WATCHERS_PER_DATA_CENTRE: usize = 4;
+/// Shortest time named in a refusal.
+pub const SHORTEST_RETRY_AFTER: Duration = Duration::from_millis(100);
+
+/// Identifies a request between the traffic threads and the control thread.
+pub type TicketId = u64;
+
+/// What one process is told at its start.
+#[derive(Clone, Debug)]
+pub struct HostParameters {
+    /// This host's entry; its phase and counter are set by the machine.
+    pub own: MemberEntry,
+    /// Seed of all random choices.
+    pub seed: u64,
+    /// Length of the lease on this host's shares.
+    pub allowance_lease: Duration,
+    /// How endpoints are chosen.
+    pub routing: RoutingPolicy,
+    /// Whether hosts lend each other shares; off for the static split.
+    pub lending: bool,
+}
+
+/// A request that wants to run.
+#[derive(Clone, Debug)]
+pub struct AdmissionRequest {
+    /// Workspace that pays; none on open routes.
+    pub workspace: Option<WorkspaceId>,
+    /// What it needs of an endpoint.
+    pub target: RouteTarget,
+    /// Tokens to reserve.
+    pub tokens: Tokens,
+}
+
+/// Why a request does not run.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, thiserror::Error)]
+pub enum AdmissionReason {
+    /// The workspace's allowance is used up.
+    #[error("the workspace's allowance is used up")]
+    Allowance,
+    /// The request can never fit the workspace's burst.
+    #[error("the request needs more tokens than the workspace's burst")]
+    TooLarge,
+    /// No endpoint can take it.
+    #[error(transparent)]
+    Route(RouteRefusal),
+}
+
+/// A refusal with the time after which to come back.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct AdmissionRefusal {
+    /// Why.
+    pub reason: AdmissionReason,
+    /// When to come back; `None` where waiting does not help.
+    pub retry_after: Option<Duration>,
+}
+
+/// What happens to a host.
+#[derive(Clone, Debug)]
+pub enum HostInput {
+    /// Time passes.
+    Tick,
+    /// A request wants to run.
+    Admit {
+        /// Names the request in the answer.
+        ticket: TicketId,
+        /// The request.
+        request: AdmissionRequest,
+    },
+    /// A request needs another endpoint; its tokens stay reserved.
+    Reroute {
+        /// Names the request in the answer.
+        ticket: TicketId,
+        /// What it needs.
+        target: RouteTarget,
+        /// Endpoints that were tried.
+        excluded: Vec<EndpointId>,
+    },
+    /// An endpoint is done with a request.
+    EndpointFinished {
+        /// The endpoint.
+        endpoint: EndpointId,
+        /// Whether it failed.
+        failed: bool,
+    },
+    /// A request is over.
+    Settle {
+        /// Workspace that pays.
+        workspace: WorkspaceId,
+        /// Tokens that were reserved.
+        reserved: Tokens,
+        /// Tokens that were used.
+        used: Tokens,
+    },
+    /// An engine's load report, or that it could not be had.
+    Report {
+        /// The engine.
+        endpoint: EndpointId,
+        /// What it says.
+        report: Option<LoadReport>,
+    },
+    /// Another host says something.
+    Message {
+        /// The sender.
+        from: HostId,
+        /// What it says.
+        message: PeerMessage,
+    },
+    /// The platform answered a watch or a read.
+    PlatformHeard,
+    /// The platform told the accepted configuration, if there is one.
+    PlatformConfiguration {
+        /// The configuration.
+        configuration: Arc<FleetConfiguration>,
+    },
+    /// The platform told the withdrawn keys that it keeps.
+    PlatformWithdrawn {
+        /// Their hashes.
+        hashes: Vec<KeyHash>,
+    },
+    /// The platform listed hosts.
+    PlatformHosts {
+        /// Their entries.
+        entries: Vec<MemberEntry>,
+    },
+    /// A call of the share keeper ended.
+    PlatformDone {
+        /// How.
+        outcome: PlatformOutcome,
+    },
+    /// An operator withdrew keys at this host.
+    Withdraw {
+        /// Their hashes.
+        hashes: Vec<KeyHash>,
+    },
+    /// The process was told to stop.
+    Drain,
+    /// All requests have ended; the process is about to exit.
+    Leave,
+}
+
+/// What a host does.
+#[derive(Clone, Debug)]
+pub enum HostEffect {
+    /// A request may run.
+    Admitted {
+        /// The request.
+        ticket: TicketId,
+        /// Where.
+        endpoint: EndpointId,
+    },
+    /// A request does not run.
+    Refused {
+        /// The request.
+        ticket: TicketId,
+        /// Why, and when to come back.
+        refusal: AdmissionRefusal,
+    },
+    /// A message to another host.
+    Send {
+        /// The receiver.
+        to: HostId,
+        /// Its address.
+        address: Arc<str>,
+        /// The message.
+        message: PeerMessage,
+    },
+    /// A call of the share keeper to the platform.
+    Platform(PlatformCall),
+    /// Keys that the platform does not know to be withdrawn.
+    StoreWithdrawn(Vec<KeyHash>),
+}
+
+/// What traffic threads may read without asking.
+#[derive(Clone, Debug)]
+pub struct HostSnapshot {
+    /// Configuration in force.
+    pub configuration: Arc<FleetConfiguration>,
+    /// Keys that were withdrawn.
+    pub withdrawn: WithdrawnSet,
+    /// Whether this host may take requests.
+    pub serving: bool,
+    /// Phase of this host's life.
+    pub phase: MemberPhase,
+    /// Members known, this host first.
+    pub members: Vec<MemberEntry>,
+    /// Time at which the snapshot was made.
+    pub made_at: Duration,
+}
+
+#[derive(Debug)]
+struct WaitingRequest {
+    ticket: TicketId,
+    request: AdmissionRequest,
+    deadline: Duration,
+    rounds: u32,
+}
+
+#[derive(Debug)]
+struct PendingLoan {
+    asked_at: Duration,
+    workspace: WorkspaceId,
+    to: HostId,
+}
+
+#[derive(Debug)]
+struct WorkspaceState {
+    bucket: AllowanceBucket,
+    waiting: VecDeque<WaitingRequest>,
+    ask_at: Duration,
+    prefetch_at: Duration,
+}
+
+/// Everything that one host decides.
+#[derive(Debug)]
+pub struct HostMachine {
+    parameters: HostParameters,
+    source: ChaCha8Rng,
+    members: MemberTable,
+    routes: RouteTable,
+    keeper: ShareKeeper,
+    workspaces: BTreeMap<WorkspaceId, WorkspaceState>,
+    pending: BTreeMap<LoanId, PendingLoan>,
+    loan_number: u64,
+    configuration: Arc<FleetConfiguration>,
+    withdrawn: WithdrawnSet,
+    platform_withdrawn: usize,
+    platform_heard: Option<Duration>,
+    synced: bool,
+    peers_synced: std::collections::BTreeSet<HostId>,
+    phase: MemberPhase,
+    base: u64,
+    effects: Vec<HostEffect>,
+}
+
+impl HostMachine {
+    /// Creates the machine of a process that has just started.
+    pub fn new(parameters: HostParameters) -> HostMachine {
+        let own = parameters.own.clone();
+        HostMachine {
+            source: ChaCha8Rng::seed_from_u64(parameters.seed),
+            routes: RouteTable::new(parameters.routing),
+            keeper: ShareKeeper::new(own.host.clone(), own.incarnation, parameters.allowance_lease),
+            members: MemberTable::new(own),
+            workspaces: BTreeMap::new(),
+            pending: BTreeMap::new(),
+            loan_number: 0,
+            configuration: Arc::default(),
+            withdrawn: WithdrawnSet::default(),
+            platform_withdrawn: 0,
+            platform_heard: None,
+            synced: false,
+            peers_synced: Default::default(),
+            phase: MemberPhase::Joining,
+            base: 0,
+            effects: Vec::new(),
+            parameters,
+        }
+    }
+
+    /// Takes in one input at a time since the start and returns what to do.
+    pub fn step(&mut self, now: Duration, input: HostInput) -> Vec<HostEffect> {
+        self.follow_base(now);
+        match input {
+            HostInput::Tick => self.tick(now),
+            HostInput::Admit { ticket, request } => self.admit(now, ticket, request),
+            HostInput::Reroute { ticket, target, excluded } => {
+                self.route(now, ticket, &target, &excluded, None);
+            }
+            HostInput::EndpointFinished { endpoint, failed } => {
+                self.routes.finish(now, &endpoint, failed);
+            }
+            HostInput::Settle { workspace, reserved, used } => {
+                self.settle(now, &workspace, reserved, used);
+            }
+            HostInput::Report { endpoint, report } => self.routes.report(now, endpoint, report),
+            HostInput::Message { from, message } => self.message(now, from, message),
+            HostInput::PlatformHeard => self.platform_heard = Some(now),
+            HostInput::PlatformConfiguration { configuration } => {
+                self.platform_heard = Some(now);
+                self.synced = true;
+                self.adopt(now, configuration);
+            }
+            HostInput::PlatformWithdrawn { hashes } => {
+                self.platform_withdrawn = hashes.len();
+                self.withdraw(hashes);
+            }
+            HostInput::PlatformHosts { entries } => {
+                entries.into_iter().for_each(|entry| self.members.seed(now, entry));
+            }
+            HostInput::PlatformDone { outcome } => self.platform_done(now, outcome),
+            HostInput::Withdraw { hashes } => self.withdraw(hashes),
+            HostInput::Drain => self.phase = MemberPhase::Leaving,
+            HostInput::Leave => self.leave(),
+        }
+        self.update_phase();
+        std::mem::take(&mut self.effects)
+    }
+
+    /// Returns what traffic threads may read.
+    pub fn snapshot(&self, now: Duration) -> HostSnapshot {
+        HostSnapshot {
+            configuration: self.configuration.clone(),
+            withdrawn: self.withdrawn.clone(),
+            serving: self.serving(now),
+            phase: self.phase,
+            members: std::iter::once(self.members.own().clone())
+                .chain(self.members.live(now).cloned())
+                .collect(),
+            made_at: now,
+        }
+    }
+
+    /// Returns whether this host should hold a watch on the platform.
+    pub fn watches(&self, now: Duration) -> bool {
+        self.members.rank(now) < WATCHERS_PER_DATA_CENTRE
+    }
+
+    /// Returns the parts of a workspace's allowance that this host may use.
+    pub fn parts(&self, workspace: &str) -> u64 {
+        self.workspaces.get(workspace).map_or(0, |state| state.bucket.parts())
+    }
+
+    /// Returns the base share that this host may use now.
+    pub fn base(&self) -> u64 {
+        self.base
+    }
+
+    /// Returns whether the ledger lists nothing for this host any more.
+    pub fn holds_no_share(&self) -> bool {
+        self.keeper.is_empty()
+    }
+
+    /// Returns whether this host may take requests.
+    ///
+    /// A host that hears neither from the platform nor from half of its
+    /// members cannot know of a withdrawn key, and takes none.
+    pub fn serving(&self, now: Duration) -> bool {
+        matches!(self.phase, MemberPhase::Live | MemberPhase::Leaving)
+            && (self.platform_fresh(now) || self.members.in_contact(now))
+    }
+
+    fn platform_fresh(&self, now: Duration) -> bool {
+        self.platform_heard.is_some_and(|at| now.saturating_sub(at) < CONTACT_WINDOW)
+    }
+
+    fn update_phase(&mut self) {
+        let known = self.members.known().count();
+        let agreed = known > 0 && self.peers_synced.len() * 2 > known;
+        if self.phase == MemberPhase::Joining
+            && self.configuration.revision > 0
+            && (self.synced || agreed)
+        {
+            self.phase = MemberPhase::Live;
+        }
+        self.members.set_own(self.phase, self.configuration.revision, self.keeper.key());
+    }
+
+    fn tick(&mut self, now: Duration) {
+        if let Some((targets, entries)) = self.members.beat(now, &mut self.source) {
+            let withdrawn = self.withdrawn.len();
+            for to in targets {
+                let entries = entries.clone();
+                self.send(to, PeerMessage::Heartbeat { entries, withdrawn });
+            }
+        }
+        let view = self.keeper_view(now);
+        if let Some(call) = self.keeper.poll(now, &view) {
+            self.effects.push(HostEffect::Platform(call));
+        }
+        if self.withdrawn.len() > self.platform_withdrawn && self.platform_fresh(now) {
+            self.effects.push(HostEffect::StoreWithdrawn(self.withdrawn.iter().cloned().collect()));
+        }
+        self.pending.retain(|_, loan| {
+            now.saturating_sub(loan.asked_at) < crate::decision::allowance::LOAN_DURATION
+        });
+        let names: Vec<WorkspaceId> = self.workspaces.keys().cloned().collect();
+        for name in names {
+            self.expire_waiting(now, &name);
+            self.prefetch(now, &name);
+        }
+    }
+
+    fn keeper_view(&self, now: Duration) -> KeeperView {
+        let lent = self.workspaces.values().map(|state| state.bucket.lent_parts()).max();
+        let own = self.members.own();
+        let live = || {
+            self.members
+                .live(now)
+                .filter(|entry| matches!(entry.phase, MemberPhase::Live | MemberPhase::Joining))
+        };
+        KeeperView {
+            live: live().map(|entry| entry.share_key.clone()).collect(),
+            unlent: self.base.saturating_sub(lent.unwrap_or(0)),
+            leaving: self.phase == MemberPhase::Leaving,
+            reclaims: live().all(|entry| own.host < entry.host),
+        }
+    }
+
+    fn platform_done(&mut self, now: Duration, outcome: PlatformOutcome) {
+        if !matches!(outcome, PlatformOutcome::Unknown | PlatformOutcome::NotRun) {
+            self.platform_heard = Some(now);
+        }
+        let view = self.keeper_view(now);
+        if let Some(call) = self.keeper.complete(now, &view, outcome) {
+            self.effects.push(HostEffect::Platform(call));
+        }
+        self.follow_base(now);
+    }
+
+    /// Passes the usable base share on to the buckets when it has changed.
+    fn follow_base(&mut self, now: Duration) {
+        let base = self.keeper.usable_base(now);
+        if base != self.base {
+            self.base = base;
+            self.workspaces.values_mut().for_each(|state| state.bucket.set_base(now, base));
+        }
+    }
+
+    fn adopt(&mut self, now: Duration, configuration: Arc<FleetConfiguration>) {
+        if configuration.revision <= self.configuration.revision {
+            return;
+        }
+        let risen = configuration.revision > self.configuration.revision;
+        if !Invariant::RevisionNeverFalls.check(risen) {
+            return;
+        }
+        for (name, spec) in &configuration.workspaces {
+            let base = self.base;
+            self.workspaces
+                .entry(name.clone())
+                .and_modify(|state| state.bucket.set_allowance(now, spec.rate, spec.burst))
+                .or_insert_with(|| WorkspaceState {
+                    bucket: AllowanceBucket::new(now, spec.rate, spec.burst, base),
+                    waiting: VecDeque::new(),
+                    ask_at: Duration::ZERO,
+                    prefetch_at: Duration::ZERO,
+                });
+        }
+        for (name, state) in &mut self.workspaces {
+            if !configuration.workspaces.contains_key(name) {
+                state.bucket.set_allowance(now, 0, 0);
+            }
+        }
+        self.configuration = configuration;
+    }
+
+    fn withdraw(&mut self, hashes: Vec<KeyHash>) {
+        let fresh = self.withdrawn.merge(hashes);
+        if fresh.is_empty() {
+            return;
+        }
+        let targets: Vec<HostId> =
+            self.members.known().map(|record| record.entry.host.clone()).collect();
+        for to in targets {
+            self.send(to, PeerMessage::Withdrawn { hashes: fresh.clone() });
+        }
+    }
+
+    fn leave(&mut self) {
+        self.phase = MemberPhase::Left;
+        self.members.set_own(self.phase, self.configuration.revision, self.keeper.key());
+        let entries = vec![self.members.own().clone()];
+        let targets: Vec<HostId> =
+            self.members.known().map(|record| record.entry.host.clone()).collect();
+        for to in targets {
+            let message = PeerMessage::Heartbeat {
+                entries: entries.clone(),
+                withdrawn: self.withdrawn.len(),
+            };
+            self.send(to, message);
+        }
+    }
+
+    fn send(&mut self, to: HostId, message: PeerMessage) {
+        if let Some(address) = self.members.address(&to) {
+            self.effects.push(HostEffect::Send { to, address, message });
+        }
+    }
+
+    fn message(&mut self, now: Duration, from: HostId, message: PeerMessage) {
+        match message {
+            PeerMessage::Heartbeat { entries, withdrawn } => {
+                self.heartbeat(now, from, entries, withdrawn);
+            }
+            PeerMessage::Withdrawn { hashes } => self.withdraw(hashes),
+            PeerMessage::RevisionRequest { known } => self.revision_request(from, known),
+            PeerMessage::RevisionReply { configuration } => {
+                self.peers_synced.insert(from);
+                self.adopt(now, configuration);
+            }
+            PeerMessage::LoanRequest { id, workspace, parts, tokens } => {
+                self.loan_request(now, from, id, workspace, LoanOffer { parts, tokens });
+            }
+            PeerMessage::LoanReply { id, workspace, parts, tokens } => {
+                self.loan_reply(now, from, id, workspace, LoanOffer { parts, tokens });
+            }
+        }
+    }
+
+    fn heartbeat(
+        &mut self,
+        now: Duration,
+        from: HostId,
+        entries: Vec<MemberEntry>,
+        withdrawn: usize,
+    ) {
+        let theirs = entries.first().map_or(0, |entry| entry.revision);
+        let highest = entries.iter().map(|entry| entry.revision).max().unwrap_or(0);
+        entries.into_iter().for_each(|entry| {
+            self.members.merge(now, entry);
+        });
+        let known = self.configuration.revision;
+        let joining = self.phase == MemberPhase::Joining && !self.peers_synced.contains(&from);
+        if theirs > known || (joining && highest >= known) {
+            self.send(from.clone(), PeerMessage::RevisionRequest { known });
+        }
+        if withdrawn < self.withdrawn.len() {
+            let hashes = self.withdrawn.iter().cloned().collect();
+            self.send(from, PeerMessage::Withdrawn { hashes });
+        }
+    }
+
+    fn revision_request(&mut self, from: HostId, _known: Revision) {
+        if self.phase == MemberPhase::Joining {
+            return;
+        }
+        // The withdrawn keys go first: a host that goes live on the
+        // configuration must not bring one of them back.
+        let hashes = self.withdrawn.iter().cloned().collect();
+        self.send(from.clone(), PeerMessage::Withdrawn { hashes });
+        let configuration = self.configuration.clone();
+        self.send(from, PeerMessage::RevisionReply { configuration });
+    }
+
+    fn admit(&mut self, now: Duration, ticket: TicketId, request: AdmissionRequest) {
+        let Some(workspace) = request.workspace.clone() else {
+            self.route(now, ticket, &request.target, &[], None);
+            return;
+        };
+        let Some(state) = self.workspaces.get_mut(&workspace) else {
+            self.refuse(ticket, AdmissionReason::Allowance, Some(FULL_RETRY_AFTER));
+            return;
+        };
+        state.bucket.note_demand(request.tokens);
+        if request.tokens > state.bucket.burst() {
+            self.refuse(ticket, AdmissionReason::TooLarge, None);
+            return;
+        }
+        let first = state.waiting.is_empty();
+        if first && state.bucket.reserve(now, request.tokens) {
+            let paid = Some((workspace, request.tokens));
+            self.route(now, ticket, &request.target, &[], paid);
+            return;
+        }
+        if !self.parameters.lending || state.waiting.len() >= WAITING_LIMIT || now < state.ask_at {
+            self.refuse_allowance(now, ticket, &workspace, request.tokens);
+            return;
+        }
+        let deadline = now + LOAN_WAIT;
+        state.waiting.push_back(WaitingRequest { ticket, request, deadline, rounds: 0 });
+        if first {
+            self.ask_for_loans(now, &workspace);
+        }
+    }
+
+    /// Chooses an endpoint; `paid` is given back if there is none.
+    fn route(
+        &mut self,
+        now: Duration,
+        ticket: TicketId,
+        target: &RouteTarget,
+        excluded: &[EndpointId],
+        paid: Option<(WorkspaceId, Tokens)>,
+    ) {
+        match self.routes.choose(now, &self.configuration, target, excluded) {
+            Ok(endpoint) => self.effects.push(HostEffect::Admitted { ticket, endpoint }),
+            Err(refusal) => {
+                if let Some((workspace, tokens)) = paid {
+                    self.settle(now, &workspace, tokens, 0);
+                }
+                self.refuse(ticket, AdmissionReason::Route(refusal), Some(FULL_RETRY_AFTER));
+            }
+        }
+    }
+
+    fn refuse(&mut self, ticket: TicketId, reason: AdmissionReason, retry_after: Option<Duration>) {
+        let refusal = AdmissionRefusal { reason, retry_after };
+        self.effects.push(HostEffect::Refused { ticket, refusal });
+    }
+
+    fn refuse_allowance(
+        &mut self,
+        now: Duration,
+        ticket: TicketId,
+        workspace: &str,
+        tokens: Tokens,
+    ) {
+        let retry_after = self.workspaces.get_mut(workspace).and_then(|state| {
+            state.bucket.advance(now);
+            state.bucket.refill_time(tokens)
+        });
+        let retry_after = retry_after.unwrap_or(FULL_RETRY_AFTER).max(SHORTEST_RETRY_AFTER);
+        self.refuse(ticket, AdmissionReason::Allowance, Some(retry_after));
+    }
+
+    fn settle(&mut self, now: Duration, workspace: &WorkspaceId, reserved: Tokens, used: Tokens) {
+        if let Some(state) = self.workspaces.get_mut(workspace) {
+            state.bucket.settle(now, reserved, used);
+        }
+        self.serve_waiting(now, workspace);
+    }
+
+    /// Admits waiting requests in order for as long as tokens are there.
+    fn serve_waiting(&mut self, now: Duration, workspace: &WorkspaceId) {
+        while let Some(state) = self.workspaces.get_mut(workspace) {
+            let Some(first) = state.waiting.front() else { return };
+            let tokens = first.request.tokens;
+            if !state.bucket.reserve(now, tokens) {
+                return;
+            }
+            if let Some(WaitingRequest { ticket, request, .. }) = state.waiting.pop_front() {
+                let paid = Some((workspace.clone(), tokens));
+                self.route(now, ticket, &request.target, &[], paid);
+            }
+        }
+    }
+
+    fn expire_waiting(&mut self, now: Duration, workspace: &WorkspaceId) {
+        self.serve_waiting(now, workspace);
+        let Some(state) = self.workspaces.get_mut(workspace) else { return };
+        let mut expired = Vec::new();
+        while let Some(first) = state.waiting.pop_front_if(|first| first.deadline <= now) {
+            expired.push(first);
+        }
+        if !expired.is_empty() {
+            state.ask_at = now + LOAN_PAUSE;
+        }
+        for WaitingRequest { ticket, request, .. } in expired {
+            self.refuse_allowance(now, ticket, workspace, request.tokens);
+        }
+    }
+
+    /// Asks a few members for what the waiting requests lack.
+    fn ask_for_loans(&mut self, now: Duration, workspace: &WorkspaceId) {
+        let Some(state) = self.workspaces.get_mut(workspace) else { return };
+        let wanted: Tokens = state.waiting.iter().map(|waiting| waiting.request.tokens).sum();
+        let missing = wanted.saturating_sub(state.bucket.available());
+        let for_rate = state.bucket.wanted_parts().saturating_sub(state.bucket.parts());
+        let parts = state.bucket.parts_holding(missing).max(for_rate);
+        if let Some(first) = state.waiting.front_mut() {
+            first.rounds += 1;
+        }
+        self.request_loans(now, workspace, LoanOffer { parts, tokens: missing });
+    }
+
+    fn request_loans(&mut self, now: Duration, workspace: &WorkspaceId, wanted: LoanOffer) {
+        let targets: Vec<HostId> = self
+            .members
+            .live(now)
+            .filter(|entry| entry.phase == MemberPhase::Live || entry.phase == MemberPhase::Leaving)
+            .map(|entry| entry.host.clone())
+            .choose_multiple(&mut self.source, LOAN_FANOUT);
+        for to in targets {
+            self.loan_number += 1;
+            let own = self.members.own();
+            let id = LoanId {
+                host: own.host.clone(),
+                incarnation: own.incarnation,
+                number: self.loan_number,
+            };
+            let loan = PendingLoan { asked_at: now, workspace: workspace.clone(), to: to.clone() };
+            self.pending.insert(id.clone(), loan);
+            let message = PeerMessage::LoanRequest {
+                id,
+                workspace: workspace.clone(),
+                parts: wanted.parts,
+                tokens: wanted.tokens,
+            };
+            self.send(to, message);
+        }
+    }
+
+    /// Borrows ahead of refusals when the demand outgrows the share.
+    fn prefetch(&mut self, now: Duration, workspace: &WorkspaceId) {
+        let lending = self.parameters.lending;
+        let Some(state) = self.workspaces.get_mut(workspace) else { return };
+        state.bucket.advance(now);
+        if !lending || now < state.prefetch_at {
+            return;
+        }
+        state.prefetch_at = now + PREFETCH_INTERVAL;
+        let parts = state.bucket.wanted_parts().saturating_sub(state.bucket.parts());
+        if parts > 0 {
+            let tokens = state.bucket.burst().saturating_mul(parts) / crate::ids::ALL_PARTS / 2;
+            self.request_loans(now, workspace, LoanOffer { parts, tokens });
+        }
+    }
+
+    fn loan_request(
+        &mut self,
+        now: Duration,
+        from: HostId,
+        id: LoanId,
+        workspace: WorkspaceId,
+        wanted: LoanOffer,
+    ) {
+        let lends = self.parameters.lending && now < self.keeper.valid_until();
+        let offer = match self.workspaces.get_mut(&workspace) {
+            Some(state) if lends && state.waiting.is_empty() => state.bucket.lend(now, wanted),
+            _ => LoanOffer::default(),
+        };
+        let LoanOffer { parts, tokens } = offer;
+        self.send(from, PeerMessage::LoanReply { id, workspace, parts, tokens });
+    }
+
+    fn loan_reply(
+        &mut self,
+        now: Duration,
+        from: HostId,
+        id: LoanId,
+        workspace: WorkspaceId,
+        offer: LoanOffer,
+    ) {
+        let matches = |loan: &PendingLoan| loan.to == from && loan.workspace == workspace;
+        if !self.pending.get(&id).is_some_and(matches) {
+            return;
+        }
+        let Some(loan) = self.pending.remove(&id) else { return };
+        let Some(state) = self.workspaces.get_mut(&workspace) else { return };
+        state.bucket.borrow_loan(now, loan.asked_at, offer);
+        self.serve_waiting(now, &workspace);
+        let asked = self.pending.values().any(|loan| {
+            loan.workspace == workspace && now.saturating_sub(loan.asked_at) < LOAN_WAIT
+        });
+        let rounds = self
+            .workspaces
+            .get(&workspace)
+            .and_then(|state| state.waiting.front())
+            .map(|first| first.rounds);
+        match rounds {
+            Some(rounds) if !asked && rounds < LOAN_ROUNDS => self.ask_for_loans(now, &workspace),
+            Some(_) if !asked => self.give_up_waiting(now, &workspace),
+            _ => {}
+        }
+    }
+
+    /// Refuses at once all that waits, since no member has anything to lend.
+    fn give_up_waiting(&mut self, now: Duration, workspace: &WorkspaceId) {
+        let Some(state) = self.workspaces.get_mut(workspace) else { return };
+        state.ask_at = now + LOAN_PAUSE;
+        let waiting = std::mem::take(&mut state.waiting);
+        for WaitingRequest { ticket, request, .. } in waiting {
+            self.refuse_allowance(now, ticket, workspace, request.tokens);
+        }
+    }
+}
--- /dev/null
+++ b/crates/skylarkgw/src/decision/membership.rs
@@ -0,0 +1,208 @@
+//! Which hosts are there: heartbeats spread by gossip.
+//!
+//! Each host raises its own counter and sends a bounded digest to a few random
+//! members. A member is heard from when its counter rises, whoever brought the
+//! news (Van Renesse, Minsky and Hayden, "A Gossip-Style Failure Detection
+//! Service", 1998). The platform's list only seeds addresses.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use rand::seq::IteratorRandom;
+use rand_chacha::ChaCha8Rng;
+use serde::{Deserialize, Serialize};
+
+use crate::ids::{DataCentre, HostId, Incarnation, Revision};
+
+/// Time between two heartbeats.
+pub const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(400);
+/// Members that each heartbeat is sent to.
+pub const HEARTBEAT_FANOUT: usize = 3;
+/// Entries of other members that one heartbeat carries.
+pub const DIGEST_ENTRIES: usize = 48;
+/// Silence after which a member counts as suspected.
+pub const SUSPECT_AFTER: Duration = Duration::from_millis(3_000);
+/// Silence after which contact no longer vouches for withdrawals.
+pub const CONTACT_WINDOW: Duration = Duration::from_millis(4_000);
+/// Silence after which a member is forgotten.
+pub const FORGET_AFTER: Duration = Duration::from_secs(60);
+
+/// Where a host stands in its life.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum MemberPhase {
+    /// It has not yet learnt the configuration in force.
+    Joining,
+    /// It serves callers.
+    Live,
+    /// It drains before a planned stop.
+    Leaving,
+    /// It has stopped.
+    Left,
+}
+
+/// What a host says of itself, and others pass on.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct MemberEntry {
+    /// Name of the host.
+    pub host: HostId,
+    /// Process life that the entry speaks of.
+    pub incarnation: Incarnation,
+    /// Heartbeat counter within that life.
+    pub counter: u64,
+    /// IP address and port for other hosts.
+    pub address: Arc<str>,
+    /// Data centre of the host.
+    pub data_centre: DataCentre,
+    /// Phase of its life.
+    pub phase: MemberPhase,
+    /// Configuration in force on it.
+    pub revision: Revision,
+    /// Name under which the ledger of shares lists it.
+    pub share_key: Arc<str>,
+}
+
+/// A known member and when news of it last came.
+#[derive(Clone, Debug)]
+pub struct MemberRecord {
+    /// Latest entry.
+    pub entry: MemberEntry,
+    /// Local time of the last rise of its counter.
+    pub heard_at: Duration,
+}
+
+/// The members that one host knows.
+#[derive(Debug)]
+pub struct MemberTable {
+    own: MemberEntry,
+    others: BTreeMap<HostId, MemberRecord>,
+    beat_at: Duration,
+}
+
+impl MemberTable {
+    /// Creates a table that knows only its own host.
+    pub fn new(own: MemberEntry) -> MemberTable {
+        MemberTable { own, others: BTreeMap::new(), beat_at: Duration::ZERO }
+    }
+
+    /// Returns the entry of this host.
+    pub fn own(&self) -> &MemberEntry {
+        &self.own
+    }
+
+    /// Sets what changes in this host's entry.
+    pub fn set_own(&mut self, phase: MemberPhase, revision: Revision, share_key: &Arc<str>) {
+        self.own.phase = phase;
+        self.own.revision = revision;
+        self.own.share_key = share_key.clone();
+    }
+
+    /// Takes in an entry heard from anyone, if it is newer than the known one.
+    ///
+    /// Returns whether the member was unknown before.
+    pub fn merge(&mut self, now: Duration, entry: MemberEntry) -> bool {
+        if entry.host == self.own.host {
+            return false;
+        }
+        match self.others.get_mut(&entry.host) {
+            Some(record) => {
+                let known = (record.entry.incarnation, record.entry.counter);
+                if (entry.incarnation, entry.counter) > known {
+                    *record = MemberRecord { entry, heard_at: now };
+                }
+                false
+            }
+            None => {
+                self.others.insert(entry.host.clone(), MemberRecord { entry, heard_at: now });
+                true
+            }
+        }
+    }
+
+    /// Adds an address from the platform's list as a hint, not as news.
+    pub fn seed(&mut self, now: Duration, entry: MemberEntry) {
+        if entry.host != self.own.host && !self.others.contains_key(&entry.host) {
+            let heard_at = now.saturating_sub(SUSPECT_AFTER);
+            self.others.insert(entry.host.clone(), MemberRecord { entry, heard_at });
+        }
+    }
+
+    /// Raises the counter when a heartbeat is due and forgets silent members.
+    ///
+    /// Returns the members to send to and the digest, or `None` if none is due.
+    pub fn beat(
+        &mut self,
+        now: Duration,
+        source: &mut ChaCha8Rng,
+    ) -> Option<(Vec<HostId>, Vec<MemberEntry>)> {
+        if now < self.beat_at {
+            return None;
+        }
+        self.beat_at = now + HEARTBEAT_INTERVAL;
+        self.own.counter += 1;
+        self.others.retain(|_, record| {
+            now.saturating_sub(record.heard_at) < FORGET_AFTER
+                || (record.entry.phase == MemberPhase::Joining
+                    && now.saturating_sub(record.heard_at) < FORGET_AFTER * 2)
+        });
+        let targets = self
+            .others
+            .values()
+            .filter(|record| record.entry.phase != MemberPhase::Left)
+            .map(|record| record.entry.host.clone())
+            .choose_multiple(source, HEARTBEAT_FANOUT);
+        Some((targets, self.digest()))
+    }
+
+    /// Returns this host's entry and the entries with the freshest news.
+    pub fn digest(&self) -> Vec<MemberEntry> {
+        let mut records: Vec<&MemberRecord> = self.others.values().collect();
+        records.sort_by_key(|record| std::cmp::Reverse(record.heard_at));
+        std::iter::once(&self.own)
+            .chain(records.into_iter().take(DIGEST_ENTRIES).map(|record| &record.entry))
+            .cloned()
+            .collect()
+    }
+
+    /// Returns the address of a member.
+    pub fn address(&self, host: &str) -> Option<Arc<str>> {
+        self.others.get(host).map(|record| record.entry.address.clone())
+    }
+
+    /// Iterates over the other members that are heard from and not stopped.
+    pub fn live(&self, now: Duration) -> impl Iterator<Item = &MemberEntry> {
+        self.others
+            .values()
+            .filter(move |record| {
+                now.saturating_sub(record.heard_at) < SUSPECT_AFTER
+                    && record.entry.phase != MemberPhase::Left
+            })
+            .map(|record| &record.entry)
+    }
+
+    /// Iterates over all other members that are not forgotten or stopped.
+    pub fn known(&self) -> impl Iterator<Item = &MemberRecord> {
+        self.others.values().filter(|record| record.entry.phase != MemberPhase::Left)
+    }
+
+    /// Returns whether news of at least half of the known members came lately.
+    ///
+    /// A host that knows no other member has nobody to hear from.
+    pub fn in_contact(&self, now: Duration) -> bool {
+        let (known, heard) = self.known().fold((0_usize, 0_usize), |(known, heard), record| {
+            let fresh = now.saturating_sub(record.heard_at) < CONTACT_WINDOW;
+            (known + 1, heard + usize::from(fresh))
+        });
+        known == 0 || heard * 2 >= known
+    }
+
+    /// Returns this host's rank among the live members of its data centre.
+    pub fn rank(&self, now: Duration) -> usize {
+        self.live(now)
+            .filter(|entry| entry.data_centre == self.own.data_centre)
+            .filter(|entry| entry.phase == MemberPhase::Live && entry.host < self.own.host)
+            .count()
+    }
+}
--- /dev/null
+++ b/crates/skylarkgw/src/edge/listener.rs
@@ -0,0 +1,83 @@
+//! Accepts callers' connections.
+
+use std::time::Duration;
+
+use poem::http::uri::Scheme;
+use poem::listener::{Acceptor, Listener, TcpAcceptor};
+use poem::web::{LocalAddr, RemoteAddr};
+use poem::{Endpoint, Response, Server};
+use tokio::net::TcpStream;
+
+use crate::supervisor::StopSignal;
+
+const IDLE_TIMEOUT: Duration = Duration::from_secs(60);
+
+/// Accepts TCP connections and turns off the delay of small writes.
+pub struct CallerAcceptor {
+    inner: TcpAcceptor,
+}
+
+impl CallerAcceptor {
+    /// Wraps a listener that is already bound.
+    ///
+    /// # Errors
+    ///
+    /// The system's error if the listener has no local address.
+    pub fn new(listener: std::net::TcpListener) -> std::io::Result<CallerAcceptor> {
+        listener.set_nonblocking(true)?;
+        Ok(CallerAcceptor { inner: TcpAcceptor::from_std(listener)? })
+    }
+}
+
+impl Acceptor for CallerAcceptor {
+    type Io = TcpStream;
+
+    fn local_addr(&self) -> Vec<LocalAddr> {
+        self.inner.local_addr()
+    }
+
+    async fn accept(&mut self) -> std::io::Result<(TcpStream, LocalAddr, RemoteAddr, Scheme)> {
+        let (stream, local, remote, scheme) = self.inner.accept().await?;
+        stream.set_nodelay(true)?;
+        Ok((stream, local, remote, scheme))
+    }
+}
+
+/// A listener that is already bound, for the library's TLS on top of it.
+pub struct CallerListener {
+    acceptor: CallerAcceptor,
+}
+
+impl CallerListener {
+    /// Wraps an acceptor.
+    pub fn new(acceptor: CallerAcceptor) -> CallerListener {
+        CallerListener { acceptor }
+    }
+}
+
+impl Listener for CallerListener {
+    type Acceptor = CallerAcceptor;
+
+    async fn into_acceptor(self) -> std::io::Result<CallerAcceptor> {
+        Ok(self.acceptor)
+    }
+}
+
+/// Serves an interface until told to stop, then ends what runs.
+///
+/// Requests that still run after `deadline` are cut.
+///
+/// # Errors
+///
+/// The system's error if connections cannot be accepted.
+pub async fn serve_callers(
+    acceptor: impl Acceptor + 'static,
+    endpoint: impl Endpoint<Output = Response> + 'static,
+    mut stop: StopSignal,
+    deadline: Duration,
+) -> std::io::Result<()> {
+    Server::new_with_acceptor(acceptor)
+        .idle_timeout(IDLE_TIMEOUT)
+        .run_with_graceful_shutdown(endpoint, async move { stop.stopped().await }, Some(deadline))
+        .await
+}
--- /dev/null
+++ b/crates/skylarkgw/src/endpoint.rs
@@ -0,0 +1,9 @@
+//! Towards endpoints: engines and plain services over HTTP.
+
+mod engine;
+mod generation;
+mod service;
+
+pub use engine::{EngineClient, EngineError, EngineEvent, GenerateCall, TokenEvent};
+pub use generation::{GenerationEvent, GenerationFailure, GenerationTask, poll_engines};
+pub use service::{ServiceAnswer, ServiceCall, ServiceClient, ServiceError};
--- /dev/null
+++ b/crates/skylarkgw/src/settings/document.rs
@@ -0,0 +1,202 @@
+//! Reads JSON with comments into types, with errors that point at the text.
+
+use std::path::{Path, PathBuf};
+
+use jsonc_parser::ast::Value as AstValue;
+use jsonc_parser::common::{Range, Ranged};
+use jsonc_parser::{CollectOptions, ParseOptions, parse_to_ast};
+use miette::{Diagnostic, NamedSource, SourceSpan};
+use serde::de::DeserializeOwned;
+use serde_path_to_error::{Path as FieldPath, Segment};
+use thiserror::Error;
+
+/// Why a settings file cannot be used.
+#[derive(Debug, Diagnostic, Error)]
+pub enum SettingsError {
+    /// The file cannot be read.
+    #[error("{} cannot be read", path.display())]
+    #[diagnostic(help("name a file that exists and may be read"))]
+    Unreadable {
+        /// The file.
+        path: PathBuf,
+        /// What the system said.
+        #[source]
+        source: std::io::Error,
+    },
+    /// The text is not JSON with comments.
+    #[error("this is not JSON with comments: {problem}")]
+    #[diagnostic(help("write JSON; comments start with // or stand between /* and */"))]
+    Syntax {
+        /// What the parser said.
+        problem: String,
+        /// The file's text.
+        #[source_code]
+        text: NamedSource<String>,
+        /// The place.
+        #[label("here")]
+        place: SourceSpan,
+    },
+    /// A field is unknown, missing, or of the wrong type.
+    #[error("{field}: {problem}")]
+    #[diagnostic(help("see the example file of this program for every field and its unit"))]
+    Field {
+        /// Path to the field.
+        field: String,
+        /// What is wrong.
+        problem: String,
+        /// The file's text.
+        #[source_code]
+        text: NamedSource<String>,
+        /// The place.
+        #[label("here")]
+        place: SourceSpan,
+    },
+    /// A value does not fit, alone or with others.
+    #[error("{field}: this value cannot be used")]
+    #[diagnostic(help("write {expected}"))]
+    Value {
+        /// The field.
+        field: String,
+        /// What to write instead.
+        expected: String,
+        /// The file's text.
+        #[source_code]
+        text: NamedSource<String>,
+        /// The place.
+        #[label("here")]
+        place: SourceSpan,
+    },
+}
+
+/// Reads a file of JSON with comments.
+///
+/// # Errors
+///
+/// [`SettingsError`] if the file cannot be read, parsed or does not fit `T`.
+pub fn read_document<T: DeserializeOwned>(path: &Path) -> Result<T, SettingsError> {
+    parse_document(path, &read_text(path)?)
+}
+
+/// Parses JSON with comments; `path` only names the text in errors.
+///
+/// # Errors
+///
+/// [`SettingsError`] if the text cannot be parsed or does not fit `T`.
+pub fn parse_document<T: DeserializeOwned>(path: &Path, text: &str) -> Result<T, SettingsError> {
+    let root = parse_ast(path, text)?;
+    let value: serde_json::Value = match &root {
+        Some(root) => to_value(root),
+        None => serde_json::Value::Null,
+    };
+    serde_path_to_error::deserialize(value).map_err(|error| {
+        let place = root.as_ref().map(|root| find(root, error.path()));
+        SettingsError::Field {
+            field: error.path().to_string(),
+            problem: error.inner().to_string(),
+            text: named(path, text),
+            place: span(place.unwrap_or(Range { start: 0, end: 0 })),
+        }
+    })
+}
+
+/// Reads the text of a settings file.
+pub(super) fn read_text(path: &Path) -> Result<String, SettingsError> {
+    std::fs::read_to_string(path)
+        .map_err(|source| SettingsError::Unreadable { path: path.into(), source })
+}
+
+/// Builds the error for a field whose value does not fit.
+pub(super) fn wrong_value(path: &Path, text: &str, field: &str, expected: &str) -> SettingsError {
+    let range = parse_ast(path, text)
+        .ok()
+        .flatten()
+        .and_then(|root| property_range(&root, field))
+        .unwrap_or(Range { start: 0, end: 0 });
+    SettingsError::Value {
+        field: field.to_owned(),
+        expected: expected.to_owned(),
+        text: named(path, text),
+        place: span(range),
+    }
+}
+
+fn parse_options() -> ParseOptions {
+    ParseOptions {
+        allow_comments: true,
+        allow_trailing_commas: true,
+        allow_loose_object_property_names: false,
+        allow_missing_commas: false,
+        allow_single_quoted_strings: false,
+        allow_hexadecimal_numbers: false,
+        allow_unary_plus_numbers: false,
+        allow_bare_decimal_point_numbers: false,
+        allow_non_finite_numbers: false,
+        allow_extended_string_escapes: false,
+    }
+}
+
+fn parse_ast<'a>(path: &Path, text: &'a str) -> Result<Option<AstValue<'a>>, SettingsError> {
+    parse_to_ast(text, &CollectOptions::default(), &parse_options())
+        .map(|result| result.value)
+        .map_err(|error| SettingsError::Syntax {
+            problem: error.kind().to_string(),
+            place: span(error.range()),
+            text: named(path, text),
+        })
+}
+
+fn to_value(value: &AstValue<'_>) -> serde_json::Value {
+    match value {
+        AstValue::StringLit(text) => serde_json::Value::String(text.value.to_string()),
+        AstValue::NumberLit(number) => {
+            serde_json::from_str(number.value).unwrap_or(serde_json::Value::Null)
+        }
+        AstValue::BooleanLit(boolean) => serde_json::Value::Bool(boolean.value),
+        AstValue::Object(object) => object
+            .properties
+            .iter()
+            .map(|property| (property.name.as_str().to_owned(), to_value(&property.value)))
+            .collect::<serde_json::Map<_, _>>()
+            .into(),
+        AstValue::Array(array) => array.elements.iter().map(to_value).collect(),
+        AstValue::NullKeyword(_) => serde_json::Value::Null,
+    }
+}
+
+/// Returns the range of the innermost value that the path still finds.
+fn find(root: &AstValue<'_>, path: &FieldPath) -> Range {
+    let mut current = root;
+    for segment in path.iter() {
+        let next = match (segment, current) {
+            (Segment::Map { key }, AstValue::Object(object)) => object
+                .properties
+                .iter()
+                .find(|property| property.name.as_str() == key)
+                .map(|property| &property.value),
+            (Segment::Seq { index }, AstValue::Array(array)) => array.elements.get(*index),
+            _ => None,
+        };
+        match next {
+            Some(next) => current = next,
+            None => break,
+        }
+    }
+    current.range()
+}
+
+fn property_range(root: &AstValue<'_>, field: &str) -> Option<Range> {
+    let AstValue::Object(object) = root else { return None };
+    object
+        .properties
+        .iter()
+        .find(|property| property.name.as_str() == field)
+        .map(|property| property.value.range())
+}
+
+fn named(path: &Path, text: &str) -> NamedSource<String> {
+    NamedSource::new(path.display().to_string(), text.to_owned())
+}
+
+fn span(range: Range) -> SourceSpan {
+    SourceSpan::new(range.start.into(), range.end.saturating_sub(range.start))
+}
--- /dev/null
+++ b/crates/skylarkgw/src/sync.rs
@@ -0,0 +1,203 @@
+//! Keeps the control thread and the platform in step.
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::time::Duration;
+
+use rand::Rng;
+use tokio::sync::{Mutex, mpsc};
+use tokio::time::sleep;
+
+use crate::configuration::HeadDocument;
+use crate::control::{ControlHandle, ControlOutput};
+use crate::decision::host::HostInput;
+use crate::decision::membership::MemberEntry;
+use crate::ids::KeyHash;
+use crate::peer::PeerSender;
+use crate::platform::{
+    HEAD_OBJECT, HOSTS_PREFIX, PlatformClient, PlatformError, PlatformObject, SHARED_PREFIX,
+    WITHDRAWN_OBJECT,
+};
+use crate::telemetry::Metrics;
+
+/// Longest wait of one watch.
+pub const WATCH_WAIT: Duration = Duration::from_millis(2_000);
+/// Time between two reads of the list of hosts.
+pub const HOSTS_INTERVAL: Duration = Duration::from_secs(10);
+
+const FIRST_HOSTS_INTERVAL: Duration = Duration::from_millis(300);
+const FAILURE_PAUSE: Duration = Duration::from_millis(250);
+const IDLE_PAUSE: Duration = Duration::from_millis(1_000);
+const STORE_ATTEMPTS: u32 = 4;
+
+/// What the tasks of this module share.
+#[derive(Clone, Debug)]
+pub struct PlatformSync {
+    /// The control thread.
+    pub control: ControlHandle,
+    /// The platform.
+    pub platform: PlatformClient,
+    /// This host's metrics.
+    pub metrics: Arc<Metrics>,
+}
+
+impl PlatformSync {
+    /// Watches the shared objects, or waits for its turn to.
+    ///
+    /// The first round reads everything, whoever watches, since a host that
+    /// starts has to learn the highest revision.
+    pub async fn watch_shared(self) {
+        let mut position = 0;
+        loop {
+            let watches = self.control.watches().await.unwrap_or(false);
+            if position > 0 && !watches {
+                sleep(IDLE_PAUSE).await;
+                continue;
+            }
+            match self.platform.watch(SHARED_PREFIX, position, WATCH_WAIT).await {
+                Ok(list) => {
+                    // A store that was restored may stand at a lower position.
+                    position = list.position;
+                    self.control.send(HostInput::PlatformHeard);
+                    // Withdrawn keys go first: a host goes live on the
+                    // configuration and must not bring one of them back.
+                    let (withdrawn, others): (Vec<_>, Vec<_>) =
+                        list.objects.iter().partition(|object| &*object.name == WITHDRAWN_OBJECT);
+                    withdrawn.into_iter().chain(others).for_each(|object| self.take(object));
+                    if position == 0 {
+                        sleep(FAILURE_PAUSE).await;
+                    }
+                }
+                Err(_) => {
+                    position = 0;
+                    sleep(jitter(FAILURE_PAUSE)).await;
+                }
+            }
+        }
+    }
+
+    fn take(&self, object: &PlatformObject) {
+        match &*object.name {
+            HEAD_OBJECT => match serde_json::from_str::<HeadDocument>(&object.value) {
+                Ok(head) => self
+                    .control
+                    .send(HostInput::PlatformConfiguration { configuration: head.configuration }),
+                Err(_) => self.metrics.decode_failures.inc(),
+            },
+            WITHDRAWN_OBJECT => match serde_json::from_str::<Vec<KeyHash>>(&object.value) {
+                Ok(hashes) => self.control.send(HostInput::PlatformWithdrawn { hashes }),
+                Err(_) => self.metrics.decode_failures.inc(),
+            },
+            _ => {}
+        }
+    }
+
+    /// Registers this host and reads the list of hosts, again and again.
+    pub async fn follow_hosts(self) {
+        let mut rounds = 0_u32;
+        loop {
+            let own = self.control.snapshot().members.first().cloned();
+            if let Some(own) = own {
+                let _ = self.register(&own).await;
+            }
+            if let Ok(list) = self.platform.list(HOSTS_PREFIX).await {
+                let entries = list
+                    .objects
+                    .iter()
+                    .filter_map(|object| serde_json::from_str::<MemberEntry>(&object.value).ok())
+                    .collect();
+                self.control.send(HostInput::PlatformHosts { entries });
+            }
+            rounds = rounds.saturating_add(1);
+            let interval = if rounds < 20 { FIRST_HOSTS_INTERVAL } else { HOSTS_INTERVAL };
+            sleep(jitter(interval)).await;
+        }
+    }
+
+    /// Writes this host's entry if the platform has none of this life.
+    async fn register(&self, own: &MemberEntry) -> Result<(), PlatformError> {
+        let name = format!("{HOSTS_PREFIX}{}", own.host);
+        let known = self.platform.read(&name).await?;
+        let version = known.as_ref().map_or(0, |object| object.version);
+        let current = known
+            .and_then(|object| serde_json::from_str::<MemberEntry>(&object.value).ok())
+            .is_some_and(|entry| entry.incarnation >= own.incarnation);
+        if current {
+            return Ok(());
+        }
+        let value = serde_json::to_string(own).map_err(PlatformError::Garbage)?;
+        self.platform.write(&name, version, &value).await.map(|_| ())
+    }
+
+    /// Carries what the control thread wants done until it ends.
+    pub async fn carry_outputs(
+        self,
+        mut peers: PeerSender,
+        outputs: Arc<Mutex<mpsc::UnboundedReceiver<ControlOutput>>>,
+    ) {
+        let mut outputs = outputs.lock().await;
+        let (store, stored) = mpsc::channel::<Vec<KeyHash>>(1);
+        tokio::spawn(self.clone().store_withdrawn(stored));
+        while let Some(output) = outputs.recv().await {
+            match output {
+                ControlOutput::Send { address, message } => peers.send(address, message),
+                ControlOutput::Platform(call) => {
+                    let sync = self.clone();
+                    tokio::spawn(async move {
+                        let outcome = sync.platform.perform(call).await;
+                        sync.control.send(HostInput::PlatformDone { outcome });
+                    });
+                }
+                ControlOutput::StoreWithdrawn(hashes) => {
+                    // A full channel means that a store is under way; the
+                    // machine asks again for as long as it is needed.
+                    let _ = store.try_send(hashes);
+                }
+            }
+        }
+    }
+
+    async fn store_withdrawn(self, mut requests: mpsc::Receiver<Vec<KeyHash>>) {
+        while let Some(hashes) = requests.recv().await {
+            if let Ok(stored) = merge_withdrawn(&self.platform, &hashes).await {
+                self.control.send(HostInput::PlatformWithdrawn { hashes: stored });
+            }
+            sleep(FAILURE_PAUSE).await;
+        }
+    }
+}
+
+/// Adds withdrawn keys to those that the platform keeps, and returns them all.
+///
+/// # Errors
+///
+/// [`PlatformError`] if the platform did not confirm them.
+pub async fn merge_withdrawn(
+    platform: &PlatformClient,
+    hashes: &[KeyHash],
+) -> Result<Vec<KeyHash>, PlatformError> {
+    for _ in 0..STORE_ATTEMPTS {
+        let known = platform.read(WITHDRAWN_OBJECT).await?;
+        let version = known.as_ref().map_or(0, |object| object.version);
+        let mut set: BTreeSet<KeyHash> = match &known {
+            Some(object) => serde_json::from_str(&object.value).map_err(PlatformError::Garbage)?,
+            None => BTreeSet::new(),
+        };
+        let before = set.len();
+        set.extend(hashes.iter().cloned());
+        let stored: Vec<KeyHash> = set.into_iter().collect();
+        if stored.len() == before {
+            return Ok(stored);
+        }
+        let value = serde_json::to_string(&stored).map_err(PlatformError::Garbage)?;
+        if platform.write(WITHDRAWN_OBJECT, version, &value).await?.is_some() {
+            return Ok(stored);
+        }
+    }
+    Err(PlatformError::Status(409))
+}
+
+/// Spreads pauses by a fifth, so that hosts do not call in step.
+fn jitter(pause: Duration) -> Duration {
+    pause.mul_f64(rand::rng().random_range(0.9..1.1))
+}
--- /dev/null
+++ b/crates/skylarkgw/src/telemetry/metrics.rs
@@ -0,0 +1,208 @@
+//! Metrics of one host.
+
+use prometheus::{
+    HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts, Registry, TextEncoder,
+};
+
+use crate::decision::invariant::Invariant;
+
+const LATENCY_BUCKETS_S: [f64; 14] =
+    [0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.32, 0.48, 0.75, 1.0, 2.0, 5.0, 10.0, 30.0];
+const TOKEN_GAP_BUCKETS_S: [f64; 10] =
+    [0.002, 0.005, 0.01, 0.016, 0.024, 0.032, 0.05, 0.1, 0.25, 1.0];
+
+/// What kind of request is counted.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum RequestClass {
+    /// A chat or text completion.
+    Model,
+    /// A call to a plain service.
+    Service,
+}
+
+/// How a request ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum RequestOutcome {
+    /// The caller got the whole answer.
+    Answered,
+    /// The request was refused and did not run.
+    NotRun,
+    /// The request may have run, and the caller was told so.
+    Unknown,
+    /// The caller went away.
+    Abandoned,
+}
+
+impl RequestClass {
+    fn label(self) -> &'static str {
+        match self {
+            RequestClass::Model => "model",
+            RequestClass::Service => "service",
+        }
+    }
+}
+
+impl RequestOutcome {
+    fn label(self) -> &'static str {
+        match self {
+            RequestOutcome::Answered => "answered",
+            RequestOutcome::NotRun => "not-run",
+            RequestOutcome::Unknown => "unknown",
+            RequestOutcome::Abandoned => "abandoned",
+        }
+    }
+}
+
+/// All metrics of a host.
+#[derive(Debug)]
+pub struct Metrics {
+    registry: Registry,
+    requests: IntCounterVec,
+    refusals: IntCounterVec,
+    first_token: HistogramVec,
+    token_gap: HistogramVec,
+    whole_answer: HistogramVec,
+    violations: IntCounterVec,
+    /// Calls to the platform.
+    pub platform_calls: IntCounter,
+    /// Calls to the platform without a usable answer.
+    pub platform_failures: IntCounter,
+    /// Messages to other hosts that were dropped or not delivered.
+    pub peer_drops: IntCounter,
+    /// Messages, reports and objects that could not be decoded.
+    pub decode_failures: IntCounter,
+    /// Streams that were resumed on a new connection.
+    pub resumes: IntCounter,
+    /// Requests that run now.
+    pub running: IntGauge,
+    /// Configuration in force.
+    pub revision: IntGauge,
+    /// Whether this host takes requests.
+    pub serving: IntGauge,
+    /// Other hosts that are heard from.
+    pub members: IntGauge,
+}
+
+impl Metrics {
+    /// Creates and registers all metrics.
+    ///
+    /// # Errors
+    ///
+    /// [`prometheus::Error`] if two metrics clash, which is a defect.
+    pub fn new() -> Result<Metrics, prometheus::Error> {
+        let registry = Registry::new();
+        let counters = |name: &str, help: &str, labels: &[&str]| {
+            let vector = IntCounterVec::new(Opts::new(name, help), labels)?;
+            registry.register(Box::new(vector.clone()))?;
+            Ok::<_, prometheus::Error>(vector)
+        };
+        let counter = |name: &str, help: &str| {
+            let counter = IntCounter::new(name, help)?;
+            registry.register(Box::new(counter.clone()))?;
+            Ok::<_, prometheus::Error>(counter)
+        };
+        let gauge = |name: &str, help: &str| {
+            let gauge = IntGauge::new(name, help)?;
+            registry.register(Box::new(gauge.clone()))?;
+            Ok::<_, prometheus::Error>(gauge)
+        };
+        let histogram = |name: &str, help: &str, buckets: &[f64]| {
+            let options = HistogramOpts::new(name, help).buckets(buckets.to_vec());
+            let vector = HistogramVec::new(options, &["workspace", "class"])?;
+            registry.register(Box::new(vector.clone()))?;
+            Ok::<_, prometheus::Error>(vector)
+        };
+        Ok(Metrics {
+            requests: counters(
+                "skylark_requests_total",
+                "Requests by workspace, class and outcome",
+                &["workspace", "class", "outcome"],
+            )?,
+            refusals: counters(
+                "skylark_refusals_total",
+                "Refusals by workspace and reason",
+                &["workspace", "reason"],
+            )?,
+            first_token: histogram(
+                "skylark_first_token_seconds",
+                "Time from the request to its first token",
+                &LATENCY_BUCKETS_S,
+            )?,
+            token_gap: histogram(
+                "skylark_token_gap_seconds",
+                "Time between two tokens of a stream",
+                &TOKEN_GAP_BUCKETS_S,
+            )?,
+            whole_answer: histogram(
+                "skylark_whole_answer_seconds",
+                "Time from the request to the end of its answer",
+                &LATENCY_BUCKETS_S,
+            )?,
+            violations: counters(
+                "skylark_invariant_violations_total",
+                "Invariants found violated; any value above zero is a defect",
+                &["invariant"],
+            )?,
+            platform_calls: counter("skylark_platform_calls_total", "Calls to the platform")?,
+            platform_failures: counter(
+                "skylark_platform_failures_total",
+                "Calls to the platform without a usable answer",
+            )?,
+            peer_drops: counter(
+                "skylark_peer_drops_total",
+                "Messages to other hosts that were not delivered",
+            )?,
+            decode_failures: counter(
+                "skylark_decode_failures_total",
+                "Messages, reports and objects that could not be decoded",
+            )?,
+            resumes: counter(
+                "skylark_stream_resumes_total",
+                "Streams resumed on a new connection",
+            )?,
+            running: gauge("skylark_requests_running", "Requests that run now")?,
+            revision: gauge("skylark_revision_in_force", "Configuration in force")?,
+            serving: gauge("skylark_serving", "Whether this host takes requests")?,
+            members: gauge("skylark_members", "Other hosts that are heard from")?,
+            registry,
+        })
+    }
+
+    /// Counts a request that ended.
+    pub fn request_ended(&self, workspace: &str, class: RequestClass, outcome: RequestOutcome) {
+        self.requests.with_label_values(&[workspace, class.label(), outcome.label()]).inc();
+    }
+
+    /// Counts a refusal by its reason.
+    pub fn refused(&self, workspace: &str, reason: &'static str) {
+        self.refusals.with_label_values(&[workspace, reason]).inc();
+    }
+
+    /// Records the time to the first token, in seconds.
+    pub fn first_token(&self, workspace: &str, class: RequestClass, seconds: f64) {
+        self.first_token.with_label_values(&[workspace, class.label()]).observe(seconds);
+    }
+
+    /// Records the time between two tokens, in seconds.
+    pub fn token_gap(&self, workspace: &str, class: RequestClass, seconds: f64) {
+        self.token_gap.with_label_values(&[workspace, class.label()]).observe(seconds);
+    }
+
+    /// Records the time to the end of an answer, in seconds.
+    pub fn whole_answer(&self, workspace: &str, class: RequestClass, seconds: f64) {
+        self.whole_answer.with_label_values(&[workspace, class.label()]).observe(seconds);
+    }
+
+    /// Returns all metrics in the text format.
+    ///
+    /// # Errors
+    ///
+    /// [`prometheus::Error`] if a metric cannot be encoded.
+    pub fn encode(&self) -> Result<String, prometheus::Error> {
+        for invariant in Invariant::ALL {
+            let counter = self.violations.with_label_values(&[invariant.label()]);
+            counter.inc_by(invariant.violations().saturating_sub(counter.get()));
+        }
+        TextEncoder::new().encode_to_string(&self.registry.gather())
+    }
+}
--- /dev/null
+++ b/crates/standins/src/bin/standin-engine.rs
@@ -0,0 +1,47 @@
+//! Stand-in of a model engine.
+
+use std::net::SocketAddr;
+use std::process::ExitCode;
+
+use gumdrop::Options;
+use standins::engine::{EngineSettings, EngineState, engine_routes};
+use standins::faults::FaultState;
+use standins::process::serve;
+
+/// Generates text that depends only on the prompt.
+#[derive(Debug, Options)]
+struct EngineOptions {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(help = "address to listen on", meta = "IP:PORT", default = "127.0.0.1:0")]
+    listen: String,
+    #[options(help = "models that serve, separated by commas", meta = "NAMES", default = "")]
+    models: String,
+    #[options(help = "requests side by side", meta = "N", default = "32")]
+    slots: usize,
+    #[options(help = "time to the first token", meta = "MS", default = "20")]
+    prefill_ms: u64,
+    #[options(help = "time between two tokens", meta = "MS", default = "5")]
+    token_ms: u64,
+}
+
+fn main() -> ExitCode {
+    let options = EngineOptions::parse_args_default_or_exit();
+    let models = options.models.split(',').filter(|name| !name.is_empty());
+    let settings = EngineSettings {
+        models: models.map(Into::into).collect(),
+        slots: options.slots,
+        prefill_ms: options.prefill_ms,
+        token_ms: options.token_ms,
+    };
+    match options.listen.parse::<SocketAddr>() {
+        Ok(address) => {
+            let faults = FaultState::default();
+            serve(address, engine_routes(EngineState::new(settings, faults.clone()), faults))
+        }
+        Err(error) => {
+            eprintln!("--listen: {error}");
+            ExitCode::from(2)
+        }
+    }
+}
--- /dev/null
+++ b/crates/standins/src/engine.rs
@@ -0,0 +1,250 @@
+//! Stand-in of a model engine: batches continuously, streams, resumes, cancels.
+//!
+//! The text is a function of prompt and index, so that every resumption can be
+//! checked token by token.
+
+use std::collections::{BTreeSet, HashMap};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use futures::Stream;
+use poem::http::StatusCode;
+use poem::web::sse::{Event, SSE};
+use poem::web::{Data, Json};
+use poem::{Endpoint, EndpointExt, IntoResponse, Request, Response, Route, get, handler, post};
+use serde::{Deserialize, Serialize};
+use skylarkgw::decision::routing::LoadReport;
+use skylarkgw::endpoint::{EngineEvent, GenerateCall, TokenEvent};
+use skylarkgw::ids::{ModelName, RequestId};
+use tokio::sync::{Semaphore, watch};
+use tokio::time::{interval, sleep, timeout};
+
+use crate::faults::{FaultLayer, FaultState, fault_setter};
+
+const ALIVE_INTERVAL: Duration = Duration::from_millis(400);
+const TOKENS_BEFORE_FAULT: u64 = 3;
+const TOKENS_PER_WORD_GROUP: u64 = 16;
+
+/// How an engine behaves.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct EngineSettings {
+    /// Models that serve from the start.
+    pub models: BTreeSet<ModelName>,
+    /// Requests that run side by side.
+    pub slots: usize,
+    /// Time to the first token on an idle engine, in milliseconds.
+    pub prefill_ms: u64,
+    /// Time between two tokens, in milliseconds.
+    pub token_ms: u64,
+}
+
+/// One engine.
+#[derive(Clone, Debug)]
+pub struct EngineState {
+    settings: Arc<EngineSettings>,
+    slots: Arc<Semaphore>,
+    running: Arc<Mutex<HashMap<RequestId, watch::Sender<bool>>>>,
+    generations: Arc<AtomicU64>,
+    cancelled: Arc<AtomicU64>,
+    seen_headers: Arc<Mutex<Vec<String>>>,
+    faults: FaultState,
+}
+
+#[derive(Deserialize)]
+struct CancelBody {
+    request: RequestId,
+}
+
+/// What an engine tells its test.
+#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+pub struct EngineCounts {
+    /// Streams that were started or resumed.
+    pub generations: u64,
+    /// Requests that were cancelled.
+    pub cancelled: u64,
+    /// Requests that run or wait.
+    pub running: u64,
+}
+
+impl EngineState {
+    /// Creates an idle engine.
+    pub fn new(settings: EngineSettings, faults: FaultState) -> EngineState {
+        EngineState {
+            slots: Arc::new(Semaphore::new(settings.slots)),
+            settings: Arc::new(settings),
+            running: Arc::default(),
+            generations: Arc::default(),
+            cancelled: Arc::default(),
+            seen_headers: Arc::default(),
+            faults,
+        }
+    }
+
+    fn running(&self) -> usize {
+        self.running.lock().unwrap_or_else(PoisonError::into_inner).len()
+    }
+
+    fn enter(&self, request: &RequestId) -> (RunningRequest, watch::Receiver<bool>) {
+        let (sender, receiver) = watch::channel(false);
+        let mut running = self.running.lock().unwrap_or_else(PoisonError::into_inner);
+        running.insert(request.clone(), sender);
+        (RunningRequest { engine: self.clone(), request: request.clone() }, receiver)
+    }
+}
+
+/// Takes a request off the engine when its stream is dropped.
+struct RunningRequest {
+    engine: EngineState,
+    request: RequestId,
+}
+
+impl Drop for RunningRequest {
+    fn drop(&mut self) {
+        let mut running = self.engine.running.lock().unwrap_or_else(PoisonError::into_inner);
+        running.remove(&self.request);
+    }
+}
+
+/// Returns the text that the stand-in generates for a prompt at an index.
+pub fn token_text(prompt: &str, index: u64) -> String {
+    let seed: u64 = prompt.bytes().fold(7, |seed, byte| seed.wrapping_mul(31) + u64::from(byte));
+    let word = seed.wrapping_add(index * 7919) % 997;
+    if index % TOKENS_PER_WORD_GROUP == 0 {
+        format!("[{index}] w{word} ")
+    } else {
+        format!("w{word} ")
+    }
+}
+
+/// Returns the whole text that the stand-in generates.
+pub fn whole_text(prompt: &str, tokens: u64) -> String {
+    (0..tokens).map(|index| token_text(prompt, index)).collect()
+}
+
+/// Builds the stand-in's interface.
+pub fn engine_routes(engine: EngineState, faults: FaultState) -> impl Endpoint<Output = Response> {
+    let api = Route::new()
+        .at("/v1/generate", post(generate))
+        .at("/v1/cancel", post(cancel))
+        .at("/v1/load", get(load))
+        .data(engine.clone())
+        .with(FaultLayer::new(faults.clone()));
+    Route::new()
+        .nest("/", api)
+        .at("/standin/faults", post(fault_setter(faults)))
+        .at("/standin/counts", get(counts).data(engine.clone()))
+        .at("/standin/headers", get(seen_headers).data(engine))
+        .map_to_response()
+}
+
+#[handler]
+async fn generate(
+    Data(engine): Data<&EngineState>,
+    request: &Request,
+    Json(call): Json<GenerateCall>,
+) -> Response {
+    if !engine.settings.models.contains(&call.model) {
+        return StatusCode::NOT_FOUND.into_response();
+    }
+    let line = format!("{} {:?}", request.uri(), request.headers());
+    engine.seen_headers.lock().unwrap_or_else(PoisonError::into_inner).push(line);
+    engine.generations.fetch_add(1, Ordering::Relaxed);
+    let (events, stream) = tokio::sync::mpsc::channel(16);
+    tokio::spawn(produce(engine.clone(), call, events));
+    SSE::new(event_stream(stream)).into_response()
+}
+
+fn event_stream(events: tokio::sync::mpsc::Receiver<EngineEvent>) -> impl Stream<Item = Event> {
+    futures::stream::unfold(events, |mut events| async move {
+        let event = events.recv().await?;
+        Some((Event::message(serde_json::to_string(&event).unwrap_or_default()), events))
+    })
+}
+
+/// Sends the events of one stream until it ends or its reader is gone.
+async fn produce(
+    engine: EngineState,
+    call: GenerateCall,
+    events: tokio::sync::mpsc::Sender<EngineEvent>,
+) {
+    let breaks = engine.faults.take(|plan| &mut plan.break_streams);
+    let silent = engine.faults.take(|plan| &mut plan.silence_streams);
+    let (running, mut cancelled) = engine.enter(&call.request);
+    let accepted = EngineEvent::Accepted { request: call.request.clone() };
+    if events.send(accepted).await.is_err() {
+        return;
+    }
+    let mut alive = interval(ALIVE_INTERVAL);
+    let slot = loop {
+        tokio::select! {
+            slot = engine.slots.acquire() => break slot,
+            _ = alive.tick() => {
+                if events.send(EngineEvent::Alive {}).await.is_err() {
+                    return;
+                }
+            }
+            _ = cancelled.changed() => return,
+        }
+    };
+    sleep(Duration::from_millis(engine.settings.prefill_ms)).await;
+    let fault_at = call.offset + TOKENS_BEFORE_FAULT;
+    for index in call.offset..call.max_tokens {
+        if index == fault_at && breaks {
+            return;
+        }
+        if index == fault_at && silent {
+            events.closed().await;
+            return;
+        }
+        let pause = Duration::from_millis(engine.settings.token_ms);
+        if timeout(pause, cancelled.changed()).await.is_ok() {
+            engine.cancelled.fetch_add(1, Ordering::Relaxed);
+            return;
+        }
+        let text = token_text(&call.prompt, index).into();
+        let token = EngineEvent::Token(TokenEvent { index, text });
+        if events.send(token).await.is_err() {
+            engine.cancelled.fetch_add(1, Ordering::Relaxed);
+            return;
+        }
+    }
+    drop(slot);
+    let prompt_tokens = call.prompt.split_whitespace().count() as u64;
+    let finish = EngineEvent::Finish { reason: "length".into(), prompt_tokens };
+    let _ = events.send(finish).await;
+    drop(running);
+}
+
+#[handler]
+async fn cancel(Data(engine): Data<&EngineState>, Json(body): Json<CancelBody>) -> StatusCode {
+    let running = engine.running.lock().unwrap_or_else(PoisonError::into_inner);
+    if let Some(sender) = running.get(&body.request) {
+        sender.send_replace(true);
+    }
+    StatusCode::OK
+}
+
+#[handler]
+async fn load(Data(engine): Data<&EngineState>) -> Json<LoadReport> {
+    Json(LoadReport {
+        requests: engine.running() as u32,
+        models: engine.settings.models.clone(),
+        leaving: false,
+    })
+}
+
+#[handler]
+async fn counts(Data(engine): Data<&EngineState>) -> Json<EngineCounts> {
+    Json(EngineCounts {
+        generations: engine.generations.load(Ordering::Relaxed),
+        cancelled: engine.cancelled.load(Ordering::Relaxed),
+        running: engine.running() as u64,
+    })
+}
+
+#[handler]
+async fn seen_headers(Data(engine): Data<&EngineState>) -> Json<Vec<String>> {
+    Json(engine.seen_headers.lock().unwrap_or_else(PoisonError::into_inner).clone())
+}
--- /dev/null
+++ b/crates/standins/src/lib.rs
@@ -0,0 +1,9 @@
+//! Small stand-ins of what the system meets, and a load tool.
+//!
+//! They speak the interfaces of `docs/INTERFACES.md` and can be told to fail.
+
+pub mod engine;
+pub mod faults;
+pub mod platform;
+pub mod process;
+pub mod service;
--- /dev/null
+++ b/crates/standins/src/process.rs
@@ -0,0 +1,36 @@
+//! Runs a stand-in as a process.
+
+use std::net::SocketAddr;
+use std::process::ExitCode;
+
+use poem::listener::{Acceptor, Listener, TcpListener};
+use poem::{Endpoint, Response, Server};
+
+/// Serves a stand-in and prints its address as the first line.
+pub fn serve(address: SocketAddr, routes: impl Endpoint<Output = Response> + 'static) -> ExitCode {
+    let runtime =
+        match tokio::runtime::Builder::new_multi_thread().enable_all().worker_threads(2).build() {
+            Ok(runtime) => runtime,
+            Err(error) => return fail(&error),
+        };
+    runtime.block_on(async move {
+        let acceptor = match TcpListener::bind(address).into_acceptor().await {
+            Ok(acceptor) => acceptor,
+            Err(error) => return fail(&error),
+        };
+        for address in acceptor.local_addr() {
+            if let Some(address) = address.as_socket_addr() {
+                println!("listening {address}");
+            }
+        }
+        match Server::new_with_acceptor(acceptor).run(routes).await {
+            Ok(()) => ExitCode::SUCCESS,
+            Err(error) => fail(&error),
+        }
+    })
+}
+
+fn fail(error: &std::io::Error) -> ExitCode {
+    eprintln!("{error}");
+    ExitCode::FAILURE
+}
--- /dev/null
+++ b/crates/standins/src/service.rs
@@ -0,0 +1,118 @@
+//! Stand-in of a plain service that records orders.
+
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use poem::http::StatusCode;
+use poem::web::{Data, Json, Path};
+use poem::{Endpoint, EndpointExt, IntoResponse, Request, Response, Route, get, handler, post};
+use serde::{Deserialize, Serialize};
+use tokio::time::sleep;
+
+use crate::faults::{FaultLayer, FaultState, fault_setter};
+
+/// How often each order was executed, by its identifier.
+pub type ExecutionCounts = BTreeMap<String, u32>;
+
+/// The orders that the service has executed.
+#[derive(Clone, Debug, Default)]
+pub struct OrderBook {
+    executions: Arc<Mutex<ExecutionCounts>>,
+    seen_headers: Arc<Mutex<Vec<String>>>,
+    work: Duration,
+}
+
+/// An order.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct OrderBody {
+    /// Identifier that the test gave it.
+    pub order: String,
+}
+
+#[derive(Serialize)]
+struct OrderAnswer {
+    order: String,
+    executions: u32,
+}
+
+impl OrderBook {
+    /// Creates an empty book whose service works for some time on each order.
+    pub fn new(work: Duration) -> OrderBook {
+        OrderBook { work, ..OrderBook::default() }
+    }
+
+    fn execute(&self, order: &str) -> u32 {
+        let mut executions = self.executions.lock().unwrap_or_else(PoisonError::into_inner);
+        let count = executions.entry(order.to_owned()).or_default();
+        *count += 1;
+        *count
+    }
+
+    fn counts(&self) -> ExecutionCounts {
+        self.executions.lock().unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
+    fn note_headers(&self, request: &Request) {
+        let line = format!("{} {:?}", request.uri(), request.headers());
+        self.seen_headers.lock().unwrap_or_else(PoisonError::into_inner).push(line);
+    }
+}
+
+/// Builds the stand-in's interface.
+pub fn service_routes(book: OrderBook, faults: FaultState) -> impl Endpoint<Output = Response> {
+    let service = Route::new()
+        .at("/orders", post(place_order))
+        .at("/orders/:order", get(read_order))
+        .at("/notice", get(notice))
+        .data(book.clone())
+        .with(FaultLayer::new(faults.clone()));
+    Route::new()
+        .nest("/", service)
+        .at("/standin/faults", post(fault_setter(faults)))
+        .at("/standin/executions", get(execution_counts).data(book.clone()))
+        .at("/standin/headers", get(seen_headers).data(book))
+        .map_to_response()
+}
+
+#[handler]
+async fn place_order(
+    Data(book): Data<&OrderBook>,
+    request: &Request,
+    Json(body): Json<OrderBody>,
+) -> Response {
+    book.note_headers(request);
+    let executions = book.execute(&body.order);
+    sleep(book.work).await;
+    let answer = OrderAnswer { order: body.order, executions };
+    Json(answer).with_status(StatusCode::CREATED).into_response()
+}
+
+#[handler]
+async fn read_order(
+    Data(book): Data<&OrderBook>,
+    request: &Request,
+    Path(order): Path<String>,
+) -> Response {
+    book.note_headers(request);
+    match book.counts().get(&order) {
+        Some(executions) => Json(OrderAnswer { order, executions: *executions }).into_response(),
+        None => StatusCode::NOT_FOUND.into_response(),
+    }
+}
+
+#[handler]
+async fn notice(Data(book): Data<&OrderBook>, request: &Request) -> &'static str {
+    book.note_headers(request);
+    "open today"
+}
+
+#[handler]
+async fn execution_counts(Data(book): Data<&OrderBook>) -> Json<ExecutionCounts> {
+    Json(book.counts())
+}
+
+#[handler]
+async fn seen_headers(Data(book): Data<&OrderBook>) -> Json<Vec<String>> {
+    Json(book.seen_headers.lock().unwrap_or_else(PoisonError::into_inner).clone())
+}
