--- a/crates/skylarkgw/src/control.rs
+++ b/crates/skylarkgw/src/control.rs
@@ -14,7 +14,7 @@
     TicketId,
 };
 use crate::decision::message::PeerMessage;
-use crate::decision::routing::RouteTarget;
+use crate::decision::routing::{EndpointView, RouteTarget};
 use crate::decision::shares::PlatformCall;
 use crate::ids::{EndpointId, KeyHash, Tokens, WorkspaceId};
 
@@ -61,6 +61,7 @@
     Reroute(RouteTarget, Vec<EndpointId>, oneshot::Sender<Result<RouteGrant, AdmissionRefusal>>),
     HoldsNoShare(oneshot::Sender<bool>),
     Watches(oneshot::Sender<bool>),
+    EndpointViews(oneshot::Sender<Vec<EndpointView>>),
 }
 
 enum WaitingReply {
@@ -217,6 +218,15 @@
         self.ask(ControlInput::Watches).await
     }
 
+    /// Asks what this host knows of the declared endpoints.
+    ///
+    /// # Errors
+    ///
+    /// [`ControlError::Ended`] if the process is about to exit.
+    pub async fn endpoint_views(&self) -> Result<Vec<EndpointView>, ControlError> {
+        self.ask(ControlInput::EndpointViews).await
+    }
+
     async fn ask<T>(
         &self,
         make: impl FnOnce(oneshot::Sender<T>) -> ControlInput,
@@ -327,6 +337,9 @@
             ControlInput::Watches(reply) => {
                 let _ = reply.send(self.machine.watches(self.handle.now()));
             }
+            ControlInput::EndpointViews(reply) => {
+                let _ = reply.send(self.machine.endpoint_views(self.handle.now()));
+            }
         }
     }
 
--- a/crates/skylarkgw/src/daemon.rs
+++ b/crates/skylarkgw/src/daemon.rs
@@ -28,7 +28,7 @@
 use crate::sync::PlatformSync;
 use crate::telemetry::Metrics;
 
-const SHARE_HANDOVER: Duration = Duration::from_secs(6);
+const SHARE_HANDOVER: Duration = Duration::from_secs(8);
 const SHARE_POLL: Duration = Duration::from_millis(50);
 const FAREWELL_PAUSE: Duration = Duration::from_millis(200);
 
--- a/crates/skylarkgw/src/decision/host.rs
+++ b/crates/skylarkgw/src/decision/host.rs
@@ -9,27 +9,45 @@
 use rand_chacha::ChaCha8Rng;
 
 use crate::configuration::FleetConfiguration;
-use crate::decision::allowance::{AllowanceBucket, LoanOffer};
+use crate::decision::allowance::{
+    AllowanceBucket, LOAN_DURATION, LoanOffer, LoanPurpose, ONWARD_DURATION,
+};
 use crate::decision::invariant::Invariant;
 use crate::decision::keys::WithdrawnSet;
-use crate::decision::membership::{CONTACT_WINDOW, MemberEntry, MemberPhase, MemberTable};
+use crate::decision::membership::{
+    CONTACT_WINDOW, MemberEntry, MemberPhase, MemberTable, OutgoingBeat,
+};
 use crate::decision::message::{LoanId, PeerMessage};
 use crate::decision::routing::{
-    FULL_RETRY_AFTER, LoadReport, RouteRefusal, RouteTable, RouteTarget, RoutingPolicy,
+    EndpointView, FULL_RETRY_AFTER, LoadReport, RouteRefusal, RouteTable, RouteTarget,
+    RoutingPolicy,
 };
-use crate::decision::shares::{KeeperView, PlatformCall, PlatformOutcome, ShareKeeper};
+use crate::decision::shares::{KeeperView, PlatformCall, PlatformOutcome, ShareKeeper, share_key};
 use crate::ids::{EndpointId, HostId, KeyHash, Revision, Tokens, WorkspaceId};
 
 /// Longest wait for a loan before a request is refused.
 pub const LOAN_WAIT: Duration = Duration::from_millis(60);
-/// Members that are asked for a loan at once.
-pub const LOAN_FANOUT: usize = 3;
-/// Rounds of asking within [`LOAN_WAIT`].
-pub const LOAN_ROUNDS: u32 = 3;
-/// Pause after a round of asking that brought nothing.
-pub const LOAN_PAUSE: Duration = Duration::from_millis(100);
+/// Time after which another member is asked in place of one that is silent.
+pub const LOAN_PATIENCE: Duration = Duration::from_millis(20);
+/// Members that are asked one after the other for a request that waits.
+pub const LOAN_ROUNDS: u32 = 8;
+/// Members that are asked at once when demand outgrows the share.
+pub const PREFETCH_FANOUT: usize = 3;
+/// Remaining time at which a loan that is still needed is extended.
+pub const EXTEND_BEFORE: Duration = Duration::from_millis(2_500);
+/// Time that a starting host waits for members that do not answer, before it
+/// takes the platform's word alone.
+pub const JOIN_GRACE: Duration = Duration::from_millis(4_000);
+/// Shortest pause after asking brought nothing; it doubles each time.
+pub const SHORTEST_LOAN_PAUSE: Duration = Duration::from_millis(10);
+/// Longest pause after asking brought nothing.
+pub const LONGEST_LOAN_PAUSE: Duration = Duration::from_millis(320);
+/// Time ahead that a loan for a waiting request also covers.
+pub const LOAN_AHEAD: Duration = Duration::from_millis(500);
+/// Time for which a member that refused a loan is passed over.
+pub const LENDER_PAUSE: Duration = Duration::from_millis(250);
 /// Time between two looks at whether demand outgrows the share.
-pub const PREFETCH_INTERVAL: Duration = Duration::from_millis(1_000);
+pub const PREFETCH_INTERVAL: Duration = Duration::from_millis(500);
 /// Requests of one workspace that wait for a loan at once.
 pub const WAITING_LIMIT: usize = 1_024;
 /// Hosts of one data centre that watch the platform; others hear from them.
@@ -140,8 +158,11 @@
         /// What it says.
         message: PeerMessage,
     },
-    /// The platform answered a watch or a read.
-    PlatformHeard,
+    /// The platform answered a watch, and all it told was handed in.
+    PlatformHeard {
+        /// When the watch was sent, which is how old the news may be.
+        sent_at: Duration,
+    },
     /// The platform told the accepted configuration, if there is one.
     PlatformConfiguration {
         /// The configuration.
@@ -227,24 +248,44 @@
     ticket: TicketId,
     request: AdmissionRequest,
     deadline: Duration,
-    rounds: u32,
+}
+
+struct LoanRequest {
+    request: u64,
+    loan: LoanId,
+    purpose: LoanPurpose,
+    workspace: WorkspaceId,
+    wanted: LoanOffer,
 }
 
 #[derive(Debug)]
 struct PendingLoan {
+    loan: LoanId,
     asked_at: Duration,
     workspace: WorkspaceId,
-    to: HostId,
+    purpose: LoanPurpose,
 }
 
 #[derive(Debug)]
 struct WorkspaceState {
     bucket: AllowanceBucket,
     waiting: VecDeque<WaitingRequest>,
+    rounds: u32,
+    asked_at: Duration,
     ask_at: Duration,
+    pause: Duration,
+    refused_by: BTreeMap<HostId, Duration>,
+    last_lender: Option<HostId>,
     prefetch_at: Duration,
 }
 
+impl WorkspaceState {
+    fn pause_asking(&mut self, now: Duration) {
+        self.ask_at = now + self.pause;
+        self.pause = (self.pause * 2).min(LONGEST_LOAN_PAUSE);
+    }
+}
+
 /// Everything that one host decides.
 #[derive(Debug)]
 pub struct HostMachine {
@@ -254,14 +295,14 @@
     routes: RouteTable,
     keeper: ShareKeeper,
     workspaces: BTreeMap<WorkspaceId, WorkspaceState>,
-    pending: BTreeMap<LoanId, PendingLoan>,
+    pending: BTreeMap<u64, PendingLoan>,
     loan_number: u64,
     configuration: Arc<FleetConfiguration>,
     withdrawn: WithdrawnSet,
-    platform_withdrawn: usize,
+    platform_withdrawn: WithdrawnSet,
     platform_heard: Option<Duration>,
     synced: bool,
-    peers_synced: std::collections::BTreeSet<HostId>,
+    listed_at: Option<Duration>,
     phase: MemberPhase,
     base: u64,
     effects: Vec<HostEffect>,
@@ -270,7 +311,8 @@
 impl HostMachine {
     /// Creates the machine of a process that has just started.
     pub fn new(parameters: HostParameters) -> HostMachine {
-        let own = parameters.own.clone();
+        let mut own = parameters.own.clone();
+        own.share_key = share_key(&own.host, own.incarnation, 0);
         HostMachine {
             source: ChaCha8Rng::seed_from_u64(parameters.seed),
             routes: RouteTable::new(parameters.routing),
@@ -281,10 +323,10 @@
             loan_number: 0,
             configuration: Arc::default(),
             withdrawn: WithdrawnSet::default(),
-            platform_withdrawn: 0,
+            platform_withdrawn: WithdrawnSet::default(),
             platform_heard: None,
             synced: false,
-            peers_synced: Default::default(),
+            listed_at: None,
             phase: MemberPhase::Joining,
             base: 0,
             effects: Vec::new(),
@@ -309,17 +351,19 @@
             }
             HostInput::Report { endpoint, report } => self.routes.report(now, endpoint, report),
             HostInput::Message { from, message } => self.message(now, from, message),
-            HostInput::PlatformHeard => self.platform_heard = Some(now),
+            HostInput::PlatformHeard { sent_at } => {
+                self.platform_heard = self.platform_heard.max(Some(sent_at));
+            }
             HostInput::PlatformConfiguration { configuration } => {
-                self.platform_heard = Some(now);
                 self.synced = true;
                 self.adopt(now, configuration);
             }
             HostInput::PlatformWithdrawn { hashes } => {
-                self.platform_withdrawn = hashes.len();
+                self.platform_withdrawn.merge(hashes.iter().cloned());
                 self.withdraw(hashes);
             }
             HostInput::PlatformHosts { entries } => {
+                self.listed_at = self.listed_at.or(Some(now));
                 entries.into_iter().for_each(|entry| self.members.seed(now, entry));
             }
             HostInput::PlatformDone { outcome } => self.platform_done(now, outcome),
@@ -327,7 +371,7 @@
             HostInput::Drain => self.phase = MemberPhase::Leaving,
             HostInput::Leave => self.leave(),
         }
-        self.update_phase();
+        self.update_phase(now);
         std::mem::take(&mut self.effects)
     }
 
@@ -345,6 +389,21 @@
         }
     }
 
+    /// Returns this host's own entry.
+    pub fn own(&self) -> &MemberEntry {
+        self.members.own()
+    }
+
+    /// Returns the revision in force on this host.
+    pub fn revision(&self) -> Revision {
+        self.configuration.revision
+    }
+
+    /// Returns what this host knows of the declared endpoints.
+    pub fn endpoint_views(&self, now: Duration) -> Vec<EndpointView> {
+        self.routes.views(now, &self.configuration)
+    }
+
     /// Returns whether this host should hold a watch on the platform.
     pub fn watches(&self, now: Duration) -> bool {
         self.members.rank(now) < WATCHERS_PER_DATA_CENTRE
@@ -362,7 +421,7 @@
 
     /// Returns whether the ledger lists nothing for this host any more.
     pub fn holds_no_share(&self) -> bool {
-        self.keeper.is_empty()
+        self.keeper.is_settled()
     }
 
     /// Returns whether this host may take requests.
@@ -378,36 +437,37 @@
         self.platform_heard.is_some_and(|at| now.saturating_sub(at) < CONTACT_WINDOW)
     }
 
-    fn update_phase(&mut self) {
-        let known = self.members.known().count();
-        let agreed = known > 0 && self.peers_synced.len() * 2 > known;
-        if self.phase == MemberPhase::Joining
-            && self.configuration.revision > 0
-            && (self.synced || agreed)
-        {
-            self.phase = MemberPhase::Live;
+    /// Goes live once nothing that was accepted or withdrawn can be unknown.
+    ///
+    /// The platform alone is not enough while other hosts are there: they may
+    /// hold withdrawals from an outage that it does not know yet.
+    fn update_phase(&mut self, now: Duration) {
+        if self.phase == MemberPhase::Joining && self.configuration.revision > 0 {
+            let waited = |since: Duration| now.saturating_sub(since) >= JOIN_GRACE;
+            let alone = self.members.known().next().is_none();
+            let agreed = self.members.has_heard() && self.members.in_contact(now);
+            let platform = self.synced && self.listed_at.is_some();
+            if agreed || (platform && (alone || self.listed_at.is_some_and(waited))) {
+                self.phase = MemberPhase::Live;
+            }
         }
         self.members.set_own(self.phase, self.configuration.revision, self.keeper.key());
     }
 
     fn tick(&mut self, now: Duration) {
-        if let Some((targets, entries)) = self.members.beat(now, &mut self.source) {
-            let withdrawn = self.withdrawn.len();
-            for to in targets {
-                let entries = entries.clone();
-                self.send(to, PeerMessage::Heartbeat { entries, withdrawn });
-            }
+        let withdrawn = self.withdrawn.fingerprint();
+        for OutgoingBeat { to, entries } in self.members.beat(now, &mut self.source) {
+            self.send(to, PeerMessage::Heartbeat { entries, withdrawn });
         }
         let view = self.keeper_view(now);
         if let Some(call) = self.keeper.poll(now, &view) {
             self.effects.push(HostEffect::Platform(call));
         }
-        if self.withdrawn.len() > self.platform_withdrawn && self.platform_fresh(now) {
-            self.effects.push(HostEffect::StoreWithdrawn(self.withdrawn.iter().cloned().collect()));
+        let unstored = self.unstored_keys();
+        if !unstored.is_empty() && self.platform_fresh(now) {
+            self.effects.push(HostEffect::StoreWithdrawn(unstored));
         }
-        self.pending.retain(|_, loan| {
-            now.saturating_sub(loan.asked_at) < crate::decision::allowance::LOAN_DURATION
-        });
+        self.pending.retain(|_, loan| now.saturating_sub(loan.asked_at) < LOAN_DURATION);
         let names: Vec<WorkspaceId> = self.workspaces.keys().cloned().collect();
         for name in names {
             self.expire_waiting(now, &name);
@@ -415,6 +475,12 @@
         }
     }
 
+    /// Returns the withdrawn keys that the platform is not known to keep.
+    fn unstored_keys(&self) -> Vec<KeyHash> {
+        let unstored = |hash: &&KeyHash| !self.platform_withdrawn.contains(hash);
+        self.withdrawn.iter().filter(unstored).cloned().collect()
+    }
+
     fn keeper_view(&self, now: Duration) -> KeeperView {
         let lent = self.workspaces.values().map(|state| state.bucket.lent_parts()).max();
         let own = self.members.own();
@@ -432,13 +498,18 @@
     }
 
     fn platform_done(&mut self, now: Duration, outcome: PlatformOutcome) {
-        if !matches!(outcome, PlatformOutcome::Unknown | PlatformOutcome::NotRun) {
-            self.platform_heard = Some(now);
-        }
         let view = self.keeper_view(now);
         if let Some(call) = self.keeper.complete(now, &view, outcome) {
             self.effects.push(HostEffect::Platform(call));
         }
+        let receivers = self.keeper.take_receivers();
+        let told: Vec<HostId> = self
+            .members
+            .live(now)
+            .filter(|entry| receivers.contains(&entry.share_key))
+            .map(|entry| entry.host.clone())
+            .collect();
+        told.into_iter().for_each(|to| self.send(to, PeerMessage::SharesChanged));
         self.follow_base(now);
     }
 
@@ -467,7 +538,12 @@
                 .or_insert_with(|| WorkspaceState {
                     bucket: AllowanceBucket::new(now, spec.rate, spec.burst, base),
                     waiting: VecDeque::new(),
+                    rounds: 0,
+                    asked_at: Duration::ZERO,
                     ask_at: Duration::ZERO,
+                    pause: SHORTEST_LOAN_PAUSE,
+                    refused_by: BTreeMap::new(),
+                    last_lender: None,
                     prefetch_at: Duration::ZERO,
                 });
         }
@@ -477,8 +553,11 @@
             }
         }
         self.configuration = configuration;
+        self.withdrawn.prune(&self.configuration);
+        self.platform_withdrawn.prune(&self.configuration);
     }
 
+    /// Takes in withdrawn keys and passes on those that were new.
     fn withdraw(&mut self, hashes: Vec<KeyHash>) {
         let fresh = self.withdrawn.merge(hashes);
         if fresh.is_empty() {
@@ -500,7 +579,7 @@
         for to in targets {
             let message = PeerMessage::Heartbeat {
                 entries: entries.clone(),
-                withdrawn: self.withdrawn.len(),
+                withdrawn: self.withdrawn.fingerprint(),
             };
             self.send(to, message);
         }
@@ -518,16 +597,24 @@
                 self.heartbeat(now, from, entries, withdrawn);
             }
             PeerMessage::Withdrawn { hashes } => self.withdraw(hashes),
+            PeerMessage::SharesChanged => self.keeper.expect_change(now),
             PeerMessage::RevisionRequest { known } => self.revision_request(from, known),
             PeerMessage::RevisionReply { configuration } => {
-                self.peers_synced.insert(from);
                 self.adopt(now, configuration);
             }
-            PeerMessage::LoanRequest { id, workspace, parts, tokens } => {
-                self.loan_request(now, from, id, workspace, LoanOffer { parts, tokens });
+            PeerMessage::LoanRequest { request, loan, purpose, workspace, parts, tokens } => {
+                let wanted = LoanOffer { parts, tokens, duration: LOAN_DURATION };
+                let asked = LoanRequest { request, loan, purpose, workspace, wanted };
+                self.loan_request(now, from, asked);
+            }
+            PeerMessage::LoanReturn { loan, workspace, tokens } => {
+                if let Some(state) = self.workspaces.get_mut(&workspace) {
+                    state.bucket.take_back(now, &loan, tokens);
+                }
             }
-            PeerMessage::LoanReply { id, workspace, parts, tokens } => {
-                self.loan_reply(now, from, id, workspace, LoanOffer { parts, tokens });
+            PeerMessage::LoanReply { request, loan, parts, tokens, duration, .. } => {
+                let offer = LoanOffer { parts, tokens, duration };
+                self.loan_reply(now, request, &loan, offer);
             }
         }
     }
@@ -537,26 +624,29 @@
         now: Duration,
         from: HostId,
         entries: Vec<MemberEntry>,
-        withdrawn: usize,
+        withdrawn: u64,
     ) {
         let theirs = entries.first().map_or(0, |entry| entry.revision);
-        let highest = entries.iter().map(|entry| entry.revision).max().unwrap_or(0);
-        entries.into_iter().for_each(|entry| {
-            self.members.merge(now, entry);
-        });
         let known = self.configuration.revision;
-        let joining = self.phase == MemberPhase::Joining && !self.peers_synced.contains(&from);
-        if theirs > known || (joining && highest >= known) {
+        let own = self.members.own().host.clone();
+        for entry in entries {
+            if entry.host != own {
+                self.members.merge(now, entry);
+            } else if theirs <= known && withdrawn == self.withdrawn.fingerprint() {
+                self.members.note_contact(&from, &entry);
+            }
+        }
+        if theirs > known {
             self.send(from.clone(), PeerMessage::RevisionRequest { known });
         }
-        if withdrawn < self.withdrawn.len() {
+        if withdrawn != self.withdrawn.fingerprint() {
             let hashes = self.withdrawn.iter().cloned().collect();
             self.send(from, PeerMessage::Withdrawn { hashes });
         }
     }
 
-    fn revision_request(&mut self, from: HostId, _known: Revision) {
-        if self.phase == MemberPhase::Joining {
+    fn revision_request(&mut self, from: HostId, known: Revision) {
+        if self.configuration.revision <= known {
             return;
         }
         // The withdrawn keys go first: a host that goes live on the
@@ -592,9 +682,10 @@
             return;
         }
         let deadline = now + LOAN_WAIT;
-        state.waiting.push_back(WaitingRequest { ticket, request, deadline, rounds: 0 });
+        state.waiting.push_back(WaitingRequest { ticket, request, deadline });
         if first {
-            self.ask_for_loans(now, &workspace);
+            state.rounds = 0;
+            self.ask_for_loan(now, &workspace);
         }
     }
 
@@ -668,54 +759,102 @@
             expired.push(first);
         }
         if !expired.is_empty() {
-            state.ask_at = now + LOAN_PAUSE;
+            state.pause_asking(now);
         }
+        let silent = !state.waiting.is_empty() && now >= state.asked_at + LOAN_PATIENCE;
+        let rounds = state.rounds;
         for WaitingRequest { ticket, request, .. } in expired {
             self.refuse_allowance(now, ticket, workspace, request.tokens);
         }
+        if silent && rounds < LOAN_ROUNDS {
+            self.ask_for_loan(now, workspace);
+        }
     }
 
-    /// Asks a few members for what the waiting requests lack.
-    fn ask_for_loans(&mut self, now: Duration, workspace: &WorkspaceId) {
+    /// Asks one member for what the waiting requests lack.
+    fn ask_for_loan(&mut self, now: Duration, workspace: &WorkspaceId) {
         let Some(state) = self.workspaces.get_mut(workspace) else { return };
         let wanted: Tokens = state.waiting.iter().map(|waiting| waiting.request.tokens).sum();
-        let missing = wanted.saturating_sub(state.bucket.available());
+        let ahead = state.bucket.expected_tokens(LOAN_AHEAD);
+        let tokens = wanted.saturating_sub(state.bucket.available()) + ahead;
         let for_rate = state.bucket.wanted_parts().saturating_sub(state.bucket.parts());
-        let parts = state.bucket.parts_holding(missing).max(for_rate);
-        if let Some(first) = state.waiting.front_mut() {
-            first.rounds += 1;
-        }
-        self.request_loans(now, workspace, LoanOffer { parts, tokens: missing });
+        let for_room = state.bucket.missing_parts(wanted);
+        let parts = state.bucket.parts_holding(tokens).max(for_rate).max(for_room);
+        state.rounds += 1;
+        state.asked_at = now;
+        let wanted = LoanOffer { parts, tokens, duration: LOAN_DURATION };
+        self.request_loans(now, workspace, LoanPurpose::Waiting, wanted, 1);
     }
 
-    fn request_loans(&mut self, now: Duration, workspace: &WorkspaceId, wanted: LoanOffer) {
-        let targets: Vec<HostId> = self
-            .members
-            .live(now)
-            .filter(|entry| entry.phase == MemberPhase::Live || entry.phase == MemberPhase::Leaving)
-            .map(|entry| entry.host.clone())
-            .choose_multiple(&mut self.source, LOAN_FANOUT);
-        for to in targets {
-            self.loan_number += 1;
+    fn request_loans(
+        &mut self,
+        now: Duration,
+        workspace: &WorkspaceId,
+        purpose: LoanPurpose,
+        wanted: LoanOffer,
+        fanout: usize,
+    ) {
+        let Some(state) = self.workspaces.get_mut(workspace) else { return };
+        state.refused_by.retain(|_, until| *until > now);
+        let last = state.last_lender.as_ref().filter(|_| purpose == LoanPurpose::Waiting);
+        let open = || {
+            self.members
+                .live(now)
+                .filter(|entry| matches!(entry.phase, MemberPhase::Live | MemberPhase::Leaving))
+                .filter(|entry| !state.refused_by.contains_key(&entry.host))
+                .map(|entry| &entry.host)
+        };
+        let targets: Vec<HostId> = match open().find(|host| Some(*host) == last) {
+            Some(host) => vec![host.clone()],
+            None => open().cloned().choose_multiple(&mut self.source, fanout),
+        };
+        if targets.is_empty() && purpose == LoanPurpose::Waiting {
+            self.wait_or_give_up(now, workspace);
+            return;
+        }
+        for lender in targets {
             let own = self.members.own();
-            let id = LoanId {
-                host: own.host.clone(),
+            let loan = LoanId {
+                borrower: own.host.clone(),
                 incarnation: own.incarnation,
                 number: self.loan_number,
+                lender,
             };
-            let loan = PendingLoan { asked_at: now, workspace: workspace.clone(), to: to.clone() };
-            self.pending.insert(id.clone(), loan);
-            let message = PeerMessage::LoanRequest {
-                id,
-                workspace: workspace.clone(),
-                parts: wanted.parts,
-                tokens: wanted.tokens,
-            };
-            self.send(to, message);
+            self.request_loan(now, workspace, purpose, loan, wanted);
         }
     }
 
-    /// Borrows ahead of refusals when the demand outgrows the share.
+    fn request_loan(
+        &mut self,
+        now: Duration,
+        workspace: &WorkspaceId,
+        purpose: LoanPurpose,
+        loan: LoanId,
+        wanted: LoanOffer,
+    ) {
+        self.loan_number += 1;
+        let request = self.loan_number;
+        let lender = loan.lender.clone();
+        let pending = PendingLoan {
+            loan: loan.clone(),
+            asked_at: now,
+            workspace: workspace.clone(),
+            purpose,
+        };
+        self.pending.insert(request, pending);
+        let message = PeerMessage::LoanRequest {
+            request,
+            loan,
+            purpose,
+            workspace: workspace.clone(),
+            parts: wanted.parts,
+            tokens: wanted.tokens,
+        };
+        self.send(lender, message);
+    }
+
+    /// Borrows ahead of refusals when the demand outgrows the share, and
+    /// extends the loans that are still needed.
     fn prefetch(&mut self, now: Duration, workspace: &WorkspaceId) {
         let lending = self.parameters.lending;
         let Some(state) = self.workspaces.get_mut(workspace) else { return };
@@ -725,64 +864,86 @@
         }
         state.prefetch_at = now + PREFETCH_INTERVAL;
         let parts = state.bucket.wanted_parts().saturating_sub(state.bucket.parts());
+        let returned = state.bucket.return_loans(now);
+        for loan in state.bucket.loans_to_extend(now + EXTEND_BEFORE) {
+            let wanted = LoanOffer::default();
+            self.request_loan(now, workspace, LoanPurpose::Demand, loan, wanted);
+        }
+        for (loan, tokens) in returned {
+            // An answer that extends it must not bring it back to life.
+            self.pending.retain(|_, pending| pending.loan != loan);
+            let (to, workspace) = (loan.lender.clone(), workspace.clone());
+            self.send(to, PeerMessage::LoanReturn { loan, workspace, tokens });
+        }
         if parts > 0 {
-            let tokens = state.bucket.burst().saturating_mul(parts) / crate::ids::ALL_PARTS / 2;
-            self.request_loans(now, workspace, LoanOffer { parts, tokens });
+            let wanted = LoanOffer { parts, tokens: 0, duration: LOAN_DURATION };
+            self.request_loans(now, workspace, LoanPurpose::Demand, wanted, PREFETCH_FANOUT);
         }
     }
 
-    fn loan_request(
-        &mut self,
-        now: Duration,
-        from: HostId,
-        id: LoanId,
-        workspace: WorkspaceId,
-        wanted: LoanOffer,
-    ) {
-        let lends = self.parameters.lending && now < self.keeper.valid_until();
+    fn loan_request(&mut self, now: Duration, from: HostId, asked: LoanRequest) {
+        let LoanRequest { request, loan, purpose, workspace, wanted } = asked;
+        let leaving = self.phase == MemberPhase::Leaving;
+        let lends = self.parameters.lending
+            && !(leaving && purpose == LoanPurpose::Demand)
+            && now < self.keeper.valid_until()
+            && loan.lender == self.members.own().host;
         let offer = match self.workspaces.get_mut(&workspace) {
-            Some(state) if lends && state.waiting.is_empty() => state.bucket.lend(now, wanted),
+            Some(state) if lends && state.waiting.is_empty() => {
+                // What a leaving host lends delays the end of its hand-over.
+                let longest = if leaving { ONWARD_DURATION } else { LOAN_DURATION };
+                state.bucket.lend(now, &loan, purpose, LoanOffer { duration: longest, ..wanted })
+            }
             _ => LoanOffer::default(),
         };
-        let LoanOffer { parts, tokens } = offer;
-        self.send(from, PeerMessage::LoanReply { id, workspace, parts, tokens });
+        let LoanOffer { parts, tokens, duration } = offer;
+        let reply = PeerMessage::LoanReply { request, loan, workspace, parts, tokens, duration };
+        self.send(from, reply);
     }
 
-    fn loan_reply(
-        &mut self,
-        now: Duration,
-        from: HostId,
-        id: LoanId,
-        workspace: WorkspaceId,
-        offer: LoanOffer,
-    ) {
-        let matches = |loan: &PendingLoan| loan.to == from && loan.workspace == workspace;
-        if !self.pending.get(&id).is_some_and(matches) {
+    fn loan_reply(&mut self, now: Duration, request: u64, loan: &LoanId, offer: LoanOffer) {
+        if self.pending.get(&request).is_none_or(|pending| pending.loan != *loan) {
             return;
         }
-        let Some(loan) = self.pending.remove(&id) else { return };
+        let Some(pending) = self.pending.remove(&request) else { return };
+        let workspace = pending.workspace;
         let Some(state) = self.workspaces.get_mut(&workspace) else { return };
-        state.bucket.borrow_loan(now, loan.asked_at, offer);
+        state.bucket.borrow_loan(now, pending.asked_at, loan, offer);
+        let wants_tokens = pending.purpose == LoanPurpose::Waiting;
+        if offer.parts == 0 || (wants_tokens && offer.tokens == 0) {
+            state.refused_by.insert(loan.lender.clone(), now + LENDER_PAUSE);
+        } else if offer.tokens > 0 {
+            state.last_lender = Some(loan.lender.clone());
+            state.pause = SHORTEST_LOAN_PAUSE;
+        }
+        let rounds = state.rounds;
         self.serve_waiting(now, &workspace);
-        let asked = self.pending.values().any(|loan| {
-            loan.workspace == workspace && now.saturating_sub(loan.asked_at) < LOAN_WAIT
-        });
-        let rounds = self
-            .workspaces
-            .get(&workspace)
-            .and_then(|state| state.waiting.front())
-            .map(|first| first.rounds);
-        match rounds {
-            Some(rounds) if !asked && rounds < LOAN_ROUNDS => self.ask_for_loans(now, &workspace),
-            Some(_) if !asked => self.give_up_waiting(now, &workspace),
-            _ => {}
+        let waits = self.workspaces.get(&workspace).is_some_and(|state| !state.waiting.is_empty());
+        if !waits || pending.purpose != LoanPurpose::Waiting {
+            return;
+        }
+        if rounds < LOAN_ROUNDS {
+            self.ask_for_loan(now, &workspace);
+        } else {
+            self.wait_or_give_up(now, &workspace);
+        }
+    }
+
+    /// Goes on waiting where that helps although nobody lends: the own share
+    /// refills soon enough, or shares are just changing hands.
+    fn wait_or_give_up(&mut self, now: Duration, workspace: &WorkspaceId) {
+        let Some(state) = self.workspaces.get(workspace) else { return };
+        let Some(first) = state.waiting.front() else { return };
+        let refill = state.bucket.refill_time(first.request.tokens);
+        if refill.is_some_and(|refill| refill > LOAN_WAIT) {
+            self.give_up_waiting(now, workspace);
         }
     }
 
     /// Refuses at once all that waits, since no member has anything to lend.
     fn give_up_waiting(&mut self, now: Duration, workspace: &WorkspaceId) {
         let Some(state) = self.workspaces.get_mut(workspace) else { return };
-        state.ask_at = now + LOAN_PAUSE;
+        state.pause_asking(now);
         let waiting = std::mem::take(&mut state.waiting);
         for WaitingRequest { ticket, request, .. } in waiting {
             self.refuse_allowance(now, ticket, workspace, request.tokens);
--- a/crates/skylarkgw/src/decision/keys.rs
+++ b/crates/skylarkgw/src/decision/keys.rs
@@ -44,10 +44,19 @@
     Invalid,
 }
 
-/// Keys that were withdrawn; the set only grows.
+/// Keys that were withdrawn and that the configuration may still list.
+///
+/// The set only grows, but for keys that the configuration in force no longer
+/// lists: these are refused anyway, and a revision never falls.
 #[derive(Clone, Debug, Default)]
 pub struct WithdrawnSet {
     hashes: Arc<BTreeSet<KeyHash>>,
+    fingerprint: u64,
+}
+
+fn fingerprint(hash: &str) -> u64 {
+    let bytes = blake3::hash(hash.as_bytes());
+    bytes.as_bytes()[..8].try_into().map(u64::from_le_bytes).unwrap_or_default()
 }
 
 impl WithdrawnSet {
@@ -56,11 +65,30 @@
         let fresh: Vec<KeyHash> =
             hashes.into_iter().filter(|hash| !self.hashes.contains(hash)).collect();
         if !fresh.is_empty() {
+            self.fingerprint =
+                fresh.iter().fold(self.fingerprint, |sum, hash| sum ^ fingerprint(hash));
             Arc::make_mut(&mut self.hashes).extend(fresh.iter().cloned());
         }
         fresh
     }
 
+    /// Drops the keys that a configuration in force no longer lists.
+    pub fn prune(&mut self, configuration: &FleetConfiguration) {
+        let lists = |hash: &KeyHash| configuration.keys.contains_key(hash);
+        if self.hashes.iter().all(lists) {
+            return;
+        }
+        let kept: BTreeSet<KeyHash> =
+            self.hashes.iter().filter(|hash| lists(hash)).cloned().collect();
+        self.fingerprint = kept.iter().fold(0, |sum, hash| sum ^ fingerprint(hash));
+        self.hashes = Arc::new(kept);
+    }
+
+    /// Returns a number that tells two sets apart.
+    pub fn fingerprint(&self) -> u64 {
+        self.fingerprint
+    }
+
     /// Returns whether a key was withdrawn.
     pub fn contains(&self, hash: &str) -> bool {
         self.hashes.contains(hash)
--- a/crates/skylarkgw/src/decision/membership.rs
+++ b/crates/skylarkgw/src/decision/membership.rs
@@ -4,8 +4,12 @@
 //! members. A member is heard from when its counter rises, whoever brought the
 //! news (Van Renesse, Minsky and Hayden, "A Gossip-Style Failure Detection
 //! Service", 1998). The platform's list only seeds addresses.
+//!
+//! Being in contact is a stronger claim: a heartbeat echoes the receiver's own
+//! counter, which dates the sender's knowledge by the receiver's clock. News
+//! that waited in a socket while the process was paused does not count.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -25,6 +29,8 @@
 pub const SUSPECT_AFTER: Duration = Duration::from_millis(3_000);
 /// Silence after which contact no longer vouches for withdrawals.
 pub const CONTACT_WINDOW: Duration = Duration::from_millis(4_000);
+/// Own heartbeats whose times are kept for echoes.
+pub const REMEMBERED_BEATS: usize = 64;
 /// Silence after which a member is forgotten.
 pub const FORGET_AFTER: Duration = Duration::from_secs(60);
 
@@ -69,8 +75,10 @@
 pub struct MemberRecord {
     /// Latest entry.
     pub entry: MemberEntry,
-    /// Local time of the last rise of its counter.
+    /// Local time of the last rise of its counter, or of the hint.
     pub heard_at: Duration,
+    /// Whether only the platform's list speaks of it.
+    pub hinted: bool,
 }
 
 /// The members that one host knows.
@@ -78,13 +86,30 @@
 pub struct MemberTable {
     own: MemberEntry,
     others: BTreeMap<HostId, MemberRecord>,
+    contacts: BTreeMap<HostId, Duration>,
+    beats: VecDeque<(u64, Duration)>,
     beat_at: Duration,
 }
 
+/// One heartbeat to send.
+#[derive(Clone, Debug)]
+pub struct OutgoingBeat {
+    /// The receiver.
+    pub to: HostId,
+    /// This host's entry, the receiver's, and the freshest of the others.
+    pub entries: Vec<MemberEntry>,
+}
+
 impl MemberTable {
     /// Creates a table that knows only its own host.
     pub fn new(own: MemberEntry) -> MemberTable {
-        MemberTable { own, others: BTreeMap::new(), beat_at: Duration::ZERO }
+        MemberTable {
+            own,
+            others: BTreeMap::new(),
+            contacts: BTreeMap::new(),
+            beats: VecDeque::new(),
+            beat_at: Duration::ZERO,
+        }
     }
 
     /// Returns the entry of this host.
@@ -109,13 +134,14 @@
         match self.others.get_mut(&entry.host) {
             Some(record) => {
                 let known = (record.entry.incarnation, record.entry.counter);
-                if (entry.incarnation, entry.counter) > known {
-                    *record = MemberRecord { entry, heard_at: now };
+                if record.hinted || (entry.incarnation, entry.counter) > known {
+                    *record = MemberRecord { entry, heard_at: now, hinted: false };
                 }
                 false
             }
             None => {
-                self.others.insert(entry.host.clone(), MemberRecord { entry, heard_at: now });
+                let record = MemberRecord { entry, heard_at: now, hinted: false };
+                self.others.insert(record.entry.host.clone(), record);
                 true
             }
         }
@@ -124,48 +150,59 @@
     /// Adds an address from the platform's list as a hint, not as news.
     pub fn seed(&mut self, now: Duration, entry: MemberEntry) {
         if entry.host != self.own.host && !self.others.contains_key(&entry.host) {
-            let heard_at = now.saturating_sub(SUSPECT_AFTER);
-            self.others.insert(entry.host.clone(), MemberRecord { entry, heard_at });
+            let record = MemberRecord { entry, heard_at: now, hinted: true };
+            self.others.insert(record.entry.host.clone(), record);
         }
     }
 
     /// Raises the counter when a heartbeat is due and forgets silent members.
     ///
-    /// Returns the members to send to and the digest, or `None` if none is due.
-    pub fn beat(
-        &mut self,
-        now: Duration,
-        source: &mut ChaCha8Rng,
-    ) -> Option<(Vec<HostId>, Vec<MemberEntry>)> {
+    /// Returns the heartbeats to send; none if none is due.
+    pub fn beat(&mut self, now: Duration, source: &mut ChaCha8Rng) -> Vec<OutgoingBeat> {
         if now < self.beat_at {
-            return None;
+            return Vec::new();
         }
         self.beat_at = now + HEARTBEAT_INTERVAL;
         self.own.counter += 1;
-        self.others.retain(|_, record| {
-            now.saturating_sub(record.heard_at) < FORGET_AFTER
-                || (record.entry.phase == MemberPhase::Joining
-                    && now.saturating_sub(record.heard_at) < FORGET_AFTER * 2)
-        });
+        self.beats.push_back((self.own.counter, now));
+        if self.beats.len() > REMEMBERED_BEATS {
+            self.beats.pop_front();
+        }
+        self.others.retain(|_, record| now.saturating_sub(record.heard_at) < FORGET_AFTER);
+        self.contacts.retain(|host, _| self.others.contains_key(host));
         let targets = self
-            .others
-            .values()
-            .filter(|record| record.entry.phase != MemberPhase::Left)
+            .known()
             .map(|record| record.entry.host.clone())
             .choose_multiple(source, HEARTBEAT_FANOUT);
-        Some((targets, self.digest()))
+        let beat = |to: HostId| OutgoingBeat { entries: self.digest(&to), to };
+        targets.into_iter().map(beat).collect()
     }
 
-    /// Returns this host's entry and the entries with the freshest news.
-    pub fn digest(&self) -> Vec<MemberEntry> {
-        let mut records: Vec<&MemberRecord> = self.others.values().collect();
+    /// Returns the entries for a heartbeat to a host.
+    pub fn digest(&self, to: &HostId) -> Vec<MemberEntry> {
+        let mut records: Vec<&MemberRecord> =
+            self.others.values().filter(|record| record.entry.host != *to).collect();
         records.sort_by_key(|record| std::cmp::Reverse(record.heard_at));
+        let receiver = self.others.get(to);
         std::iter::once(&self.own)
-            .chain(records.into_iter().take(DIGEST_ENTRIES).map(|record| &record.entry))
+            .chain(receiver.into_iter().chain(records).take(DIGEST_ENTRIES).map(|r| &r.entry))
             .cloned()
             .collect()
     }
 
+    /// Takes in that a host knew this host's counter and nothing newer of
+    /// configuration and keys than this host.
+    pub fn note_contact(&mut self, from: &HostId, echo: &MemberEntry) {
+        if echo.incarnation != self.own.incarnation {
+            return;
+        }
+        let sent = self.beats.iter().find(|(counter, _)| *counter == echo.counter);
+        if let Some((_, sent_at)) = sent {
+            let contact = self.contacts.entry(from.clone()).or_insert(*sent_at);
+            *contact = (*contact).max(*sent_at);
+        }
+    }
+
     /// Returns the address of a member.
     pub fn address(&self, host: &str) -> Option<Arc<str>> {
         self.others.get(host).map(|record| record.entry.address.clone())
@@ -177,25 +214,37 @@
             .values()
             .filter(move |record| {
                 now.saturating_sub(record.heard_at) < SUSPECT_AFTER
+                    && !record.hinted
                     && record.entry.phase != MemberPhase::Left
             })
             .map(|record| &record.entry)
     }
 
+    /// Returns whether any other member was ever heard from and is not
+    /// forgotten.
+    pub fn has_heard(&self) -> bool {
+        self.known().any(|record| !record.hinted)
+    }
+
     /// Iterates over all other members that are not forgotten or stopped.
     pub fn known(&self) -> impl Iterator<Item = &MemberRecord> {
         self.others.values().filter(|record| record.entry.phase != MemberPhase::Left)
     }
 
-    /// Returns whether news of at least half of the known members came lately.
+    /// Returns whether at least half of the known members were in contact with
+    /// this host lately.
     ///
-    /// A host that knows no other member has nobody to hear from.
+    /// A host that never heard from another member has nobody to hear from;
+    /// members that only the platform's list names do not count.
     pub fn in_contact(&self, now: Duration) -> bool {
-        let (known, heard) = self.known().fold((0_usize, 0_usize), |(known, heard), record| {
-            let fresh = now.saturating_sub(record.heard_at) < CONTACT_WINDOW;
-            (known + 1, heard + usize::from(fresh))
-        });
-        known == 0 || heard * 2 >= known
+        let (mut known, mut fresh) = (0_usize, 0_usize);
+        for record in self.known().filter(|record| !record.hinted) {
+            known += 1;
+            let contact = self.contacts.get(&record.entry.host);
+            let is_fresh = |at: &Duration| now.saturating_sub(*at) < CONTACT_WINDOW;
+            fresh += usize::from(contact.is_some_and(is_fresh));
+        }
+        fresh * 2 >= known
     }
 
     /// Returns this host's rank among the live members of its data centre.
--- a/crates/skylarkgw/src/decision/message.rs
+++ b/crates/skylarkgw/src/decision/message.rs
@@ -1,22 +1,26 @@
 //! Messages between hosts.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 
 use crate::configuration::FleetConfiguration;
+use crate::decision::allowance::LoanPurpose;
 use crate::decision::membership::MemberEntry;
 use crate::ids::{HostId, Incarnation, KeyHash, Revision, ShareParts, Tokens, WorkspaceId};
 
-/// Identifies one request for a loan; never used twice.
+/// Identifies one loan; extending it keeps the identifier.
 #[derive(Clone, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
 pub struct LoanId {
-    /// Host that asks.
-    pub host: HostId,
+    /// Host that borrows.
+    pub borrower: HostId,
     /// Its process life.
     pub incarnation: Incarnation,
     /// Number within that life.
     pub number: u64,
+    /// Host that lends.
+    pub lender: HostId,
 }
 
 /// What one host says to another. Every message may be lost, late or doubled.
@@ -25,10 +29,10 @@
 pub enum PeerMessage {
     /// Liveness and what the sender knows.
     Heartbeat {
-        /// The sender's entry first, then the freshest of the others.
+        /// The sender's entry first, then the receiver's, then others.
         entries: Vec<MemberEntry>,
-        /// Number of withdrawn keys that the sender knows.
-        withdrawn: usize,
+        /// Fingerprint of the withdrawn keys that the sender knows.
+        withdrawn: u64,
     },
     /// Keys that were withdrawn.
     Withdrawn {
@@ -45,10 +49,16 @@
         /// The whole configuration.
         configuration: Arc<FleetConfiguration>,
     },
+    /// Says that the ledger gives the receiver more parts than before.
+    SharesChanged,
     /// Asks for a part of the receiver's share.
     LoanRequest {
-        /// Identifies the request.
-        id: LoanId,
+        /// Number of the request within the sender's life.
+        request: u64,
+        /// The loan, new or to be extended.
+        loan: LoanId,
+        /// Why.
+        purpose: LoanPurpose,
         /// Workspace whose allowance is short.
         workspace: WorkspaceId,
         /// Parts wanted.
@@ -56,15 +66,28 @@
         /// Tokens wanted at once.
         tokens: Tokens,
     },
+    /// Gives up a loan before its time.
+    LoanReturn {
+        /// The loan.
+        loan: LoanId,
+        /// Workspace whose allowance was lent.
+        workspace: WorkspaceId,
+        /// Tokens that move back with it.
+        tokens: Tokens,
+    },
     /// Answers a request for a loan; no parts means no.
     LoanReply {
-        /// The request answered.
-        id: LoanId,
+        /// Number of the request answered.
+        request: u64,
+        /// The loan.
+        loan: LoanId,
         /// Workspace whose allowance is lent.
         workspace: WorkspaceId,
         /// Parts lent.
         parts: ShareParts,
         /// Tokens that move with them.
         tokens: Tokens,
+        /// Time for which the parts may be used, counted from the request.
+        duration: Duration,
     },
 }
--- a/crates/skylarkgw/src/decision/orders.rs
+++ b/crates/skylarkgw/src/decision/orders.rs
@@ -96,10 +96,43 @@
     NotRun,
     /// It may have run.
     Unknown,
+    /// The record could not be read: this call did not run, but an earlier one
+    /// under the same key may have.
+    Unread,
     /// The key was used for another call.
     KeyReused,
 }
 
+/// What a record says of earlier calls under its key.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum EarlierCall {
+    /// None has run.
+    NotRun,
+    /// One may have run.
+    Unknown,
+    /// One ran and was answered.
+    Answered(StoredAnswer),
+}
+
+/// Returns what a read of a record says of earlier calls.
+///
+/// A record of another call under the same key counts as unknown.
+pub fn earlier_call(outcome: &PlatformOutcome, digest: &str) -> EarlierCall {
+    let value = match outcome {
+        PlatformOutcome::Found { value, .. } => value,
+        PlatformOutcome::Missing => return EarlierCall::NotRun,
+        _ => return EarlierCall::Unknown,
+    };
+    match serde_json::from_str::<OrderRecord>(value) {
+        Ok(record) if &*record.digest != digest => EarlierCall::Unknown,
+        Ok(OrderRecord { phase: RecordPhase::Answered(answer), .. }) => {
+            EarlierCall::Answered(answer)
+        }
+        Ok(OrderRecord { phase: RecordPhase::Released, .. }) => EarlierCall::NotRun,
+        _ => EarlierCall::Unknown,
+    }
+}
+
 #[derive(Clone, Debug)]
 enum OrderStep {
     Claiming,
@@ -170,7 +203,7 @@
     fn claimed(&mut self, outcome: PlatformOutcome) -> OrderAction {
         match outcome {
             PlatformOutcome::Written { version } => self.send(version),
-            PlatformOutcome::NotRun => self.finish(OrderFinish::NotRun),
+            PlatformOutcome::NotRun => self.finish(OrderFinish::Unread),
             _ => {
                 self.step = OrderStep::Checking;
                 OrderAction::Read
@@ -185,7 +218,8 @@
             PlatformOutcome::Found { version, value } => (version, value),
             PlatformOutcome::Missing if self.tries < RECORD_ATTEMPTS => return self.reclaim(0),
             // The claim may still arrive, but nothing is sent under it.
-            _ => return self.finish(OrderFinish::NotRun),
+            PlatformOutcome::Missing => return self.finish(OrderFinish::NotRun),
+            _ => return self.finish(OrderFinish::Unread),
         };
         let Ok(record) = serde_json::from_str::<OrderRecord>(&value) else {
             return self.finish(OrderFinish::Unknown);
--- a/crates/skylarkgw/src/decision/routing.rs
+++ b/crates/skylarkgw/src/decision/routing.rs
@@ -77,6 +77,21 @@
     AllFull,
 }
 
+/// One endpoint as a host sees it.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct EndpointView {
+    /// The endpoint.
+    pub endpoint: EndpointId,
+    /// Whether it answered lately.
+    pub reachable: bool,
+    /// Requests that it reported last.
+    pub requests: u32,
+    /// Requests that this host runs on it.
+    pub in_flight: u32,
+    /// Models that it reported last.
+    pub models: BTreeSet<ModelName>,
+}
+
 #[derive(Debug, Default)]
 struct EndpointState {
     in_flight: u32,
@@ -163,6 +178,22 @@
         self.states.get(endpoint).map_or(0, |state| state.in_flight)
     }
 
+    /// Returns what this host knows of the declared endpoints.
+    pub fn views(&self, now: Duration, configuration: &FleetConfiguration) -> Vec<EndpointView> {
+        let view = |endpoint: &EndpointId| {
+            let report = self.states.get(endpoint).and_then(|state| state.report.clone());
+            let report = report.unwrap_or_default();
+            EndpointView {
+                reachable: self.healthy(now, endpoint),
+                requests: report.requests,
+                in_flight: self.in_flight(endpoint),
+                models: report.models,
+                endpoint: endpoint.clone(),
+            }
+        };
+        configuration.endpoints.keys().map(view).collect()
+    }
+
     fn healthy(&self, now: Duration, id: &str) -> bool {
         self.states.get(id).is_none_or(|state| state.failed_until <= now)
     }
--- a/crates/skylarkgw/src/decision/shares.rs
+++ b/crates/skylarkgw/src/decision/shares.rs
@@ -20,7 +20,10 @@
 /// Name of the ledger in the platform.
 pub const LEDGER_OBJECT: &str = "allowance/ledger";
 /// Time between two reads of the ledger.
-pub const LEDGER_INTERVAL: Duration = Duration::from_millis(2_000);
+pub const LEDGER_INTERVAL: Duration = Duration::from_millis(1_000);
+/// Time that every member adds to the interval, which bounds all reads to 50 a
+/// second.
+pub const LEDGER_INTERVAL_PER_MEMBER: Duration = Duration::from_millis(20);
 /// Wait beyond a lease: outstanding loans, and clocks that drift by a tenth.
 pub const RECLAIM_GRACE: Duration =
     Duration::from_millis((LOAN_DURATION.as_millis() + 2 * LOAN_MARGIN.as_millis()) as u64);
@@ -153,6 +156,7 @@
     ledger_at: Duration,
     observed: BTreeMap<ShareKey, ObservedLease>,
     probes: Vec<ShareKey>,
+    receivers: Vec<ShareKey>,
 }
 
 impl ShareKeeper {
@@ -176,6 +180,7 @@
             ledger_at: Duration::ZERO,
             observed: BTreeMap::new(),
             probes: Vec::new(),
+            receivers: Vec::new(),
         }
     }
 
@@ -194,9 +199,25 @@
         self.valid_until
     }
 
-    /// Returns whether this host owns nothing in the ledger.
-    pub fn is_empty(&self) -> bool {
+    /// Returns whether the ledger certainly lists nothing for this host.
+    ///
+    /// Owning nothing any more is not enough: the write that gives the parts
+    /// away may still be lost with the process.
+    pub fn is_settled(&self) -> bool {
+        let listed = |ledger: &ShareLedger| ledger.parts.contains_key(&self.key);
         self.base == 0
+            && self.in_doubt.is_none()
+            && self.ledger.as_ref().is_none_or(|(_, ledger)| !listed(ledger))
+    }
+
+    /// Returns the process lives that a confirmed write gave parts to.
+    pub fn take_receivers(&mut self) -> Vec<ShareKey> {
+        std::mem::take(&mut self.receivers)
+    }
+
+    /// Makes the next read of the ledger due at once.
+    pub fn expect_change(&mut self, now: Duration) {
+        self.ledger_at = self.ledger_at.min(now);
     }
 
     /// Returns the next call to the platform, if one is due.
@@ -213,7 +234,8 @@
             return Some(PlatformCall::Read { name: lease_object(&key) });
         }
         if now >= self.ledger_at {
-            let interval = if view.leaving { RETRY_INTERVAL } else { LEDGER_INTERVAL };
+            let members = LEDGER_INTERVAL_PER_MEMBER * view.live.len() as u32;
+            let interval = if view.leaving { RETRY_INTERVAL } else { LEDGER_INTERVAL.max(members) };
             self.ledger_at = now + interval;
             self.step = KeeperStep::ReadingLedger;
             return Some(PlatformCall::Read { name: LEDGER_OBJECT.into() });
@@ -419,6 +441,7 @@
         match outcome {
             PlatformOutcome::Written { version } => {
                 self.in_doubt = None;
+                self.receivers = self.risen(&ledger);
                 self.adopt(now, version, &ledger);
                 self.ledger = Some((version, ledger));
             }
@@ -430,6 +453,13 @@
         self.ledger_at = now + RETRY_INTERVAL;
     }
 
+    fn risen(&self, ledger: &ShareLedger) -> Vec<ShareKey> {
+        let before = self.ledger.as_ref().map(|(_, ledger)| ledger);
+        let parts = |key: &ShareKey| before.and_then(|before| before.parts.get(key)).copied();
+        let rose = |(key, now): &(&ShareKey, &ShareParts)| Some(**now) > parts(key);
+        ledger.parts.iter().filter(rose).map(|(key, _)| key.clone()).collect()
+    }
+
     /// Follows the lease of an absent owner until it may be reclaimed.
     fn observe(
         &mut self,
--- a/crates/skylarkgw/src/edge/answer.rs
+++ b/crates/skylarkgw/src/edge/answer.rs
@@ -85,11 +85,12 @@
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct EdgeRefusal {
     reason: RefusalReason,
+    earlier_call: bool,
 }
 
 impl From<RefusalReason> for EdgeRefusal {
     fn from(reason: RefusalReason) -> EdgeRefusal {
-        EdgeRefusal { reason }
+        EdgeRefusal { reason, earlier_call: false }
     }
 }
 
@@ -114,7 +115,12 @@
             StatusCode::METHOD_NOT_ALLOWED => RefusalReason::WrongMethod,
             _ => RefusalReason::NotFound,
         };
-        EdgeRefusal { reason }
+        EdgeRefusal { reason, earlier_call: false }
+    }
+
+    /// Notes that an earlier call under the same idempotency key may have run.
+    pub fn after_earlier_call(self) -> EdgeRefusal {
+        EdgeRefusal { earlier_call: true, ..self }
     }
 
     /// Returns the label of this refusal in metrics and in the error's `code`.
@@ -125,6 +131,7 @@
     /// Returns whether the request may have run.
     pub fn outcome(&self) -> RunOutcome {
         match &self.reason {
+            _ if self.earlier_call => RunOutcome::Unknown,
             RefusalReason::Service(outcome) => *outcome,
             RefusalReason::Generation(GenerationFailure::Interrupted) => RunOutcome::Unknown,
             _ => RunOutcome::NotRun,
--- a/crates/skylarkgw/src/edge/service.rs
+++ b/crates/skylarkgw/src/edge/service.rs
@@ -9,10 +9,11 @@
 use tokio::time::sleep;
 
 use crate::configuration::RouteSpec;
-use crate::control::RouteGrant;
+use crate::control::{Admission, RouteGrant};
 use crate::decision::host::AdmissionRequest;
 use crate::decision::orders::{
-    CallOutcome, KeyedOrder, OrderAction, OrderFinish, STORED_ANSWER_BYTES, StoredAnswer,
+    CallOutcome, EarlierCall, KeyedOrder, OrderAction, OrderFinish, STORED_ANSWER_BYTES,
+    StoredAnswer, earlier_call,
 };
 use crate::decision::routing::RouteTarget;
 use crate::decision::shares::{PlatformCall, PlatformOutcome};
@@ -59,22 +60,37 @@
     }
 }
 
+/// Serves a request; what is refused before the record of its idempotency key
+/// was read says nothing of an earlier call under that key.
 async fn serve(
     context: &Arc<EdgeContext>,
     request: &mut Request,
     record: &mut RequestRecord,
 ) -> Result<Response, EdgeRefusal> {
-    let plan = ServicePlan::read(context, request, record).await?;
-    let admission = AdmissionRequest {
-        workspace: plan.caller.workspace.clone(),
-        target: RouteTarget::Service { route: plan.route.clone() },
-        tokens: if plan.caller.workspace.is_some() { SERVICE_CALL_TOKENS } else { 0 },
-    };
-    let mut admission = admit(context, admission).await?;
+    let keyed = request.headers().contains_key(IDEMPOTENCY_HEADER);
+    let plan = ServicePlan::read(context, request, record).await;
+    let plan = plan.map_err(|refusal| match keyed {
+        true => refusal.after_earlier_call(),
+        false => refusal,
+    })?;
+    match plan.admit(context).await {
+        Ok(admission) => serve_admitted(context, &plan, admission).await,
+        Err(refusal) => match plan.recorded_key() {
+            Some(key) => refuse_keyed(context, &plan, key, refusal).await,
+            None => Err(refusal),
+        },
+    }
+}
+
+async fn serve_admitted(
+    context: &Arc<EdgeContext>,
+    plan: &ServicePlan,
+    mut admission: Admission,
+) -> Result<Response, EdgeRefusal> {
     let route = admission.take_route().ok_or(RefusalReason::NotReady)?;
-    let result = match &plan.idempotency_key {
-        Some(key) if !plan.call.idempotent => keyed_call(context, &plan, key, route).await,
-        _ => send(context, &plan, route)
+    let result = match plan.recorded_key() {
+        Some(key) => keyed_call(context, plan, key, route).await,
+        None => send(context, plan, route)
             .await
             .map(plain_response)
             .map_err(|error| service_refusal(&error)),
@@ -85,6 +101,24 @@
     result
 }
 
+/// Answers a keyed call that was not admitted by what an earlier one left.
+async fn refuse_keyed(
+    context: &EdgeContext,
+    plan: &ServicePlan,
+    key: &str,
+    refusal: EdgeRefusal,
+) -> Result<Response, EdgeRefusal> {
+    let call = PlatformCall::Read { name: plan.record_name(key) };
+    let outcome = context.platform.perform(call).await;
+    match earlier_call(&outcome, &plan.digest()) {
+        EarlierCall::NotRun => Err(refusal),
+        EarlierCall::Unknown => Err(refusal.after_earlier_call()),
+        EarlierCall::Answered(answer) => {
+            finish_response(OrderFinish::Answer { answer, replayed: true }, None)
+        }
+    }
+}
+
 impl ServicePlan {
     async fn read(
         context: &EdgeContext,
@@ -121,6 +155,18 @@
         Ok(ServicePlan { route: route.clone(), caller, call, idempotency_key })
     }
 
+    /// Returns the idempotency key, if the call has to be recorded under it.
+    fn recorded_key(&self) -> Option<&str> {
+        self.idempotency_key.as_deref().filter(|_| !self.call.idempotent)
+    }
+
+    async fn admit(&self, context: &EdgeContext) -> Result<Admission, EdgeRefusal> {
+        let workspace = self.caller.workspace.clone();
+        let tokens = if workspace.is_some() { SERVICE_CALL_TOKENS } else { 0 };
+        let target = RouteTarget::Service { route: self.route.clone() };
+        admit(context, AdmissionRequest { workspace, target, tokens }).await
+    }
+
     /// Returns the name of the record of an idempotency key.
     ///
     /// The workspace is part of it, so that no caller meets another's record.
@@ -311,7 +357,10 @@
             }
             Ok(response)
         }
-        OrderFinish::NotRun => Err(RefusalReason::RecordUnavailable.into()),
+        OrderFinish::NotRun => Err(RefusalReason::Service(RunOutcome::NotRun).into()),
+        OrderFinish::Unread => {
+            Err(EdgeRefusal::from(RefusalReason::RecordUnavailable).after_earlier_call())
+        }
         OrderFinish::Unknown => Err(RefusalReason::Service(RunOutcome::Unknown).into()),
         OrderFinish::KeyReused => Err(RefusalReason::IdempotencyKeyReused.into()),
     }
--- a/crates/skylarkgw/src/operators.rs
+++ b/crates/skylarkgw/src/operators.rs
@@ -12,6 +12,8 @@
 use crate::decision::host::HostInput;
 use crate::decision::membership::{MemberEntry, MemberPhase};
 use crate::ids::{HostId, KeyHash, Revision};
+
+pub use crate::decision::routing::EndpointView;
 use crate::telemetry::Metrics;
 
 /// Largest body of an operator's request, in bytes.
@@ -41,6 +43,8 @@
     pub withdrawn: usize,
     /// Members that it hears from, itself first.
     pub members: Vec<MemberEntry>,
+    /// Endpoints as this host sees them.
+    pub endpoints: Vec<EndpointView>,
 }
 
 /// Keys to withdraw.
@@ -58,12 +62,12 @@
         let context = context.clone();
         make_sync(move |_| handler(&context))
     };
-    let withdrawing = context.clone();
+    let (withdrawing, reporting) = (context.clone(), context.clone());
     Route::new()
         .at("/healthz", get(with(|_| "ok".into_response())))
         .at("/readyz", get(with(ready)))
         .at("/metrics", get(with(metrics)))
-        .at("/v1/status", get(with(status)))
+        .at("/v1/status", get(poem::endpoint::make(move |_| status(reporting.clone()))))
         .at(
             "/v1/withdraw",
             post(poem::endpoint::make(move |request| withdraw(withdrawing.clone(), request))),
@@ -90,8 +94,9 @@
     }
 }
 
-fn status(context: &OperatorContext) -> Response {
+async fn status(context: Arc<OperatorContext>) -> poem::Result<Response> {
     let snapshot = context.control.snapshot();
+    let endpoints = context.control.endpoint_views().await.unwrap_or_default();
     let host = snapshot.members.first().map(|own| own.host.clone()).unwrap_or_default();
     let status = HostStatus {
         host,
@@ -99,8 +104,9 @@
         revision: snapshot.configuration.revision,
         withdrawn: snapshot.withdrawn.len(),
         members: snapshot.members.clone(),
+        endpoints,
     };
-    Json(status).into_response()
+    Ok(Json(status).into_response())
 }
 
 async fn withdraw(context: Arc<OperatorContext>, mut request: Request) -> poem::Result<Response> {
--- a/crates/skylarkgw/src/platform.rs
+++ b/crates/skylarkgw/src/platform.rs
@@ -137,6 +137,22 @@
         }
     }
 
+    /// Deletes an object that must have a version.
+    ///
+    /// Returns whether it had that version.
+    ///
+    /// # Errors
+    ///
+    /// [`PlatformError::Lost`] means that it may be deleted.
+    pub async fn delete(&self, name: &str, expected: ObjectVersion) -> Result<bool, PlatformError> {
+        let url = format!("{}/objects/{name}?expected={expected}", self.base);
+        match self.call(self.http.delete(url).timeout(CALL_TIMEOUT)).await? {
+            (200, _) => Ok(true),
+            (409, _) => Ok(false),
+            (status, _) => Err(PlatformError::Status(status)),
+        }
+    }
+
     /// Lists the objects whose names start with a prefix.
     ///
     /// # Errors
--- a/crates/skylarkgw/src/settings/document.rs
+++ b/crates/skylarkgw/src/settings/document.rs
@@ -1,6 +1,7 @@
 //! Reads JSON with comments into types, with errors that point at the text.
 
 use std::path::{Path, PathBuf};
+use std::sync::Arc;
 
 use jsonc_parser::ast::Value as AstValue;
 use jsonc_parser::common::{Range, Ranged};
@@ -31,7 +32,7 @@
         problem: String,
         /// The file's text.
         #[source_code]
-        text: NamedSource<String>,
+        text: Arc<NamedSource<String>>,
         /// The place.
         #[label("here")]
         place: SourceSpan,
@@ -46,7 +47,7 @@
         problem: String,
         /// The file's text.
         #[source_code]
-        text: NamedSource<String>,
+        text: Arc<NamedSource<String>>,
         /// The place.
         #[label("here")]
         place: SourceSpan,
@@ -61,7 +62,7 @@
         expected: String,
         /// The file's text.
         #[source_code]
-        text: NamedSource<String>,
+        text: Arc<NamedSource<String>>,
         /// The place.
         #[label("here")]
         place: SourceSpan,
@@ -193,8 +194,8 @@
         .map(|property| property.value.range())
 }
 
-fn named(path: &Path, text: &str) -> NamedSource<String> {
-    NamedSource::new(path.display().to_string(), text.to_owned())
+fn named(path: &Path, text: &str) -> Arc<NamedSource<String>> {
+    Arc::new(NamedSource::new(path.display().to_string(), text.to_owned()))
 }
 
 fn span(range: Range) -> SourceSpan {
--- a/crates/skylarkgw/src/sync.rs
+++ b/crates/skylarkgw/src/sync.rs
@@ -1,18 +1,18 @@
 //! Keeps the control thread and the platform in step.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use rand::Rng;
 use tokio::sync::{Mutex, mpsc};
 use tokio::time::sleep;
 
-use crate::configuration::HeadDocument;
+use crate::configuration::{FleetConfiguration, HeadDocument};
 use crate::control::{ControlHandle, ControlOutput};
 use crate::decision::host::HostInput;
 use crate::decision::membership::MemberEntry;
-use crate::ids::KeyHash;
+use crate::ids::{KeyHash, ObjectVersion};
 use crate::peer::PeerSender;
 use crate::platform::{
     HEAD_OBJECT, HOSTS_PREFIX, PlatformClient, PlatformError, PlatformObject, SHARED_PREFIX,
@@ -25,6 +25,9 @@
 /// Time between two reads of the list of hosts.
 pub const HOSTS_INTERVAL: Duration = Duration::from_secs(10);
 
+/// Silence after which an entry of the list of hosts is deleted.
+pub const SILENT_ENTRY_LIFE: Duration = Duration::from_secs(120);
+
 const FIRST_HOSTS_INTERVAL: Duration = Duration::from_millis(300);
 const FAILURE_PAUSE: Duration = Duration::from_millis(250);
 const IDLE_PAUSE: Duration = Duration::from_millis(1_000);
@@ -54,16 +57,17 @@
                 sleep(IDLE_PAUSE).await;
                 continue;
             }
+            let sent_at = self.control.now();
             match self.platform.watch(SHARED_PREFIX, position, WATCH_WAIT).await {
                 Ok(list) => {
                     // A store that was restored may stand at a lower position.
                     position = list.position;
-                    self.control.send(HostInput::PlatformHeard);
                     // Withdrawn keys go first: a host goes live on the
                     // configuration and must not bring one of them back.
                     let (withdrawn, others): (Vec<_>, Vec<_>) =
                         list.objects.iter().partition(|object| &*object.name == WITHDRAWN_OBJECT);
                     withdrawn.into_iter().chain(others).for_each(|object| self.take(object));
+                    self.control.send(HostInput::PlatformHeard { sent_at });
                     if position == 0 {
                         sleep(FAILURE_PAUSE).await;
                     }
@@ -95,14 +99,18 @@
     /// Registers this host and reads the list of hosts, again and again.
     pub async fn follow_hosts(self) {
         let mut rounds = 0_u32;
+        let mut silent = SilentEntries::default();
         loop {
             let own = self.control.snapshot().members.first().cloned();
             if let Some(own) = own {
                 let _ = self.register(&own).await;
             }
             if let Ok(list) = self.platform.list(HOSTS_PREFIX).await {
-                let entries = list
-                    .objects
+                let (gone, listed) = silent.split(list.objects, &self.control.snapshot().members);
+                for object in gone {
+                    let _ = self.platform.delete(&object.name, object.version).await;
+                }
+                let entries = listed
                     .iter()
                     .filter_map(|object| serde_json::from_str::<MemberEntry>(&object.value).ok())
                     .collect();
@@ -159,7 +167,9 @@
 
     async fn store_withdrawn(self, mut requests: mpsc::Receiver<Vec<KeyHash>>) {
         while let Some(hashes) = requests.recv().await {
-            if let Ok(stored) = merge_withdrawn(&self.platform, &hashes).await {
+            let configuration = self.control.snapshot().configuration.clone();
+            let merged = merge_withdrawn(&self.platform, &configuration, &hashes).await;
+            if let Ok(stored) = merged {
                 self.control.send(HostInput::PlatformWithdrawn { hashes: stored });
             }
             sleep(FAILURE_PAUSE).await;
@@ -167,13 +177,48 @@
     }
 }
 
+/// Entries of the platform's list of hosts that no heartbeat speaks for.
+#[derive(Debug, Default)]
+struct SilentEntries {
+    since: BTreeMap<(Arc<str>, ObjectVersion), Instant>,
+}
+
+impl SilentEntries {
+    /// Splits a list into entries that were silent for too long and the others.
+    ///
+    /// A host whose entry is deleted by mistake writes it anew.
+    fn split(
+        &mut self,
+        objects: Vec<PlatformObject>,
+        members: &[MemberEntry],
+    ) -> (Vec<PlatformObject>, Vec<PlatformObject>) {
+        let live: BTreeSet<String> =
+            members.iter().map(|entry| format!("{HOSTS_PREFIX}{}", entry.host)).collect();
+        let known = std::mem::take(&mut self.since);
+        for object in objects.iter().filter(|object| !live.contains(&*object.name)) {
+            let key = (object.name.clone(), object.version);
+            let since = known.get(&key).copied().unwrap_or_else(Instant::now);
+            self.since.insert(key, since);
+        }
+        let is_gone = |object: &PlatformObject| {
+            let since = self.since.get(&(object.name.clone(), object.version));
+            since.is_some_and(|since| since.elapsed() > SILENT_ENTRY_LIFE)
+        };
+        objects.into_iter().partition(is_gone)
+    }
+}
+
 /// Adds withdrawn keys to those that the platform keeps, and returns them all.
 ///
+/// Keys that the configuration no longer lists are dropped: the head that
+/// dropped them was written before, so whoever reads both refuses them.
+///
 /// # Errors
 ///
 /// [`PlatformError`] if the platform did not confirm them.
 pub async fn merge_withdrawn(
     platform: &PlatformClient,
+    configuration: &FleetConfiguration,
     hashes: &[KeyHash],
 ) -> Result<Vec<KeyHash>, PlatformError> {
     for _ in 0..STORE_ATTEMPTS {
@@ -183,12 +228,13 @@
             Some(object) => serde_json::from_str(&object.value).map_err(PlatformError::Garbage)?,
             None => BTreeSet::new(),
         };
-        let before = set.len();
+        let listed = |hash: &KeyHash| configuration.keys.contains_key(hash);
+        if hashes.iter().all(|hash| set.contains(hash)) {
+            return Ok(set.into_iter().collect());
+        }
+        set.retain(listed);
         set.extend(hashes.iter().cloned());
         let stored: Vec<KeyHash> = set.into_iter().collect();
-        if stored.len() == before {
-            return Ok(stored);
-        }
         let value = serde_json::to_string(&stored).map_err(PlatformError::Garbage)?;
         if platform.write(WITHDRAWN_OBJECT, version, &value).await?.is_some() {
             return Ok(stored);
--- /dev/null
+++ b/crates/standins/src/bin/allowance-schemes.rs
@@ -0,0 +1,58 @@
+//! Measures what each scheme of sharing an allowance refuses wrongfully.
+
+use std::process::ExitCode;
+
+use gumdrop::Options;
+use standins::network::{DemandPattern, ShareScheme, measure_scheme};
+
+/// Runs every scheme on every seeded demand and prints the refusals.
+#[derive(Debug, Options)]
+struct SchemeOptions {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(help = "first seed", meta = "N", default = "1")]
+    seed: u64,
+    #[options(help = "seeds for each demand", meta = "N", default = "5")]
+    seeds: u64,
+    #[options(help = "only the demand with this name", meta = "NAME")]
+    demand: Option<String>,
+    #[options(help = "demand as a fraction of the rate", meta = "F", default = "0.8")]
+    fraction: f64,
+}
+
+fn main() -> ExitCode {
+    let options = SchemeOptions::parse_args_default_or_exit();
+    println!(
+        "{:<16} {:<14} {:>8} {:>8} {:>8}  bound",
+        "demand", "scheme", "median", "least", "most"
+    );
+    let mut exceeded = false;
+    let wanted = |pattern: &DemandPattern| {
+        options.demand.as_ref().is_none_or(|name| *name == format!("{pattern:?}"))
+    };
+    for pattern in DemandPattern::ALL.into_iter().filter(wanted) {
+        for scheme in ShareScheme::ALL {
+            let reports: Vec<_> = (0..options.seeds.max(1))
+                .map(|number| options.seed + number)
+                .map(|seed| measure_scheme(scheme, pattern, options.fraction, seed))
+                .collect();
+            let mut refused: Vec<f64> = reports
+                .iter()
+                .map(|report| 100.0 * report.refused as f64 / report.asked.max(1) as f64)
+                .collect();
+            refused.sort_by(f64::total_cmp);
+            let over = reports.iter().any(|report| report.excess > 0.0);
+            exceeded |= over;
+            println!(
+                "{:<16} {:<14} {:>7.3}% {:>7.3}% {:>7.3}%  {}",
+                format!("{pattern:?}"),
+                format!("{scheme:?}"),
+                refused[refused.len() / 2],
+                refused[0],
+                refused[refused.len() - 1],
+                if over { "EXCEEDED" } else { "kept" }
+            );
+        }
+    }
+    if exceeded { ExitCode::FAILURE } else { ExitCode::SUCCESS }
+}
--- /dev/null
+++ b/crates/standins/src/bin/standin-certificates.rs
@@ -0,0 +1,28 @@
+//! Makes certificates for the demo.
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use gumdrop::Options;
+use miette::Report;
+use standins::certificates::write_certificates;
+
+/// Writes an authority and one host certificate into a folder.
+#[derive(Debug, Options)]
+struct CertificateOptions {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(help = "folder", meta = "DIR", required)]
+    folder: PathBuf,
+}
+
+fn main() -> ExitCode {
+    let options = CertificateOptions::parse_args_default_or_exit();
+    match write_certificates(&options.folder) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("{:?}", Report::new(error));
+            ExitCode::FAILURE
+        }
+    }
+}
--- a/crates/standins/src/engine.rs
+++ b/crates/standins/src/engine.rs
@@ -111,7 +111,7 @@
 pub fn token_text(prompt: &str, index: u64) -> String {
     let seed: u64 = prompt.bytes().fold(7, |seed, byte| seed.wrapping_mul(31) + u64::from(byte));
     let word = seed.wrapping_add(index * 7919) % 997;
-    if index % TOKENS_PER_WORD_GROUP == 0 {
+    if index.is_multiple_of(TOKENS_PER_WORD_GROUP) {
         format!("[{index}] w{word} ")
     } else {
         format!("w{word} ")
--- /dev/null
+++ b/crates/standins/src/network/scenario.rs
@@ -0,0 +1,290 @@
+//! Random faults under heavy demand, with every invariant looked at after.
+
+use std::time::Duration;
+
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use skylarkgw::decision::host::HostInput;
+use skylarkgw::decision::invariant::total_violations;
+use skylarkgw::decision::shares::{LEDGER_OBJECT, ShareLedger};
+use skylarkgw::ids::{ALL_PARTS, KeyHash};
+
+use crate::network::{
+    NetworkFaults, NetworkSettings, OTHER_WORKSPACE, TestNetwork, TestRequest, WORKSPACE,
+};
+
+/// Time in which a withdrawn key stops on all hosts.
+pub const WITHDRAWAL_LIMIT: Duration = Duration::from_secs(5);
+
+const REQUEST_PAUSE: Duration = Duration::from_millis(8);
+const LARGEST_REQUEST: u64 = 4_000;
+
+/// Something that goes wrong, or is set right again.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum FaultEvent {
+    /// A host's process ends without a word.
+    Kill(usize),
+    /// A process starts on a host whose last one is dead.
+    Restart(usize),
+    /// A host starts under a new name.
+    Join,
+    /// A host is told to stop and ends some seconds later.
+    Leave(usize),
+    /// A host's process is stopped.
+    Freeze(usize),
+    /// A host's process goes on.
+    Thaw(usize),
+    /// Two hosts cannot reach each other.
+    Cut(usize, usize),
+    /// A host cannot reach the platform.
+    CutOff(usize),
+    /// All hosts can reach each other and the platform.
+    Heal,
+    /// The platform serves no call.
+    Outage,
+    /// The platform serves calls again.
+    Return,
+    /// The allowance is declared anew with half the rate.
+    Halve,
+    /// The allowance is declared anew with the first rate.
+    Whole,
+    /// An operator withdraws the next key at a host.
+    Withdraw(usize),
+}
+
+/// What a scenario came to.
+#[derive(Clone, Copy, Debug)]
+pub struct ScenarioReport {
+    /// Events that were taken.
+    pub events: u64,
+    /// Requests that were made.
+    pub asked: u64,
+    /// Requests that were refused for the allowance.
+    pub refused: u64,
+    /// Tokens by which the bound was exceeded; zero or less is within it.
+    pub excess: f64,
+    /// Invariants that the program itself found violated.
+    pub violations: u64,
+    /// Revisions that were seen to fall.
+    pub revision_falls: u64,
+    /// Parts that the ledger gives beyond the whole.
+    pub surplus_parts: u64,
+    /// Hosts that accepted a withdrawn key too late.
+    pub late_keys: u64,
+}
+
+impl ScenarioReport {
+    /// Returns whether everything held.
+    pub fn holds(&self) -> bool {
+        self.excess <= 0.0
+            && self.violations == 0
+            && self.revision_falls == 0
+            && self.surplus_parts == 0
+            && self.late_keys == 0
+    }
+}
+
+/// Draws a fault for a network of about as many hosts.
+pub fn random_fault(source: &mut ChaCha8Rng, hosts: usize) -> FaultEvent {
+    let host = source.random_range(0..hosts);
+    match source.random_range(0..20) {
+        0 => FaultEvent::Kill(host),
+        1 | 2 => FaultEvent::Restart(host),
+        3 => FaultEvent::Join,
+        4 => FaultEvent::Leave(host),
+        5 | 6 => FaultEvent::Freeze(host),
+        7..=9 => FaultEvent::Thaw(host),
+        10 | 11 => FaultEvent::Cut(host, source.random_range(0..hosts)),
+        12 => FaultEvent::CutOff(host),
+        13 | 14 => FaultEvent::Heal,
+        15 => FaultEvent::Outage,
+        16 | 17 => FaultEvent::Return,
+        18 => {
+            if source.random_bool(0.5) {
+                FaultEvent::Halve
+            } else {
+                FaultEvent::Whole
+            }
+        }
+        _ => FaultEvent::Withdraw(host),
+    }
+}
+
+/// Runs a scenario whose faults are drawn from a seed.
+pub fn run_seeded(seed: u64, faults: usize) -> ScenarioReport {
+    let mut source = ChaCha8Rng::seed_from_u64(seed);
+    let hosts = source.random_range(2..9);
+    let events: Vec<(Duration, FaultEvent)> = (0..faults)
+        .map(|_| {
+            let pause = Duration::from_millis(source.random_range(50..6_000));
+            (pause, random_fault(&mut source, hosts))
+        })
+        .collect();
+    run_scenario(seed, hosts, &events)
+}
+
+/// Runs a scenario: each fault strikes a pause after the one before.
+pub fn run_scenario(seed: u64, hosts: usize, events: &[(Duration, FaultEvent)]) -> ScenarioReport {
+    let settings = NetworkSettings {
+        seed,
+        hosts,
+        lease: Duration::from_secs(8),
+        faults: NetworkFaults {
+            loss: 0.05,
+            doubled: 0.05,
+            delay: Duration::from_millis(300),
+            drift: 0.0,
+        },
+        ..NetworkSettings::default()
+    };
+    let mut network = TestNetwork::new(settings);
+    network.platform.lost_answers = 0.1;
+    network.platform.late_writes = 0.5;
+    let violations = total_violations();
+    let mut run =
+        ScenarioRun { network, leaving: Vec::new(), withdrawn: Vec::new(), late_keys: 0, keys: 0 };
+    run.pass(Duration::from_secs(5));
+    for (pause, event) in events {
+        run.pass(*pause);
+        run.strike(*event);
+    }
+    run.pass(Duration::from_secs(20));
+    run.report(violations)
+}
+
+struct ScenarioRun {
+    network: TestNetwork,
+    leaving: Vec<(Duration, usize)>,
+    withdrawn: Vec<(Duration, KeyHash)>,
+    late_keys: u64,
+    keys: u64,
+}
+
+impl ScenarioRun {
+    fn strike(&mut self, event: FaultEvent) {
+        let count = self.network.hosts.len();
+        match event {
+            FaultEvent::Kill(host) => self.network.kill(host % count),
+            FaultEvent::Restart(host) => {
+                if self.network.hosts[host % count].is_none() {
+                    self.network.start_life(host % count);
+                }
+            }
+            FaultEvent::Join => {
+                if count < 24 {
+                    self.network.start_host();
+                }
+            }
+            FaultEvent::Leave(host) => {
+                self.network.step(host % count, HostInput::Drain);
+                self.leaving.push((self.network.now + Duration::from_secs(7), host % count));
+            }
+            FaultEvent::Freeze(host) => self.network.freeze(host % count, true),
+            FaultEvent::Thaw(host) => self.network.freeze(host % count, false),
+            FaultEvent::Cut(one, other) if one % count != other % count => {
+                let (one, other) = (one % count, other % count);
+                self.network.cuts.insert((one.min(other), one.max(other)));
+            }
+            FaultEvent::Cut(..) => {}
+            FaultEvent::CutOff(host) => {
+                self.network.cut_off.insert(host % count);
+            }
+            FaultEvent::Heal => {
+                self.network.cuts.clear();
+                self.network.cut_off.clear();
+            }
+            FaultEvent::Outage => self.network.platform.outage = true,
+            FaultEvent::Return => self.network.platform.outage = false,
+            FaultEvent::Halve => self.declare_rate(2),
+            FaultEvent::Whole => self.declare_rate(1),
+            FaultEvent::Withdraw(host) => self.withdraw(host % count),
+        }
+    }
+
+    fn declare_rate(&mut self, divisor: u64) {
+        let rate = self.network.settings().rate / divisor;
+        self.network.accept(|next| {
+            next.workspaces.values_mut().for_each(|workspace| workspace.rate = rate);
+        });
+    }
+
+    /// Withdraws a key at a host that all others and the platform can reach.
+    ///
+    /// The promise is for an operator who reaches a host; a host that is cut
+    /// off itself can pass nothing on.
+    fn withdraw(&mut self, host: usize) {
+        self.keys += 1;
+        let hash: KeyHash = format!("key-{}", self.keys).into();
+        self.network.declare_key(&hash);
+        let connected = self.network.cuts.is_empty()
+            && self.network.cut_off.is_empty()
+            && !self.network.platform.outage;
+        self.network.run(Duration::from_secs(2));
+        if connected && self.network.is_running(host) {
+            let hashes = vec![hash.clone()];
+            self.network.step(host, HostInput::Withdraw { hashes });
+            self.withdrawn.push((self.network.now, hash));
+        }
+    }
+
+    fn pass(&mut self, time: Duration) {
+        let end = self.network.now + time;
+        while self.network.now < end {
+            let host = self.network.source.random_range(0..self.network.hosts.len());
+            let workspace =
+                if self.network.source.random_bool(0.5) { WORKSPACE } else { OTHER_WORKSPACE };
+            let reserve = self.network.source.random_range(1..LARGEST_REQUEST);
+            let used = self.network.source.random_range(0..=reserve);
+            let length = Duration::from_millis(self.network.source.random_range(1..8_000));
+            let request = TestRequest { workspace: workspace.into(), reserve, used, length };
+            self.network.request(host, request);
+            self.network.run(REQUEST_PAUSE);
+            self.end_leaving();
+        }
+        self.look_at_keys();
+    }
+
+    fn end_leaving(&mut self) {
+        let now = self.network.now;
+        let due = |(at, _): &(Duration, usize)| *at <= now;
+        let ended: Vec<usize> =
+            self.leaving.iter().filter(|entry| due(entry)).map(|(_, host)| *host).collect();
+        self.leaving.retain(|entry| !due(entry));
+        for host in ended {
+            self.network.step(host, HostInput::Leave);
+            self.network.kill(host);
+        }
+    }
+
+    fn look_at_keys(&mut self) {
+        let now = self.network.now;
+        for (at, hash) in &self.withdrawn {
+            if now < *at + WITHDRAWAL_LIMIT {
+                continue;
+            }
+            let accepting = (0..self.network.hosts.len())
+                .filter(|host| self.network.accepts_key(*host, hash))
+                .count();
+            self.late_keys += accepting as u64;
+        }
+    }
+
+    fn report(self, violations: u64) -> ScenarioReport {
+        let settings = self.network.settings();
+        let (rate, burst) = (settings.rate as f64, settings.burst as f64);
+        let ledger = self.network.platform.value(LEDGER_OBJECT).unwrap_or_default();
+        let ledger: ShareLedger = serde_json::from_str(&ledger).unwrap_or_default();
+        let parts: u64 = ledger.parts.values().sum();
+        let counts = self.network.judge.counts(WORKSPACE);
+        ScenarioReport {
+            events: self.network.events,
+            asked: counts.asked,
+            refused: counts.refused,
+            excess: self.network.judge.excess(rate, burst),
+            violations: total_violations() - violations,
+            revision_falls: self.network.revision_falls(),
+            surplus_parts: parts.saturating_sub(ALL_PARTS),
+            late_keys: self.late_keys,
+        }
+    }
+}
--- a/crates/standins/tests/fleet/harness.rs
+++ b/crates/standins/tests/fleet/harness.rs
@@ -83,13 +83,13 @@
     }
 
     /// Waits for the process to end by itself.
-    pub fn wait_exit(&mut self) -> std::process::ExitStatus {
+    pub async fn wait_exit(&mut self) -> std::process::ExitStatus {
         let started = Instant::now();
         while started.elapsed() < PATIENCE {
             if let Some(status) = self.child.try_wait().expect("the child can be asked") {
                 return status;
             }
-            std::thread::sleep(Duration::from_millis(5));
+            tokio::time::sleep(Duration::from_millis(5)).await;
         }
         panic!("the process never ended");
     }
--- a/crates/standins/tests/fleet/main.rs
+++ b/crates/standins/tests/fleet/main.rs
@@ -1,4 +1,10 @@
 //! Tests with real processes: hosts, engines, a service and the platform.
 
+mod changes;
 mod harness;
+mod keys;
+mod orders;
 mod path;
+mod programs;
+mod stops;
+mod streams;
--- /dev/null
+++ b/crates/standins/tests/fleet/orders.rs
@@ -0,0 +1,184 @@
+//! At most once: orders under kills, freezes, outages and retries at once.
+//!
+//! The service's own count of executions is the judge.
+
+use std::time::Duration;
+
+use futures::future::join_all;
+use serde_json::{Value, json};
+
+use crate::harness::{FleetShape, TestFleet, wait_until};
+
+async fn outcome(response: reqwest::Response) -> (u16, String, String) {
+    let status = response.status().as_u16();
+    let outcome = response.headers().get("skylark-outcome").cloned();
+    let outcome = outcome.map(|value| value.to_str().unwrap_or("").to_owned()).unwrap_or_default();
+    let body: Value = response.json().await.unwrap_or_default();
+    (status, outcome, body["error"]["code"].as_str().unwrap_or("").to_owned())
+}
+
+#[tokio::test]
+async fn retry_at_another_host_gets_the_first_answer() {
+    let fleet = TestFleet::start(FleetShape::default()).await;
+    for (number, host) in fleet.hosts.iter().enumerate() {
+        let request = fleet.order_request(host, "media").header("idempotency-key", "k-1");
+        let response = request.send().await.expect("an answer");
+        assert_eq!(response.status(), 201);
+        assert_eq!(response.headers().contains_key("idempotency-replayed"), number > 0);
+    }
+    assert_eq!(fleet.service.executions("media").await, 1);
+
+    let other = fleet.order_request(&fleet.hosts[0], "polish").header("idempotency-key", "k-1");
+    let (status, outcome, code) = outcome(other.send().await.expect("an answer")).await;
+    assert_eq!((status, &*outcome, &*code), (422, "not-run", "idempotency_key_reused"));
+    assert_eq!(fleet.service.executions("polish").await, 0);
+}
+
+#[tokio::test]
+async fn retries_at_once_run_once() {
+    let fleet = TestFleet::start(FleetShape::default()).await;
+    fleet.service.set_faults(json!({"delay_ms": 200})).await;
+    for round in 0..5 {
+        let order = format!("barrel-{round}");
+        let calls = (0..12).map(|number| {
+            let host = &fleet.hosts[number % fleet.hosts.len()];
+            fleet.order_request(host, &order).header("idempotency-key", order.clone()).send()
+        });
+        let responses = join_all(calls).await;
+        let mut answered = 0;
+        for response in responses {
+            let (status, outcome, _) = outcome(response.expect("an answer")).await;
+            answered += u32::from(status == 201);
+            assert!(status == 201 || outcome == "unknown", "{status} {outcome}");
+        }
+        assert!(answered >= 1);
+        assert_eq!(fleet.service.executions(&order).await, 1);
+    }
+}
+
+#[tokio::test]
+async fn lost_answer_of_the_record_does_not_double_or_lose_the_order() {
+    let fleet = TestFleet::start(FleetShape::default()).await;
+    fleet.platform.set_faults(json!({"lose_answers": 1})).await;
+    let request = fleet.order_request(&fleet.hosts[0], "grit").header("idempotency-key", "k-2");
+    let response = request.send().await.expect("an answer");
+    let status = response.status();
+    let executions = fleet.service.executions("grit").await;
+    // Another writer may have met the fault first; the order runs in any case.
+    assert_eq!((status.as_u16(), executions), (201, 1));
+    let again = fleet.order_request(&fleet.hosts[1], "grit").header("idempotency-key", "k-2");
+    assert_eq!(again.send().await.expect("an answer").status(), 201);
+    assert_eq!(fleet.service.executions("grit").await, 1);
+}
+
+#[tokio::test]
+async fn outage_refuses_keyed_orders_truthfully_and_serves_the_rest() {
+    let fleet = TestFleet::start(FleetShape::default()).await;
+    let ran = fleet.order_request(&fleet.hosts[1], "ran").header("idempotency-key", "k-0");
+    assert_eq!(ran.send().await.expect("an answer").status(), 201);
+    fleet.platform.set_faults(json!({"refuse": true})).await;
+    let host = &fleet.hosts[0];
+    let keyed = fleet.order_request(host, "pellets").header("idempotency-key", "k-3");
+    let response = keyed.send().await.expect("an answer");
+    assert!(response.headers().contains_key("retry-after"));
+    let (status, outcome, code) = outcome(response).await;
+    // Nothing ran now, but an earlier call under the key might have.
+    assert_eq!((status, &*outcome, &*code), (503, "unknown", "record_unavailable"));
+    assert_eq!(fleet.service.executions("pellets").await, 0);
+    let again = fleet.order_request(host, "ran").header("idempotency-key", "k-0");
+    let (_, said, _) = self::outcome(again.send().await.expect("an answer")).await;
+    assert_eq!(said, "unknown", "it ran before the outage");
+    assert_eq!(fleet.service.executions("ran").await, 1);
+    assert_eq!(fleet.order_request(host, "plain").send().await.expect("x").status(), 201);
+    assert_eq!(fleet.chat(host, "in the outage", 4).await.status(), 200);
+}
+
+#[tokio::test]
+async fn service_that_takes_the_order_and_never_answers_leaves_it_unknown_once() {
+    let fleet = TestFleet::start(FleetShape::default()).await;
+    fleet.service.set_faults(json!({"lose_answers": 1})).await;
+    let plain = fleet.order_request(&fleet.hosts[0], "tins").send().await.expect("an answer");
+    let (status, outcome_text, _) = outcome(plain).await;
+    assert_eq!((status, &*outcome_text), (504, "unknown"));
+    assert_eq!(fleet.service.executions("tins").await, 1);
+
+    fleet.service.set_faults(json!({"lose_answers": 1})).await;
+    let keyed = |host: usize| {
+        fleet.order_request(&fleet.hosts[host], "lids").header("idempotency-key", "k-4").send()
+    };
+    let (_, first, _) = outcome(keyed(0).await.expect("an answer")).await;
+    let (_, second, _) = outcome(keyed(1).await.expect("an answer")).await;
+    assert_eq!((&*first, &*second), ("unknown", "unknown"));
+    assert_eq!(fleet.service.executions("lids").await, 1);
+}
+
+#[tokio::test]
+async fn killed_host_leaves_no_order_doubled_and_callers_can_retry() {
+    let mut fleet = TestFleet::start(FleetShape::default()).await;
+    fleet.service.set_faults(json!({"delay_ms": 300})).await;
+    let calls: Vec<_> = (0..40)
+        .map(|number| {
+            let order = format!("sack-{number}");
+            let request = fleet
+                .order_request(&fleet.hosts[0], &order)
+                .header("idempotency-key", order.clone());
+            tokio::spawn(request.send())
+        })
+        .collect();
+    tokio::time::sleep(Duration::from_millis(120)).await;
+    fleet.hosts[0].process.kill();
+    for call in calls {
+        let _ = call.await;
+    }
+    fleet.service.set_faults(json!({})).await;
+    for number in 0..40 {
+        let order = format!("sack-{number}");
+        let retry = fleet
+            .order_request(&fleet.hosts[1], &order)
+            .header("idempotency-key", order.clone())
+            .send()
+            .await
+            .expect("an answer");
+        let (status, outcome, _) = outcome(retry).await;
+        let executions = fleet.service.executions(&order).await;
+        assert!(executions <= 1, "{order} ran {executions} times");
+        match status {
+            201 => assert_eq!(executions, 1, "{order}"),
+            _ if outcome == "not-run" => assert_eq!(executions, 0, "{order}"),
+            _ => assert_eq!(outcome, "unknown", "{order}"),
+        }
+    }
+}
+
+#[tokio::test]
+async fn unreachable_service_is_refused_as_not_run() {
+    let mut fleet = TestFleet::start(FleetShape::default()).await;
+    fleet.service.process.kill();
+    for key in ["", "k-5"] {
+        let mut request = fleet.order_request(&fleet.hosts[0], "lost");
+        if !key.is_empty() {
+            request = request.header("idempotency-key", key);
+        }
+        let (status, outcome, _) = outcome(request.send().await.expect("an answer")).await;
+        assert_eq!((status, &*outcome), (503, "not-run"));
+    }
+}
+
+#[tokio::test]
+async fn frozen_host_does_not_serve_on_old_knowledge_when_it_wakes() {
+    let fleet = TestFleet::start(FleetShape::default()).await;
+    let frozen = &fleet.hosts[2];
+    frozen.process.signal("STOP");
+    let revision = fleet.accept(|next| next.keys.clear()).await;
+    for host in &fleet.hosts[..2] {
+        wait_until("the revision is in force", async || {
+            host.status().await.is_some_and(|status| status.revision >= revision)
+        })
+        .await;
+    }
+    tokio::time::sleep(Duration::from_secs(5)).await;
+    frozen.process.signal("CONT");
+    let response = fleet.chat(frozen, "good morning", 1).await;
+    let status = response.status().as_u16();
+    assert!(status == 401 || status == 503, "{status}");
+}
--- /dev/null
+++ b/crates/standins/tests/fleet/streams.rs
@@ -0,0 +1,95 @@
+//! Streams: broken, silent and moved connections, and callers that go away.
+
+use std::time::Duration;
+
+use futures::StreamExt;
+use serde_json::json;
+use standins::engine::whole_text;
+
+use crate::harness::{FleetShape, TestFleet, flattened, streamed_text, wait_until};
+
+const TOKENS: u64 = 60;
+
+async fn assert_whole(fleet: &TestFleet, prompt: &str) {
+    let request = fleet.chat_request(&fleet.hosts[0], prompt, TOKENS, true);
+    let body = request.send().await.expect("an answer").text().await.expect("a body");
+    let expected = whole_text(&flattened(prompt), TOKENS);
+    assert_eq!(streamed_text(&body), (expected, true));
+}
+
+#[tokio::test]
+async fn broken_and_silent_streams_resume_without_a_missing_or_doubled_token() {
+    let fleet = TestFleet::start(FleetShape::default()).await;
+    for engine in &fleet.engines {
+        engine.set_faults(json!({"break_streams": 3})).await;
+    }
+    assert_whole(&fleet, "broken").await;
+    for engine in &fleet.engines {
+        engine.set_faults(json!({"silence_streams": 2})).await;
+    }
+    assert_whole(&fleet, "silent").await;
+    for engine in &fleet.engines {
+        engine.set_faults(json!({"garbage": 1})).await;
+    }
+    assert_whole(&fleet, "garbage").await;
+}
+
+#[tokio::test]
+async fn stream_moves_to_another_engine_when_its_engine_dies() {
+    let shape = FleetShape {
+        engine_arguments: vec!["--models", "sage", "--token-ms", "20"],
+        ..FleetShape::default()
+    };
+    let mut fleet = TestFleet::start(shape).await;
+    let request = fleet.chat_request(&fleet.hosts[0], "moving", TOKENS, true);
+    let response = request.send().await.expect("an answer");
+    let mut running = None;
+    for (number, engine) in fleet.engines.iter().enumerate() {
+        if engine.get("/standin/counts").await["running"] == 1 {
+            running = Some(number);
+        }
+    }
+    let running = running.expect("one engine runs the request");
+    fleet.engines[running].process.kill();
+    let body = response.text().await.expect("a body");
+    let expected = whole_text(&flattened("moving"), TOKENS);
+    assert_eq!(streamed_text(&body), (expected, true));
+}
+
+#[tokio::test]
+async fn caller_that_goes_away_is_cancelled_at_the_engine() {
+    let shape = FleetShape {
+        hosts: 1,
+        engine_arguments: vec!["--models", "sage", "--token-ms", "50"],
+        ..FleetShape::default()
+    };
+    let fleet = TestFleet::start(shape).await;
+    let request = fleet.chat_request(&fleet.hosts[0], "never mind", 2_000, true);
+    let mut stream = request.send().await.expect("an answer").bytes_stream();
+    stream.next().await.expect("a first chunk").expect("a chunk");
+    drop(stream);
+    wait_until("no engine runs the request", async || {
+        let mut running = 0;
+        for engine in &fleet.engines {
+            running += engine.get("/standin/counts").await["running"].as_u64().unwrap_or(0);
+        }
+        running == 0
+    })
+    .await;
+    wait_until("the host runs nothing", async || {
+        fleet.hosts[0].metrics().await.contains("skylark_requests_running 0")
+    })
+    .await;
+}
+
+#[tokio::test]
+async fn all_engines_gone_is_refused_at_once_with_when_to_come_back() {
+    let mut fleet = TestFleet::start(FleetShape { hosts: 1, ..FleetShape::default() }).await;
+    fleet.engines.iter_mut().for_each(|engine| engine.process.kill());
+    let started = std::time::Instant::now();
+    let response = fleet.chat(&fleet.hosts[0], "anyone", 4).await;
+    assert!(response.status().is_server_error());
+    assert!(response.headers().contains_key("retry-after"));
+    // Far below any deadline of a caller; generous for a loaded machine.
+    assert!(started.elapsed() < Duration::from_secs(20));
+}
--- /dev/null
+++ b/crates/standins/tests/machines/faults.rs
@@ -0,0 +1,61 @@
+//! Random faults: the bound, the revision and withdrawn keys hold.
+
+use std::time::Duration;
+
+use proptest::prelude::*;
+use standins::network::{FaultEvent, run_scenario, run_seeded};
+
+fn fault(hosts: usize) -> impl Strategy<Value = FaultEvent> {
+    let host = 0..hosts;
+    prop_oneof![
+        host.clone().prop_map(FaultEvent::Kill),
+        host.clone().prop_map(FaultEvent::Restart),
+        Just(FaultEvent::Join),
+        host.clone().prop_map(FaultEvent::Leave),
+        host.clone().prop_map(FaultEvent::Freeze),
+        host.clone().prop_map(FaultEvent::Thaw),
+        (host.clone(), host.clone()).prop_map(|(one, other)| FaultEvent::Cut(one, other)),
+        host.clone().prop_map(FaultEvent::CutOff),
+        Just(FaultEvent::Heal),
+        Just(FaultEvent::Outage),
+        Just(FaultEvent::Return),
+        Just(FaultEvent::Halve),
+        Just(FaultEvent::Whole),
+        host.prop_map(FaultEvent::Withdraw),
+    ]
+}
+
+fn faults() -> impl Strategy<Value = Vec<(Duration, FaultEvent)>> {
+    let pause = (50_u64..6_000).prop_map(Duration::from_millis);
+    prop::collection::vec((pause, fault(6)), 1..20)
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 12,
+        rng_seed: proptest::test_runner::RngSeed::Fixed(4),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn everything_holds_under_any_faults(seed in 0_u64..1_000, events in faults()) {
+        let report = run_scenario(seed, 4, &events);
+        prop_assert!(report.holds(), "{report:?}");
+    }
+}
+
+#[test]
+fn everything_holds_in_the_fixed_piece_of_the_long_run() {
+    for seed in 1..=6 {
+        let report = run_seeded(seed, 25);
+        assert!(report.holds(), "seed {seed}: {report:?}");
+        assert!(report.asked > 0, "seed {seed}");
+    }
+}
+
+#[test]
+fn seed_replays_the_same_decisions() {
+    let (one, other) = (run_seeded(21, 12), run_seeded(21, 12));
+    assert_eq!(format!("{one:?}"), format!("{other:?}"));
+}
--- /dev/null
+++ b/crates/standins/tests/machines/main.rs
@@ -0,0 +1,6 @@
+//! Tests of the pure state machines: several hosts on one queue that loses,
+//! delays, doubles and reorders, with a platform that has outages.
+
+mod allowance;
+mod faults;
+mod orders;
