--- a/crates/skylarkgw/src/configuration.rs
+++ b/crates/skylarkgw/src/configuration.rs
@@ -31,16 +31,52 @@
     pub endpoints: BTreeMap<EndpointId, EndpointSpec>,
     /// Plain routes by the first segment of their path.
     pub routes: BTreeMap<Arc<str>, RouteSpec>,
+    /// Limits of the weight store.
+    pub weight_store: WeightStoreSpec,
 }
 
 /// One model.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct ModelSpec {
-    /// Version that should serve.
+    /// Version that serves.
     pub version: Arc<str>,
+    /// Version that is being rolled out beside it.
+    #[serde(default)]
+    pub next: Option<Arc<str>>,
     /// Accelerator memory of one replica, in mebibytes.
     pub memory_mb: u64,
+    /// Replicas over all engines.
+    #[serde(default = "default_replicas")]
+    pub replicas: u32,
+}
+
+const DEFAULT_REPLICAS: u32 = 1;
+
+fn default_replicas() -> u32 {
+    DEFAULT_REPLICAS
+}
+
+/// Limits of the store that engines load weights from.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct WeightStoreSpec {
+    /// Loads at the same time.
+    pub in_flight: u32,
+    /// Loads a minute.
+    pub loads_per_minute: u32,
+}
+
+const DEFAULT_LOADS_IN_FLIGHT: u32 = 10;
+const DEFAULT_LOADS_PER_MINUTE: u32 = 96;
+
+impl Default for WeightStoreSpec {
+    fn default() -> WeightStoreSpec {
+        WeightStoreSpec {
+            in_flight: DEFAULT_LOADS_IN_FLIGHT,
+            loads_per_minute: DEFAULT_LOADS_PER_MINUTE,
+        }
+    }
 }
 
 /// One adapter on top of a model.
@@ -95,6 +131,9 @@
     /// Whether the endpoint is leaving and takes no new work.
     #[serde(default)]
     pub leaving: bool,
+    /// Whether the engine refuses orders with an old fencing number.
+    #[serde(default)]
+    pub checks_fence: bool,
     /// Requests that the endpoint runs side by side; more wait inside it.
     #[serde(default = "default_slots")]
     pub slots: u32,
--- a/crates/skylarkgw/src/control.rs
+++ b/crates/skylarkgw/src/control.rs
@@ -14,9 +14,10 @@
     TicketId,
 };
 use crate::decision::message::PeerMessage;
+use crate::decision::placement::EngineOrder;
 use crate::decision::routing::{EndpointView, RouteTarget};
 use crate::decision::shares::PlatformCall;
-use crate::ids::{EndpointId, KeyHash, Tokens, WorkspaceId};
+use crate::ids::{EndpointId, KeyHash, ModelName, Tokens, WorkspaceId};
 
 /// Time between two ticks of the state machine.
 pub const TICK_INTERVAL: Duration = Duration::from_millis(25);
@@ -51,6 +52,21 @@
     },
     /// A call of the share keeper to the platform.
     Platform(PlatformCall),
+    /// A call of the placement to the platform.
+    PlacementCall(PlatformCall),
+    /// An order to an engine.
+    Order {
+        /// The engine.
+        engine: EndpointId,
+        /// Its address.
+        address: Arc<str>,
+        /// The order.
+        order: EngineOrder,
+        /// When it was decided.
+        decided_at: Duration,
+    },
+    /// Models whose next version may be switched to.
+    SwitchVersions(Vec<ModelName>),
     /// Withdrawn keys that the platform does not know.
     StoreWithdrawn(Vec<KeyHash>),
 }
@@ -360,6 +376,16 @@
             HostEffect::Platform(call) => {
                 let _ = self.outputs.send(ControlOutput::Platform(call));
             }
+            HostEffect::PlacementCall(call) => {
+                let _ = self.outputs.send(ControlOutput::PlacementCall(call));
+            }
+            HostEffect::Order { engine, address, order } => {
+                let order = ControlOutput::Order { engine, address, order, decided_at: now };
+                let _ = self.outputs.send(order);
+            }
+            HostEffect::SwitchVersions(models) => {
+                let _ = self.outputs.send(ControlOutput::SwitchVersions(models));
+            }
             HostEffect::StoreWithdrawn(hashes) => {
                 let _ = self.outputs.send(ControlOutput::StoreWithdrawn(hashes));
             }
--- a/crates/skylarkgw/src/daemon.rs
+++ b/crates/skylarkgw/src/daemon.rs
@@ -152,6 +152,7 @@
         let sync = PlatformSync {
             control: control.clone(),
             platform: platform.clone(),
+            engines: engines.clone(),
             metrics: metrics.clone(),
         };
         let outputs = Arc::new(Mutex::new(outputs));
--- a/crates/skylarkgw/src/decision.rs
+++ b/crates/skylarkgw/src/decision.rs
@@ -7,12 +7,14 @@
 //! process; tests run several of them against a queue that loses messages.
 
 pub mod allowance;
+pub mod fencing;
 pub mod host;
 pub mod invariant;
 pub mod keys;
 pub mod membership;
 pub mod message;
 pub mod orders;
+pub mod placement;
 pub mod routing;
 pub mod shares;
 
--- a/crates/skylarkgw/src/decision/host.rs
+++ b/crates/skylarkgw/src/decision/host.rs
@@ -18,12 +18,15 @@
     CONTACT_WINDOW, MemberEntry, MemberPhase, MemberTable, OutgoingBeat,
 };
 use crate::decision::message::{LoanId, PeerMessage};
+use crate::decision::placement::{
+    EngineOrder, OrderNumber, OrderOutcome, PlacementEffect, PlacementMachine,
+};
 use crate::decision::routing::{
     EndpointView, FULL_RETRY_AFTER, LoadReport, RouteRefusal, RouteTable, RouteTarget,
     RoutingPolicy,
 };
 use crate::decision::shares::{KeeperView, PlatformCall, PlatformOutcome, ShareKeeper, share_key};
-use crate::ids::{EndpointId, HostId, KeyHash, Revision, Tokens, WorkspaceId};
+use crate::ids::{EndpointId, HostId, KeyHash, ModelName, Revision, Tokens, WorkspaceId};
 
 /// Longest wait for a loan before a request is refused.
 pub const LOAN_WAIT: Duration = Duration::from_millis(60);
@@ -52,6 +55,8 @@
 pub const WAITING_LIMIT: usize = 1_024;
 /// Hosts of one data centre that watch the platform; others hear from them.
 pub const WATCHERS_PER_DATA_CENTRE: usize = 4;
+/// Time between two looks at whether a rollout may be switched.
+pub const SWITCH_INTERVAL: Duration = Duration::from_millis(500);
 /// Shortest time named in a refusal.
 pub const SHORTEST_RETRY_AFTER: Duration = Duration::from_millis(100);
 
@@ -148,9 +153,27 @@
     Report {
         /// The engine.
         endpoint: EndpointId,
+        /// When it was asked.
+        asked_at: Duration,
         /// What it says.
         report: Option<LoadReport>,
     },
+    /// The sending of an order ended.
+    OrderDone {
+        /// The engine.
+        engine: EndpointId,
+        /// Number of the order.
+        number: OrderNumber,
+        /// How.
+        outcome: OrderOutcome,
+    },
+    /// A call of the placement ended.
+    PlacementDone {
+        /// Name of the object.
+        name: Arc<str>,
+        /// How.
+        outcome: PlatformOutcome,
+    },
     /// Another host says something.
     Message {
         /// The sender.
@@ -222,6 +245,19 @@
     },
     /// A call of the share keeper to the platform.
     Platform(PlatformCall),
+    /// A call of the placement to the platform.
+    PlacementCall(PlatformCall),
+    /// An order to an engine.
+    Order {
+        /// The engine.
+        engine: EndpointId,
+        /// Its address.
+        address: Arc<str>,
+        /// The order.
+        order: EngineOrder,
+    },
+    /// Models whose next version serves everywhere and may be switched to.
+    SwitchVersions(Vec<ModelName>),
     /// Keys that the platform does not know to be withdrawn.
     StoreWithdrawn(Vec<KeyHash>),
 }
@@ -303,6 +339,8 @@
     platform_heard: Option<Duration>,
     synced: bool,
     listed_at: Option<Duration>,
+    placement: PlacementMachine,
+    switch_at: Duration,
     phase: MemberPhase,
     base: u64,
     effects: Vec<HostEffect>,
@@ -317,6 +355,8 @@
             source: ChaCha8Rng::seed_from_u64(parameters.seed),
             routes: RouteTable::new(parameters.routing),
             keeper: ShareKeeper::new(own.host.clone(), own.incarnation, parameters.allowance_lease),
+            placement: PlacementMachine::new(own.share_key.clone()),
+            switch_at: Duration::ZERO,
             members: MemberTable::new(own),
             workspaces: BTreeMap::new(),
             pending: BTreeMap::new(),
@@ -349,7 +389,19 @@
             HostInput::Settle { workspace, reserved, used } => {
                 self.settle(now, &workspace, reserved, used);
             }
-            HostInput::Report { endpoint, report } => self.routes.report(now, endpoint, report),
+            HostInput::Report { endpoint, asked_at, report } => {
+                if let Some(report) = &report {
+                    self.placement.report(asked_at, &endpoint, &report.engine);
+                }
+                self.routes.report(now, endpoint, report);
+            }
+            HostInput::OrderDone { engine, number, outcome } => {
+                self.placement.order_done(&engine, number, outcome);
+            }
+            HostInput::PlacementDone { name, outcome } => {
+                let effects = self.placement.complete(now, &name, outcome);
+                self.carry_placement(effects);
+            }
             HostInput::Message { from, message } => self.message(now, from, message),
             HostInput::PlatformHeard { sent_at } => {
                 self.platform_heard = self.platform_heard.max(Some(sent_at));
@@ -389,6 +441,11 @@
         }
     }
 
+    /// Returns the fencing number if this host places models at `now`.
+    pub fn placement_fence(&self, now: Duration) -> Option<u64> {
+        self.placement.fence(now)
+    }
+
     /// Returns this host's own entry.
     pub fn own(&self) -> &MemberEntry {
         self.members.own()
@@ -463,6 +520,7 @@
         if let Some(call) = self.keeper.poll(now, &view) {
             self.effects.push(HostEffect::Platform(call));
         }
+        self.place(now);
         let unstored = self.unstored_keys();
         if !unstored.is_empty() && self.platform_fresh(now) {
             self.effects.push(HostEffect::StoreWithdrawn(unstored));
@@ -475,6 +533,36 @@
         }
     }
 
+    /// Places models while this host holds the lease, or tries to take it.
+    fn place(&mut self, now: Duration) {
+        let wants = self.phase == MemberPhase::Live;
+        let effects = self.placement.tick(now, &self.configuration, wants);
+        self.carry_placement(effects);
+        if now >= self.switch_at {
+            self.switch_at = now + SWITCH_INTERVAL;
+            let models = self.placement.rolled_out(now, &self.configuration);
+            if !models.is_empty() {
+                self.effects.push(HostEffect::SwitchVersions(models));
+            }
+        }
+    }
+
+    fn carry_placement(&mut self, effects: Vec<PlacementEffect>) {
+        for effect in effects {
+            match effect {
+                PlacementEffect::Platform(call) => {
+                    self.effects.push(HostEffect::PlacementCall(call));
+                }
+                PlacementEffect::Order { engine, order } => {
+                    let spec = self.configuration.endpoints.get(&engine);
+                    if let Some(address) = spec.map(|spec| spec.address.clone()) {
+                        self.effects.push(HostEffect::Order { engine, address, order });
+                    }
+                }
+            }
+        }
+    }
+
     /// Returns the withdrawn keys that the platform is not known to keep.
     fn unstored_keys(&self) -> Vec<KeyHash> {
         let unstored = |hash: &&KeyHash| !self.platform_withdrawn.contains(hash);
--- a/crates/skylarkgw/src/decision/routing.rs
+++ b/crates/skylarkgw/src/decision/routing.rs
@@ -13,6 +13,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::configuration::{EndpointKind, EndpointSpec, FleetConfiguration, ResolvedModel};
+use crate::decision::placement::{EngineReport, ModelPhase};
 use crate::ids::{EndpointId, ModelName};
 
 /// Requests above the least busy engine that affinity may cost.
@@ -43,10 +44,28 @@
 pub struct LoadReport {
     /// Requests running or waiting inside the engine.
     pub requests: u32,
-    /// Models that serve now.
-    pub models: BTreeSet<ModelName>,
     /// Whether the engine is about to stop.
     pub leaving: bool,
+    /// What the engine holds in memory.
+    pub engine: EngineReport,
+}
+
+impl LoadReport {
+    /// Returns the models that serve, each with its version.
+    pub fn serving(&self) -> BTreeSet<(ModelName, Arc<str>)> {
+        let replicas = self.engine.replicas.iter();
+        let serving = replicas.filter(|replica| replica.phase == ModelPhase::Serving);
+        serving.map(|replica| (replica.model.clone(), replica.version.clone())).collect()
+    }
+
+    /// Returns whether the engine serves a version of a model.
+    pub fn serves(&self, model: &str, version: &str) -> bool {
+        self.engine.replicas.iter().any(|replica| {
+            &*replica.model == model
+                && &*replica.version == version
+                && replica.phase == ModelPhase::Serving
+        })
+    }
 }
 
 /// What a request needs of an endpoint.
@@ -88,8 +107,8 @@
     pub requests: u32,
     /// Requests that this host runs on it.
     pub in_flight: u32,
-    /// Models that it reported last.
-    pub models: BTreeSet<ModelName>,
+    /// Models that it reported last as serving, each with its version.
+    pub models: BTreeSet<(ModelName, Arc<str>)>,
 }
 
 #[derive(Debug, Default)]
@@ -187,7 +206,7 @@
                 reachable: self.healthy(now, endpoint),
                 requests: report.requests,
                 in_flight: self.in_flight(endpoint),
-                models: report.models,
+                models: report.serving(),
                 endpoint: endpoint.clone(),
             }
         };
@@ -211,8 +230,11 @@
         }
         match target {
             RouteTarget::Model { model, .. } => {
+                let version = configuration.models.get(&model.model).map(|spec| &spec.version);
                 spec.kind == EndpointKind::Engine
-                    && report.is_some_and(|report| report.models.contains(&model.model))
+                    && version
+                        .zip(report)
+                        .is_some_and(|(version, report)| report.serves(&model.model, version))
             }
             RouteTarget::Service { route } => {
                 configuration.routes.get(route).is_some_and(|route| route.endpoints.contains(id))
--- a/crates/skylarkgw/src/endpoint/engine.rs
+++ b/crates/skylarkgw/src/endpoint/engine.rs
@@ -10,6 +10,7 @@
 use thiserror::Error;
 use tokio::time::timeout;
 
+use crate::decision::placement::{EngineOrder, OrderOutcome};
 use crate::decision::routing::LoadReport;
 use crate::ids::{ModelName, RequestId, Tokens};
 
@@ -113,6 +114,7 @@
 #[derive(Clone, Debug)]
 pub struct EngineClient {
     http: reqwest::Client,
+    single: reqwest::Client,
 }
 
 #[derive(Serialize)]
@@ -127,16 +129,18 @@
     ///
     /// [`EngineError::Client`] if the HTTP client cannot be built.
     pub fn new() -> Result<EngineClient, EngineError> {
-        let http = reqwest::Client::builder()
-            .no_proxy()
-            .http1_only()
-            .tcp_nodelay(true)
-            .connect_timeout(CONNECT_TIMEOUT)
-            .pool_idle_timeout(IDLE_TIMEOUT)
-            .retry(reqwest::retry::never())
-            .build()
-            .map_err(EngineError::Client)?;
-        Ok(EngineClient { http })
+        let builder = || {
+            reqwest::Client::builder()
+                .no_proxy()
+                .http1_only()
+                .tcp_nodelay(true)
+                .connect_timeout(CONNECT_TIMEOUT)
+                .pool_idle_timeout(IDLE_TIMEOUT)
+                .retry(reqwest::retry::never())
+        };
+        let http = builder().build().map_err(EngineError::Client)?;
+        let single = builder().pool_max_idle_per_host(0).build().map_err(EngineError::Client)?;
+        Ok(EngineClient { http, single })
     }
 
     /// Starts or resumes a generation.
@@ -181,6 +185,22 @@
         call.send().await.map(|_| ()).map_err(classify)
     }
 
+    /// Sends an order on a connection of its own, so that none can linger in
+    /// one that has gone silent.
+    pub async fn order(&self, address: &str, order: &EngineOrder) -> OrderOutcome {
+        let call = self
+            .single
+            .post(format!("http://{address}/v1/orders"))
+            .timeout(REPORT_TIMEOUT)
+            .json(order);
+        match call.send().await {
+            Ok(response) if response.status().is_success() => OrderOutcome::Taken,
+            Ok(response) if response.status().is_client_error() => OrderOutcome::Refused,
+            Err(error) if error.is_connect() => OrderOutcome::Refused,
+            _ => OrderOutcome::Unknown,
+        }
+    }
+
     /// Reads an engine's load.
     ///
     /// # Errors
--- a/crates/skylarkgw/src/endpoint/generation.rs
+++ b/crates/skylarkgw/src/endpoint/generation.rs
@@ -269,8 +269,10 @@
             .map(|(id, spec)| {
                 let (control, engines) = (control.clone(), engines.clone());
                 async move {
+                    let asked_at = control.now();
                     let report = engines.load(&spec.address).await.ok();
-                    control.send(HostInput::Report { endpoint: id.clone(), report });
+                    let endpoint = id.clone();
+                    control.send(HostInput::Report { endpoint, asked_at, report });
                 }
             })
             .collect();
--- a/crates/skylarkgw/src/operator/command.rs
+++ b/crates/skylarkgw/src/operator/command.rs
@@ -101,6 +101,26 @@
     Ok(())
 }
 
+/// Starts the rollout of a version, or takes it back before it is switched.
+///
+/// # Errors
+///
+/// [`LanguageError`] if there is no such model or it serves that version.
+pub fn apply_next(
+    configuration: &mut FleetConfiguration,
+    name: &PlacedText,
+    next: Option<&PlacedText>,
+) -> Result<(), LanguageError> {
+    let spec = configuration.models.get_mut(&name.text);
+    let spec =
+        spec.ok_or_else(|| LanguageError::at(&name.place, "the name of a declared model"))?;
+    if let Some(version) = next.filter(|version| version.text == spec.version) {
+        return Err(LanguageError::at(&version.place, "another version than the one in force"));
+    }
+    spec.next = next.map(|version| version.text.clone());
+    Ok(())
+}
+
 /// Adds a key of a workspace.
 ///
 /// # Errors
@@ -135,12 +155,21 @@
 }
 
 fn model(order: &ObjectOrder, known: Option<ModelSpec>) -> Result<ModelSpec, LanguageError> {
-    let settings = SettingReader::new(order, &["version", "memory_mb"])?;
+    let settings = SettingReader::new(order, &["version", "memory_mb", "replicas"])?;
+    if let (Some(known), Some([version, ..])) = (&known, settings.values("version"))
+        && known.version != version.text
+    {
+        let expected = "another setting: 'rollout model NAME to VERSION' changes the version";
+        return Err(LanguageError::at(&version.place, expected));
+    }
     let version = settings.text("version")?.or(known.as_ref().map(|spec| spec.version.clone()));
     let memory = settings.number("memory_mb")?.or(known.as_ref().map(|spec| spec.memory_mb));
+    let replicas = settings.number("replicas")?.map(|count| count.min(1_000) as u32);
     Ok(ModelSpec {
         version: settings.required("version", version)?,
+        next: known.as_ref().and_then(|spec| spec.next.clone()),
         memory_mb: settings.required("memory_mb", memory)?,
+        replicas: replicas.or(known.as_ref().map(|spec| spec.replicas)).unwrap_or(1).max(1),
     })
 }
 
@@ -163,17 +192,20 @@
     order: &ObjectOrder,
     known: Option<EndpointSpec>,
 ) -> Result<EndpointSpec, LanguageError> {
-    let settings = SettingReader::new(order, &["address", "data_centre", "kind", "slots"])?;
+    let settings =
+        SettingReader::new(order, &["address", "data_centre", "kind", "slots", "checks_fence"])?;
     let known = known.as_ref();
     let address = settings.text("address")?.or(known.map(|spec| spec.address.clone()));
     let data_centre = settings.text("data_centre")?.or(known.map(|spec| spec.data_centre.clone()));
     let kind = settings.kind("kind")?.or(known.map(|spec| spec.kind));
     let slots = settings.number("slots")?.map(|slots| slots.min(u64::from(u32::MAX)) as u32);
+    let checks_fence = settings.truth("checks_fence")?.or(known.map(|spec| spec.checks_fence));
     Ok(EndpointSpec {
         address: settings.required("address", address)?,
         data_centre: settings.required("data_centre", data_centre)?,
         kind: settings.required("kind", kind)?,
         leaving: known.is_some_and(|spec| spec.leaving),
+        checks_fence: checks_fence.unwrap_or(false),
         slots: slots.or(known.map(|spec| spec.slots)).unwrap_or(DEFAULT_SLOTS),
     })
 }
--- a/crates/skylarkgw/src/operator/facts.rs
+++ b/crates/skylarkgw/src/operator/facts.rs
@@ -1,6 +1,7 @@
 //! Builds the tables that queries select from.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
 
 use serde_json::{Value, json};
 
@@ -67,7 +68,13 @@
     /// Returns the engines that report a model, by the first host's view.
     pub fn serving(&self, model: &str) -> Vec<&EndpointView> {
         let views = self.statuses.first().map(|status| status.endpoints.as_slice());
-        let serves = |view: &&EndpointView| view.models.iter().any(|name| &**name == model);
+        let spec = self.head.configuration.models.get(model);
+        let serves = |view: &&EndpointView| {
+            let mut models = view.models.iter();
+            models.any(|(name, version)| {
+                &**name == model && spec.is_some_and(|spec| spec.version == *version)
+            })
+        };
         views.unwrap_or_default().iter().filter(serves).collect()
     }
 
@@ -112,16 +119,18 @@
     }
 
     fn models_now(&self) -> FactTable {
-        let mut engines: BTreeMap<&ModelName, BTreeSet<&str>> = BTreeMap::new();
+        let mut engines: BTreeMap<&(ModelName, Arc<str>), BTreeSet<&str>> = BTreeMap::new();
         for view in self.statuses.iter().flat_map(|status| &status.endpoints) {
-            for model in &view.models {
-                engines.entry(model).or_default().insert(&view.endpoint);
+            for replica in view.models.iter().filter(|_| view.reachable) {
+                engines.entry(replica).or_default().insert(&view.endpoint);
             }
         }
-        let mut table = FactTable::new(&["model", "replicas", "engines"]);
+        let mut table = FactTable::new(&["model", "version", "replicas", "engines"]);
         table.rows = engines
             .iter()
-            .map(|(model, engines)| vec![json!(model), json!(engines.len()), json!(engines)])
+            .map(|((model, version), engines)| {
+                vec![json!(model), json!(version), json!(engines.len()), json!(engines)]
+            })
             .collect();
         table
     }
@@ -140,10 +149,16 @@
 
     fn models_missing(&self, table: &mut FactTable) {
         for (model, spec) in &self.head.configuration.models {
-            if self.serving(model).is_empty() {
-                let accepted = format!("version {}", spec.version);
-                let row = vec![json!("model"), json!(model), json!(accepted), json!("not served")];
-                table.rows.push(row);
+            let serving = self.serving(model).len();
+            if serving < spec.replicas as usize {
+                let accepted = format!("version {} on {}", spec.version, spec.replicas);
+                let now = format!("on {serving}");
+                table.rows.push(vec![json!("model"), json!(model), json!(accepted), json!(now)]);
+            }
+            if let Some(next) = &spec.next {
+                let accepted = format!("version {next} to come");
+                let now = format!("version {}", spec.version);
+                table.rows.push(vec![json!("model"), json!(model), json!(accepted), json!(now)]);
             }
         }
     }
@@ -219,9 +234,15 @@
 }
 
 fn models(configuration: &FleetConfiguration) -> FactTable {
-    let mut table = FactTable::new(&["model", "version", "memory_mb"]);
+    let mut table = FactTable::new(&["model", "version", "next", "memory_mb", "replicas"]);
     rows(&mut table, configuration.models.iter(), |(name, spec)| {
-        vec![json!(name), json!(spec.version), json!(spec.memory_mb)]
+        vec![
+            json!(name),
+            json!(spec.version),
+            json!(spec.next),
+            json!(spec.memory_mb),
+            json!(spec.replicas),
+        ]
     });
     table
 }
--- a/crates/skylarkgw/src/operator/language.rs
+++ b/crates/skylarkgw/src/operator/language.rs
@@ -162,6 +162,15 @@
     Change(ObjectOrder),
     /// Removes an object.
     Remove(ObjectOrder),
+    /// Rolls a version of a model out.
+    Rollout {
+        /// The model.
+        model: PlacedText,
+        /// The version.
+        version: PlacedText,
+    },
+    /// Takes a rollout back that is not yet switched.
+    Rollback(PlacedText),
     /// Issues a key for a workspace.
     IssueKey(PlacedText),
     /// Withdraws a key by its hash.
@@ -256,8 +265,8 @@
 fn rule_name(rule: Rule) -> &'static str {
     match rule {
         Rule::statement => {
-            "a statement: show, explain, declare, change, remove, issue, withdraw, drain, \
-             restore or wait"
+            "a statement: show, explain, declare, change, remove, rollout, rollback, issue, \
+             withdraw, drain, restore or wait"
         }
         Rule::kind => {
             "a kind: adapters, changes, endpoints, hosts, keys, models, routes, shares or \
@@ -299,8 +308,14 @@
             })
         }
         _ => {
-            let value = pair.into_inner().next().map(placed).ok_or_else(missing)?;
+            let mut values = pair.into_inner().map(placed);
+            let value = values.next().ok_or_else(missing)?;
             match rule {
+                Rule::rollout => {
+                    let version = values.next().ok_or_else(missing)?;
+                    Ok(Statement::Rollout { model: value, version })
+                }
+                Rule::rollback => Ok(Statement::Rollback(value)),
                 Rule::issue => Ok(Statement::IssueKey(value)),
                 Rule::withdraw => Ok(Statement::WithdrawKey(value)),
                 Rule::drain => Ok(Statement::Drain(value)),
--- a/crates/skylarkgw/src/operator/session.rs
+++ b/crates/skylarkgw/src/operator/session.rs
@@ -14,7 +14,7 @@
 use crate::decision::shares::{LEDGER_OBJECT, ShareLedger};
 use crate::ids::{KeyHash, Revision};
 use crate::operator::acceptance::{AcceptanceError, ChangeRequest, accept_change, read_head};
-use crate::operator::command::{OrderMode, apply_key, apply_leaving, apply_order};
+use crate::operator::command::{OrderMode, apply_key, apply_leaving, apply_next, apply_order};
 use crate::operator::facts::FactBase;
 use crate::operator::keys::issue_key;
 use crate::operator::language::{
@@ -167,6 +167,17 @@
                 let apply = |next: &mut _| apply_order(next, OrderMode::Remove, order);
                 self.change(text, apply).await
             }
+            Statement::Rollout { model, version } => {
+                let apply = |next: &mut _| apply_next(next, model, Some(version));
+                let answer = self.change(text, apply).await?;
+                if self.dry_run || answer.verdict != Verdict::Done {
+                    return Ok(answer);
+                }
+                self.wait_rollout(model, version).await
+            }
+            Statement::Rollback(model) => {
+                self.change(text, |next| apply_next(next, model, None)).await
+            }
             Statement::Drain(name) => {
                 self.change(text, |next| apply_leaving(next, name, true)).await
             }
@@ -209,7 +220,7 @@
         for view in views.unwrap_or_default() {
             let leaving =
                 configuration.endpoints.get(&view.endpoint).is_some_and(|spec| spec.leaving);
-            let serves = view.models.iter().any(|model| *model == resolved.model);
+            let serves = view.models.iter().any(|(model, _)| *model == resolved.model);
             let reason = match (serves, leaving, view.reachable) {
                 (false, _, _) => "does not report the model",
                 (true, true, _) => "serves it but is drained: no new work",
@@ -354,6 +365,33 @@
         }
     }
 
+    /// Waits until a rolled out version is switched to on every live host.
+    async fn wait_rollout(
+        &self,
+        model: &PlacedText,
+        version: &PlacedText,
+    ) -> Result<StatementAnswer, SessionError> {
+        let started = Instant::now();
+        loop {
+            let (_, head) = read_head(&self.platform).await?;
+            let spec = head.configuration.models.get(&model.text);
+            let switched = spec.is_some_and(|spec| spec.version == version.text);
+            if switched {
+                let what = format!("model {} serves version {}", model.text, version.text);
+                return self.wait(head.configuration.revision, &what).await;
+            }
+            if started.elapsed() > self.settings.wait() {
+                let text = format!(
+                    "not done: version {} of model {} is being loaded beside the one in force; \
+                     'show difference models' tells where it stands",
+                    version.text, model.text
+                );
+                return Ok(StatementAnswer { text, verdict: Verdict::NotDone });
+            }
+            sleep(POLL_INTERVAL).await;
+        }
+    }
+
     /// Returns the members that take or may take requests, by all hosts that
     /// answer; the newest word on each host counts.
     async fn read_members(&self) -> Vec<MemberEntry> {
--- a/crates/skylarkgw/src/sync.rs
+++ b/crates/skylarkgw/src/sync.rs
@@ -9,10 +9,14 @@
 use tokio::time::sleep;
 
 use crate::configuration::{FleetConfiguration, HeadDocument};
-use crate::control::{ControlHandle, ControlOutput};
+use crate::control::{ADMISSION_VALIDITY, ControlHandle, ControlOutput};
 use crate::decision::host::HostInput;
 use crate::decision::membership::MemberEntry;
-use crate::ids::{KeyHash, ObjectVersion};
+use crate::decision::placement::{EngineOrder, OrderOutcome};
+use crate::decision::shares::PlatformCall;
+use crate::endpoint::EngineClient;
+use crate::ids::{EndpointId, KeyHash, ModelName, ObjectVersion};
+use crate::operator::{ChangeRequest, accept_change, read_head};
 use crate::peer::PeerSender;
 use crate::platform::{
     HEAD_OBJECT, HOSTS_PREFIX, PlatformClient, PlatformError, PlatformObject, SHARED_PREFIX,
@@ -40,6 +44,8 @@
     pub control: ControlHandle,
     /// The platform.
     pub platform: PlatformClient,
+    /// Client of the engines, for orders.
+    pub engines: EngineClient,
     /// This host's metrics.
     pub metrics: Arc<Metrics>,
 }
@@ -156,6 +162,20 @@
                         sync.control.send(HostInput::PlatformDone { outcome });
                     });
                 }
+                ControlOutput::PlacementCall(call) => {
+                    let sync = self.clone();
+                    tokio::spawn(async move { sync.call_for_placement(call).await });
+                }
+                ControlOutput::Order { engine, address, order, decided_at } => {
+                    let sync = self.clone();
+                    tokio::spawn(async move {
+                        sync.send_order(engine, &address, order, decided_at).await;
+                    });
+                }
+                ControlOutput::SwitchVersions(models) => {
+                    let sync = self.clone();
+                    tokio::spawn(async move { sync.switch_versions(&models).await });
+                }
                 ControlOutput::StoreWithdrawn(hashes) => {
                     // A full channel means that a store is under way; the
                     // machine asks again for as long as it is needed.
@@ -165,6 +185,60 @@
         }
     }
 
+    async fn call_for_placement(&self, call: PlatformCall) {
+        let name = match &call {
+            PlatformCall::Read { name } | PlatformCall::Write { name, .. } => name.clone(),
+        };
+        let outcome = self.platform.perform(call).await;
+        self.control.send(HostInput::PlacementDone { name, outcome });
+    }
+
+    /// Sends an order unless it was decided too long ago, as before a pause.
+    async fn send_order(
+        &self,
+        engine: EndpointId,
+        address: &str,
+        order: EngineOrder,
+        decided_at: Duration,
+    ) {
+        let stale = self.control.now().saturating_sub(decided_at) > ADMISSION_VALIDITY;
+        let outcome = match stale {
+            true => OrderOutcome::Refused,
+            false => self.engines.order(address, &order).await,
+        };
+        self.control.send(HostInput::OrderDone { engine, number: order.number, outcome });
+    }
+
+    /// Accepts the next version of models as the one in force.
+    ///
+    /// The change is named after its effect, so that two hosts that both try
+    /// make it once.
+    async fn switch_versions(&self, models: &[ModelName]) {
+        let Ok((_, head)) = read_head(&self.platform).await else { return };
+        for model in models {
+            let spec = head.configuration.models.get(model);
+            let Some(next) = spec.and_then(|spec| spec.next.clone()) else { continue };
+            let revision = head.configuration.revision;
+            let request = ChangeRequest {
+                id: format!("switch-{model}-{next}-{revision}").into(),
+                author: "skylarkgw".into(),
+                summary: format!("switch model {model} to version {next}").into(),
+            };
+            let apply = |configuration: &mut FleetConfiguration| {
+                if let Some(spec) = configuration.models.get_mut(model)
+                    && spec.next.as_ref() == Some(&next)
+                {
+                    spec.version = next.clone();
+                    spec.next = None;
+                }
+            };
+            // One that was overtaken is tried again on what came first.
+            if accept_change(&self.platform, &request, revision, apply).await.is_ok() {
+                return;
+            }
+        }
+    }
+
     async fn store_withdrawn(self, mut requests: mpsc::Receiver<Vec<KeyHash>>) {
         while let Some(hashes) = requests.recv().await {
             let configuration = self.control.snapshot().configuration.clone();
--- a/crates/standins/src/bin/standin-engine.rs
+++ b/crates/standins/src/bin/standin-engine.rs
@@ -15,8 +15,18 @@
     help: bool,
     #[options(help = "address to listen on", meta = "IP:PORT", default = "127.0.0.1:0")]
     listen: String,
-    #[options(help = "models that serve, separated by commas", meta = "NAMES", default = "")]
+    #[options(
+        help = "models that serve from the start, with commas",
+        meta = "NAMES",
+        default = ""
+    )]
     models: String,
+    #[options(help = "memory for models, in MiB", meta = "N", default = "80000", no_short)]
+    memory_mb: u64,
+    #[options(help = "time that a load takes", meta = "MS", default = "300", no_short)]
+    load_ms: u64,
+    #[options(help = "refuse orders with an old fencing number", no_short)]
+    checks_fence: bool,
     #[options(help = "requests side by side", meta = "N", default = "32")]
     slots: usize,
     #[options(help = "time to the first token", meta = "MS", default = "20")]
@@ -30,6 +40,9 @@
     let models = options.models.split(',').filter(|name| !name.is_empty());
     let settings = EngineSettings {
         models: models.map(Into::into).collect(),
+        memory_mb: options.memory_mb,
+        load_ms: options.load_ms,
+        checks_fence: options.checks_fence,
         slots: options.slots,
         prefill_ms: options.prefill_ms,
         token_ms: options.token_ms,
--- a/crates/standins/src/engine.rs
+++ b/crates/standins/src/engine.rs
@@ -14,6 +14,9 @@
 use poem::web::{Data, Json};
 use poem::{Endpoint, EndpointExt, IntoResponse, Request, Response, Route, get, handler, post};
 use serde::{Deserialize, Serialize};
+use skylarkgw::decision::placement::{
+    EngineOrder, EngineReport, ModelPhase, OrderAction, ReplicaReport,
+};
 use skylarkgw::decision::routing::LoadReport;
 use skylarkgw::endpoint::{EngineEvent, GenerateCall, TokenEvent};
 use skylarkgw::ids::{ModelName, RequestId};
@@ -24,14 +27,21 @@
 
 const ALIVE_INTERVAL: Duration = Duration::from_millis(400);
 const TOKENS_BEFORE_FAULT: u64 = 3;
+const PRELOADED_MEMORY_MB: u64 = 1_000;
 const TOKENS_PER_WORD_GROUP: u64 = 16;
 
 /// How an engine behaves.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct EngineSettings {
-    /// Models that serve from the start.
+    /// Models whose version 1 serves from the start.
     pub models: BTreeSet<ModelName>,
+    /// Memory for models, in mebibytes.
+    pub memory_mb: u64,
+    /// Time that a load takes, in milliseconds.
+    pub load_ms: u64,
+    /// Whether orders with an old fencing number are refused.
+    pub checks_fence: bool,
     /// Requests that run side by side.
     pub slots: usize,
     /// Time to the first token on an idle engine, in milliseconds.
@@ -49,6 +59,8 @@
     generations: Arc<AtomicU64>,
     cancelled: Arc<AtomicU64>,
     seen_headers: Arc<Mutex<Vec<String>>>,
+    memory: Arc<Mutex<EngineReport>>,
+    overcommits: Arc<AtomicU64>,
     faults: FaultState,
 }
 
@@ -66,12 +78,16 @@
     pub cancelled: u64,
     /// Requests that run or wait.
     pub running: u64,
+    /// Loads that did not fit into the memory.
+    pub overcommits: u64,
 }
 
 impl EngineState {
     /// Creates an idle engine.
     pub fn new(settings: EngineSettings, faults: FaultState) -> EngineState {
         EngineState {
+            memory: Arc::new(Mutex::new(first_report(&settings))),
+            overcommits: Arc::default(),
             slots: Arc::new(Semaphore::new(settings.slots)),
             settings: Arc::new(settings),
             running: Arc::default(),
@@ -82,6 +98,51 @@
         }
     }
 
+    fn memory(&self) -> std::sync::MutexGuard<'_, EngineReport> {
+        self.memory.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn serves(&self, model: &str) -> bool {
+        self.memory()
+            .replicas
+            .iter()
+            .any(|replica| &*replica.model == model && replica.phase == ModelPhase::Serving)
+    }
+
+    /// Takes an order; returns whether it was not too old.
+    fn take_order(&self, order: &EngineOrder) -> bool {
+        let mut memory = self.memory();
+        if self.settings.checks_fence {
+            if order.fence < memory.fence {
+                return false;
+            }
+            memory.fence = order.fence;
+        }
+        memory.last_order = Some((order.fence, order.number));
+        match &order.action {
+            OrderAction::Fence => {}
+            OrderAction::Load { model, version, memory_mb } => {
+                memory.replicas.push(ReplicaReport {
+                    model: model.clone(),
+                    version: version.clone(),
+                    memory_mb: *memory_mb,
+                    phase: ModelPhase::Loading,
+                });
+                let used: u64 = memory.replicas.iter().map(|replica| replica.memory_mb).sum();
+                if used > memory.memory_mb {
+                    self.overcommits.fetch_add(1, Ordering::Relaxed);
+                }
+                tokio::spawn(finish_load(self.clone(), model.clone(), version.clone()));
+            }
+            OrderAction::Unload { model, version } => {
+                memory
+                    .replicas
+                    .retain(|replica| replica.model != *model || replica.version != *version);
+            }
+        }
+        true
+    }
+
     fn running(&self) -> usize {
         self.running.lock().unwrap_or_else(PoisonError::into_inner).len()
     }
@@ -94,6 +155,31 @@
     }
 }
 
+fn first_report(settings: &EngineSettings) -> EngineReport {
+    let replica = |model: &ModelName| ReplicaReport {
+        model: model.clone(),
+        version: "1".into(),
+        memory_mb: PRELOADED_MEMORY_MB,
+        phase: ModelPhase::Serving,
+    };
+    EngineReport {
+        memory_mb: settings.memory_mb,
+        replicas: settings.models.iter().map(replica).collect(),
+        fence: 0,
+        last_order: None,
+    }
+}
+
+async fn finish_load(engine: EngineState, model: ModelName, version: Arc<str>) {
+    sleep(Duration::from_millis(engine.settings.load_ms)).await;
+    let mut memory = engine.memory();
+    let mut replicas = memory.replicas.iter_mut();
+    let found = replicas.find(|replica| replica.model == model && replica.version == version);
+    if let Some(replica) = found {
+        replica.phase = ModelPhase::Serving;
+    }
+}
+
 /// Takes a request off the engine when its stream is dropped.
 struct RunningRequest {
     engine: EngineState,
@@ -129,6 +215,7 @@
         .at("/v1/generate", post(generate))
         .at("/v1/cancel", post(cancel))
         .at("/v1/load", get(load))
+        .at("/v1/orders", post(take_order))
         .data(engine.clone())
         .with(FaultLayer::new(faults.clone()));
     Route::new()
@@ -145,7 +232,7 @@
     request: &Request,
     Json(call): Json<GenerateCall>,
 ) -> Response {
-    if !engine.settings.models.contains(&call.model) {
+    if !engine.serves(&call.model) {
         return StatusCode::NOT_FOUND.into_response();
     }
     let line = format!("{} {:?}", request.uri(), request.headers());
@@ -226,12 +313,20 @@
     StatusCode::OK
 }
 
+#[handler]
+async fn take_order(
+    Data(engine): Data<&EngineState>,
+    Json(order): Json<EngineOrder>,
+) -> StatusCode {
+    if engine.take_order(&order) { StatusCode::OK } else { StatusCode::CONFLICT }
+}
+
 #[handler]
 async fn load(Data(engine): Data<&EngineState>) -> Json<LoadReport> {
     Json(LoadReport {
         requests: engine.running() as u32,
-        models: engine.settings.models.clone(),
         leaving: false,
+        engine: engine.memory().clone(),
     })
 }
 
@@ -241,6 +336,7 @@
         generations: engine.generations.load(Ordering::Relaxed),
         cancelled: engine.cancelled.load(Ordering::Relaxed),
         running: engine.running() as u64,
+        overcommits: engine.overcommits.load(Ordering::Relaxed),
     })
 }
 
--- a/crates/standins/src/network.rs
+++ b/crates/standins/src/network.rs
@@ -6,6 +6,7 @@
 //! what the invariants need.
 
 mod demand;
+mod engines;
 mod judge;
 mod platform;
 mod scenario;
@@ -17,7 +18,7 @@
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use skylarkgw::configuration::{
-    EndpointKind, EndpointSpec, FleetConfiguration, KeySpec, RouteSpec, WorkspaceSpec,
+    EndpointKind, EndpointSpec, FleetConfiguration, KeySpec, ModelSpec, RouteSpec, WorkspaceSpec,
 };
 use skylarkgw::decision::HostMachine;
 use skylarkgw::decision::host::{
@@ -25,11 +26,13 @@
 };
 use skylarkgw::decision::membership::{MemberEntry, MemberPhase};
 use skylarkgw::decision::message::PeerMessage;
-use skylarkgw::decision::routing::{RouteTarget, RoutingPolicy};
+use skylarkgw::decision::placement::{EngineOrder, ORDER_LIFE, OrderOutcome};
+use skylarkgw::decision::routing::{LoadReport, RouteTarget, RoutingPolicy};
 use skylarkgw::decision::shares::PlatformCall;
-use skylarkgw::ids::{KeyHash, Revision, Tokens, WorkspaceId};
+use skylarkgw::ids::{EndpointId, KeyHash, ModelName, Revision, Tokens, WorkspaceId};
 
 pub use demand::{DemandPattern, SchemeReport, ShareScheme, measure_scheme};
+pub use engines::{EngineFaults, QueueEngine, QueueEngines};
 pub use judge::{AdmissionJudge, RequestCounts};
 pub use platform::QueuePlatform;
 pub use scenario::{FaultEvent, ScenarioReport, random_fault, run_scenario, run_seeded};
@@ -42,6 +45,7 @@
 pub const OTHER_WORKSPACE: &str = "office";
 
 const WATCH_INTERVAL: Duration = Duration::from_millis(500);
+const POLL_INTERVAL: Duration = Duration::from_millis(400);
 const ROUTE: &str = "stock";
 
 /// What goes wrong on the way of a message.
@@ -116,6 +120,9 @@
     Watch { host: usize, life: u64 },
     Call { host: usize, life: u64, call: PlatformCall },
     LateWrite { call: PlatformCall },
+    Placement { host: usize, life: u64, call: PlatformCall },
+    Order { host: usize, life: u64, engine: EndpointId, order: EngineOrder },
+    Poll { host: usize, life: u64 },
 }
 
 /// A host and its process.
@@ -144,6 +151,8 @@
     pub cut_off: BTreeSet<usize>,
     /// The platform.
     pub platform: QueuePlatform,
+    /// The engines.
+    pub engines: QueueEngines,
     /// What was admitted and refused.
     pub judge: AdmissionJudge,
     /// Source of all random choices.
@@ -166,6 +175,7 @@
         data_centre: "muscat-a".into(),
         kind: EndpointKind::Service,
         leaving: false,
+        checks_fence: false,
         slots: 1_000_000,
     };
     let route = RouteSpec { endpoints: vec![ROUTE.into()], open: false, idempotent: Vec::new() };
@@ -190,6 +200,7 @@
             cuts: BTreeSet::new(),
             cut_off: BTreeSet::new(),
             platform: QueuePlatform::new(configuration),
+            engines: QueueEngines::default(),
             judge: AdmissionJudge::default(),
             source: ChaCha8Rng::seed_from_u64(settings.seed),
             events: 0,
@@ -252,6 +263,7 @@
         });
         self.push(TICK, QueueEvent::Tick { host: number, life });
         self.push(TICK, QueueEvent::Watch { host: number, life });
+        self.push(TICK, QueueEvent::Poll { host: number, life });
     }
 
     /// Ends a host's process without a word.
@@ -322,6 +334,31 @@
         self.step(number, HostInput::Admit { ticket, request: admission });
     }
 
+    /// Declares an engine and starts it.
+    pub fn add_engine(&mut self, name: &str, checks_fence: bool, memory_mb: u64) {
+        let spec = EndpointSpec {
+            address: "127.0.0.1:2".into(),
+            data_centre: "muscat-a".into(),
+            kind: EndpointKind::Engine,
+            leaving: false,
+            checks_fence,
+            slots: 32,
+        };
+        let engine = QueueEngine::new(checks_fence, memory_mb);
+        self.engines.engines.insert(name.into(), engine);
+        self.accept(|next| {
+            next.endpoints.insert(name.into(), spec);
+        });
+    }
+
+    /// Declares a model.
+    pub fn add_model(&mut self, name: &str, memory_mb: u64, replicas: u32) {
+        let spec = ModelSpec { version: "1".into(), next: None, memory_mb, replicas };
+        self.accept(|next| {
+            next.models.insert(name.into(), spec);
+        });
+    }
+
     /// Accepts the next revision of the configuration.
     pub fn accept(&mut self, change: impl FnOnce(&mut FleetConfiguration)) {
         let mut next = FleetConfiguration::clone(&self.platform.configuration);
@@ -397,6 +434,14 @@
             QueueEvent::LateWrite { call } => {
                 self.platform.apply(&call);
             }
+            QueueEvent::Placement { host, life, call } => self.perform_placement(host, life, call),
+            QueueEvent::Order { host, life, engine, order } => {
+                self.deliver_order(host, life, &engine, &order);
+            }
+            QueueEvent::Poll { host, life } if self.alive(host, life) => {
+                self.poll_engines(host, life);
+                self.push(POLL_INTERVAL, QueueEvent::Poll { host, life });
+            }
             _ => {}
         }
     }
@@ -442,6 +487,12 @@
                 let delay = self.delay();
                 self.push(delay, QueueEvent::Call { host, life, call });
             }
+            HostEffect::PlacementCall(call) => {
+                let delay = self.delay();
+                self.push(delay, QueueEvent::Placement { host, life, call });
+            }
+            HostEffect::Order { engine, order, .. } => self.send_order(host, life, engine, order),
+            HostEffect::SwitchVersions(models) => self.switch_versions(&models),
             HostEffect::StoreWithdrawn(hashes) => {
                 if !self.platform.outage && !self.cut_off.contains(&host) {
                     self.platform.withdrawn.extend(hashes);
@@ -470,6 +521,75 @@
         Duration::from_micros(100 + self.source.random_range(0..=longest))
     }
 
+    /// Sends an order, which may be lost, or late within its life.
+    fn send_order(&mut self, host: usize, life: u64, engine: EndpointId, order: EngineOrder) {
+        let faults = self.settings.faults;
+        if self.source.random_bool(faults.loss) {
+            let (number, outcome) = (order.number, OrderOutcome::Unknown);
+            let input = HostInput::OrderDone { engine, number, outcome };
+            self.push(TICK, QueueEvent::Input { host, life, input });
+            return;
+        }
+        let late = self.source.random_bool(faults.loss);
+        let longest = if late { ORDER_LIFE.as_millis() as u64 - 1 } else { 20 };
+        let delay = Duration::from_millis(self.source.random_range(1..=longest));
+        self.push(delay, QueueEvent::Order { host, life, engine, order });
+    }
+
+    fn deliver_order(&mut self, host: usize, life: u64, engine: &EndpointId, order: &EngineOrder) {
+        let outcome = self.engines.apply(self.now, engine, order);
+        let lost = self.source.random_bool(self.settings.faults.loss);
+        let outcome = if lost { OrderOutcome::Unknown } else { outcome };
+        let (engine, number) = (engine.clone(), order.number);
+        let input = HostInput::OrderDone { engine, number, outcome };
+        self.push(TICK, QueueEvent::Input { host, life, input });
+    }
+
+    /// Asks every engine for a report, which reaches the host a little later.
+    fn poll_engines(&mut self, host: usize, life: u64) {
+        if !self.is_running(host) {
+            return;
+        }
+        self.engines.advance(self.now);
+        let asked_at = self.local(host);
+        for name in self.engines.engines.keys().cloned().collect::<Vec<_>>() {
+            let lost = self.source.random_bool(self.settings.faults.loss);
+            let engine = self.engines.report(&name).filter(|_| !lost);
+            let report = engine.map(|engine| LoadReport { engine, ..LoadReport::default() });
+            let delay = self.delay();
+            let input = HostInput::Report { endpoint: name, asked_at, report };
+            self.push(delay, QueueEvent::Input { host, life, input });
+        }
+    }
+
+    fn switch_versions(&mut self, models: &[ModelName]) {
+        if self.platform.outage {
+            return;
+        }
+        self.accept(|next| {
+            for model in models {
+                let Some(spec) = next.models.get_mut(model) else { continue };
+                if let Some(version) = spec.next.take() {
+                    spec.version = version;
+                }
+            }
+        });
+    }
+
+    fn perform_placement(&mut self, host: usize, life: u64, call: PlatformCall) {
+        let name = match &call {
+            PlatformCall::Read { name } | PlatformCall::Write { name, .. } => name.clone(),
+        };
+        let reachable = !self.cut_off.contains(&host);
+        let (outcome, late) = self.platform.perform(&mut self.source, reachable, call);
+        if let Some((delay, call)) = late {
+            self.push(delay, QueueEvent::LateWrite { call });
+        }
+        let delay = self.delay();
+        let input = HostInput::PlacementDone { name, outcome };
+        self.push(delay, QueueEvent::Input { host, life, input });
+    }
+
     fn perform(&mut self, host: usize, life: u64, call: PlatformCall) {
         let reachable = !self.cut_off.contains(&host);
         let (outcome, late) = self.platform.perform(&mut self.source, reachable, call);
--- a/crates/standins/src/network/scenario.rs
+++ b/crates/standins/src/network/scenario.rs
@@ -10,7 +10,8 @@
 use skylarkgw::ids::{ALL_PARTS, KeyHash};
 
 use crate::network::{
-    NetworkFaults, NetworkSettings, OTHER_WORKSPACE, TestNetwork, TestRequest, WORKSPACE,
+    EngineFaults, NetworkFaults, NetworkSettings, OTHER_WORKSPACE, TestNetwork, TestRequest,
+    WORKSPACE,
 };
 
 /// Time in which a withdrawn key stops on all hosts.
@@ -18,6 +19,12 @@
 
 const REQUEST_PAUSE: Duration = Duration::from_millis(8);
 const LARGEST_REQUEST: u64 = 4_000;
+const ENGINES: usize = 5;
+const ENGINE_MEMORY_MB: u64 = 1_000;
+const MODELS: usize = 6;
+const MODEL_MEMORY_MB: u64 = 300;
+/// Lease, wait for late orders, and loads within the weight store's limits.
+const RECOVERY_TIME: Duration = Duration::from_secs(60);
 
 /// Something that goes wrong, or is set right again.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -50,6 +57,14 @@
     Whole,
     /// An operator withdraws the next key at a host.
     Withdraw(usize),
+    /// An engine's process ends and its memory is lost.
+    KillEngine(usize),
+    /// All engines run again.
+    RestartEngines,
+    /// A model's next version is rolled out.
+    Rollout(usize),
+    /// A rollout that is not switched yet is taken back.
+    Rollback(usize),
 }
 
 /// What a scenario came to.
@@ -71,6 +86,12 @@
     pub surplus_parts: u64,
     /// Hosts that accepted a withdrawn key too late.
     pub late_keys: u64,
+    /// What engines found wrong.
+    pub engine_faults: EngineFaults,
+    /// Models that no engine served at the end, with all engines running.
+    pub unreachable_models: u64,
+    /// Orders that engines applied.
+    pub orders: u64,
 }
 
 impl ScenarioReport {
@@ -81,13 +102,15 @@
             && self.revision_falls == 0
             && self.surplus_parts == 0
             && self.late_keys == 0
+            && self.engine_faults == EngineFaults::default()
+            && self.unreachable_models == 0
     }
 }
 
 /// Draws a fault for a network of about as many hosts.
 pub fn random_fault(source: &mut ChaCha8Rng, hosts: usize) -> FaultEvent {
     let host = source.random_range(0..hosts);
-    match source.random_range(0..20) {
+    match source.random_range(0..25) {
         0 => FaultEvent::Kill(host),
         1 | 2 => FaultEvent::Restart(host),
         3 => FaultEvent::Join,
@@ -106,7 +129,11 @@
                 FaultEvent::Whole
             }
         }
-        _ => FaultEvent::Withdraw(host),
+        19 => FaultEvent::Withdraw(host),
+        20 => FaultEvent::KillEngine(host),
+        21 | 22 => FaultEvent::RestartEngines,
+        23 => FaultEvent::Rollout(host),
+        _ => FaultEvent::Rollback(host),
     }
 }
 
@@ -141,14 +168,21 @@
     network.platform.lost_answers = 0.1;
     network.platform.late_writes = 0.5;
     let violations = total_violations();
-    let mut run =
-        ScenarioRun { network, leaving: Vec::new(), withdrawn: Vec::new(), late_keys: 0, keys: 0 };
+    let mut run = ScenarioRun {
+        network,
+        leaving: Vec::new(),
+        withdrawn: Vec::new(),
+        late_keys: 0,
+        keys: 0,
+        versions: 1,
+    };
+    run.declare_models();
     run.pass(Duration::from_secs(5));
     for (pause, event) in events {
         run.pass(*pause);
         run.strike(*event);
     }
-    run.pass(Duration::from_secs(20));
+    run.recover();
     run.report(violations)
 }
 
@@ -158,9 +192,38 @@
     withdrawn: Vec<(Duration, KeyHash)>,
     late_keys: u64,
     keys: u64,
+    versions: u64,
 }
 
 impl ScenarioRun {
+    /// Declares engines of both kinds and models that nearly fill them.
+    fn declare_models(&mut self) {
+        for number in 0..ENGINES {
+            let name = format!("engine-{number}");
+            self.network.add_engine(&name, number % 2 == 0, ENGINE_MEMORY_MB);
+        }
+        for number in 0..MODELS {
+            let replicas = 1 + (number % 2) as u32;
+            self.network.add_model(&format!("model-{number}"), MODEL_MEMORY_MB, replicas);
+        }
+    }
+
+    /// Lets everything run again and waits until all models can be back.
+    fn recover(&mut self) {
+        self.network.platform.outage = false;
+        self.network.platform.lost_answers = 0.0;
+        self.network.cuts.clear();
+        self.network.cut_off.clear();
+        (0..ENGINES).for_each(|number| self.network.engines.restart(&format!("engine-{number}")));
+        for host in 0..self.network.hosts.len() {
+            if self.network.hosts[host].is_none() {
+                self.network.start_life(host);
+            }
+            self.network.freeze(host, false);
+        }
+        self.pass(RECOVERY_TIME);
+    }
+
     fn strike(&mut self, event: FaultEvent) {
         let count = self.network.hosts.len();
         match event {
@@ -198,7 +261,32 @@
             FaultEvent::Halve => self.declare_rate(2),
             FaultEvent::Whole => self.declare_rate(1),
             FaultEvent::Withdraw(host) => self.withdraw(host % count),
+            FaultEvent::KillEngine(engine) => {
+                let name = format!("engine-{}", engine % ENGINES);
+                self.network.engines.kill(self.network.now, &name);
+            }
+            FaultEvent::RestartEngines => (0..ENGINES).for_each(|number| {
+                self.network.engines.restart(&format!("engine-{number}"));
+            }),
+            FaultEvent::Rollout(model) => {
+                self.versions += 1;
+                let version: std::sync::Arc<str> = self.versions.to_string().into();
+                self.set_next(model, Some(version));
+            }
+            FaultEvent::Rollback(model) => self.set_next(model, None),
+        }
+    }
+
+    fn set_next(&mut self, model: usize, version: Option<std::sync::Arc<str>>) {
+        if self.network.platform.outage {
+            return;
         }
+        let model = format!("model-{}", model % MODELS);
+        self.network.accept(|next| {
+            if let Some(spec) = next.models.get_mut(model.as_str()) {
+                spec.next = version;
+            }
+        });
     }
 
     fn declare_rate(&mut self, divisor: u64) {
@@ -276,6 +364,8 @@
         let ledger: ShareLedger = serde_json::from_str(&ledger).unwrap_or_default();
         let parts: u64 = ledger.parts.values().sum();
         let counts = self.network.judge.counts(WORKSPACE);
+        let models = self.network.platform.configuration.models.keys();
+        let unreachable = models.filter(|model| !self.network.engines.is_reachable(model)).count();
         ScenarioReport {
             events: self.network.events,
             asked: counts.asked,
@@ -285,6 +375,9 @@
             revision_falls: self.network.revision_falls(),
             surplus_parts: parts.saturating_sub(ALL_PARTS),
             late_keys: self.late_keys,
+            engine_faults: self.network.engines.faults,
+            unreachable_models: unreachable as u64,
+            orders: self.network.engines.applied,
         }
     }
 }
--- a/crates/standins/tests/fleet/main.rs
+++ b/crates/standins/tests/fleet/main.rs
@@ -5,6 +5,7 @@
 mod keys;
 mod orders;
 mod path;
+mod placement;
 mod programs;
 mod stops;
 mod streams;
--- /dev/null
+++ b/crates/standins/tests/fleet/placement.rs
@@ -0,0 +1,91 @@
+//! Placement with real engines: loads, deaths, rollouts, and a frozen holder.
+
+use serde_json::{Value, json};
+
+use crate::harness::{FleetShape, TestFleet, TestProcess, wait_until};
+
+fn empty_engines(checks_fence: bool) -> FleetShape {
+    let mut arguments =
+        vec!["--memory-mb", "2500", "--load-ms", "100", "--token-ms", "1", "--prefill-ms", "1"];
+    if checks_fence {
+        arguments.push("--checks-fence");
+    }
+    FleetShape { engines: 3, engine_arguments: arguments, ..FleetShape::default() }
+}
+
+async fn overcommits(fleet: &TestFleet) -> u64 {
+    let mut sum = 0;
+    for engine in &fleet.engines {
+        if crate::harness::http().get(format!("http://{}", engine.address)).send().await.is_err() {
+            continue;
+        }
+        sum += engine.get("/standin/counts").await["overcommits"].as_u64().unwrap_or(0);
+    }
+    sum
+}
+
+async fn replicas(fleet: &TestFleet, version: &str) -> Vec<usize> {
+    let mut holding = Vec::new();
+    for (number, engine) in fleet.engines.iter().enumerate() {
+        let url = format!("http://{}/v1/load", engine.address);
+        let Ok(report) = crate::harness::http().get(url).send().await else { continue };
+        let report: Value = report.json().await.expect("JSON");
+        let replicas = report["engine"]["replicas"].as_array().cloned().unwrap_or_default();
+        if replicas.iter().any(|replica| replica["version"] == version) {
+            holding.push(number);
+        }
+    }
+    holding
+}
+
+async fn write_client_settings(fleet: &TestFleet) -> String {
+    let hosts: Vec<&String> = fleet.hosts.iter().map(|host| &host.operators).collect();
+    let settings = json!({
+        "platform": format!("http://{}", fleet.platform.address),
+        "hosts": hosts,
+        "author": "test",
+        "key_secret_file": fleet.folder.join("key-secret"),
+        "wait_ms": 60_000,
+    });
+    let path = fleet.folder.join("ctl.jsonc");
+    std::fs::write(&path, settings.to_string()).expect("the settings can be written");
+    path.to_str().expect("text").to_owned()
+}
+
+#[tokio::test]
+async fn model_is_loaded_again_when_its_only_engine_dies() {
+    // The fleet starts with empty engines and serves once the model is loaded.
+    let mut fleet = TestFleet::start(empty_engines(true)).await;
+    let holding = replicas(&fleet, "1").await;
+    assert_eq!(holding.len(), 1);
+    fleet.engines[holding[0]].process.kill();
+    wait_until("another engine holds it", async || replicas(&fleet, "1").await.len() == 1).await;
+    fleet.wait_served().await;
+    assert_eq!(overcommits(&fleet).await, 0);
+}
+
+#[tokio::test]
+async fn rollout_switches_whole_and_survives_the_holder() {
+    let fleet = TestFleet::start(empty_engines(false)).await;
+    let settings = write_client_settings(&fleet).await;
+    // Whichever host holds the lease, one of the three is frozen in the middle.
+    let client =
+        TestProcess::start("skylarkctl", &["--settings", &settings, "rollout model sage to 2"]);
+    fleet.hosts[0].process.signal("STOP");
+    wait_until("the new version is loaded", async || !replicas(&fleet, "2").await.is_empty()).await;
+    fleet.hosts[0].process.signal("CONT");
+    let mut client = client;
+    let status = client.wait_exit().await;
+    assert_eq!(status.code(), Some(0), "{}", client.output());
+    wait_until("only the new version is left", async || {
+        replicas(&fleet, "1").await.is_empty() && replicas(&fleet, "2").await.len() == 1
+    })
+    .await;
+    for host in &fleet.hosts {
+        wait_until("the host serves", async || {
+            fleet.chat(host, "after the rollout", 2).await.status() == 200
+        })
+        .await;
+    }
+    assert_eq!(overcommits(&fleet).await, 0);
+}
--- a/crates/standins/tests/machines/faults.rs
+++ b/crates/standins/tests/machines/faults.rs
@@ -21,7 +21,11 @@
         Just(FaultEvent::Return),
         Just(FaultEvent::Halve),
         Just(FaultEvent::Whole),
-        host.prop_map(FaultEvent::Withdraw),
+        host.clone().prop_map(FaultEvent::Withdraw),
+        host.clone().prop_map(FaultEvent::KillEngine),
+        Just(FaultEvent::RestartEngines),
+        host.clone().prop_map(FaultEvent::Rollout),
+        host.prop_map(FaultEvent::Rollback),
     ]
 }
 
@@ -50,7 +54,7 @@
     for seed in 1..=6 {
         let report = run_seeded(seed, 25);
         assert!(report.holds(), "seed {seed}: {report:?}");
-        assert!(report.asked > 0, "seed {seed}");
+        assert!(report.asked > 0 && report.orders > 0, "seed {seed}: {report:?}");
     }
 }
 
