--- a/crates/standins/src/network.rs
+++ b/crates/standins/src/network.rs
@@ -13,7 +13,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -138,6 +138,19 @@
     highest: Revision,
 }
 
+/// What the machines of all hosts together have cost.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct NetworkCosts {
+    /// Messages between hosts.
+    pub messages: u64,
+    /// Their length as they are encoded, in bytes.
+    pub bytes: u64,
+    /// Calls of shares and placement to the platform.
+    pub platform_calls: u64,
+    /// Time spent in the machines.
+    pub busy: Duration,
+}
+
 /// All hosts, the queue between them and the platform.
 #[derive(Debug)]
 pub struct TestNetwork {
@@ -159,6 +172,8 @@
     pub source: ChaCha8Rng,
     /// Events that were taken.
     pub events: u64,
+    /// What the machines have cost.
+    pub costs: NetworkCosts,
     settings: NetworkSettings,
     queue: BTreeMap<(Duration, u64), QueueEvent>,
     sequence: u64,
@@ -204,6 +219,7 @@
             judge: AdmissionJudge::default(),
             source: ChaCha8Rng::seed_from_u64(settings.seed),
             events: 0,
+            costs: NetworkCosts::default(),
             queue: BTreeMap::new(),
             sequence: 0,
             lives: 0,
@@ -398,7 +414,9 @@
             return;
         }
         let life = host.life;
+        let started = Instant::now();
         let effects = host.machine.step(local, input);
+        self.costs.busy += started.elapsed();
         let revision = host.machine.revision();
         self.falls += u64::from(revision < host.highest);
         host.highest = host.highest.max(revision);
@@ -484,10 +502,12 @@
                 }
             }
             HostEffect::Platform(call) => {
+                self.costs.platform_calls += 1;
                 let delay = self.delay();
                 self.push(delay, QueueEvent::Call { host, life, call });
             }
             HostEffect::PlacementCall(call) => {
+                self.costs.platform_calls += 1;
                 let delay = self.delay();
                 self.push(delay, QueueEvent::Placement { host, life, call });
             }
@@ -502,6 +522,8 @@
     }
 
     fn send(&mut self, from: usize, to: usize, message: &PeerMessage) {
+        self.costs.messages += 1;
+        self.costs.bytes += bincode::serialized_size(message).unwrap_or(0);
         let cut = self.cuts.contains(&(from.min(to), from.max(to)));
         let faults = self.settings.faults;
         if cut || self.source.random_bool(faults.loss) {
--- a/crates/standins/tests/fleet/harness.rs
+++ b/crates/standins/tests/fleet/harness.rs
@@ -204,6 +204,13 @@
 impl TestFleet {
     /// Starts a fleet, accepts its configuration and waits until it serves.
     pub async fn start(shape: FleetShape) -> TestFleet {
+        let fleet = TestFleet::start_unserved(shape).await;
+        fleet.wait_served().await;
+        fleet
+    }
+
+    /// Starts a fleet and waits until its hosts are ready.
+    pub async fn start_unserved(shape: FleetShape) -> TestFleet {
         let folder = std::env::temp_dir().join(format!(
             "skylarkgw-test-{}-{}",
             std::process::id(),
@@ -242,7 +249,6 @@
         for host in &fleet.hosts {
             host.wait_ready().await;
         }
-        fleet.wait_served().await;
         fleet
     }
 
--- a/crates/standins/tests/fleet/main.rs
+++ b/crates/standins/tests/fleet/main.rs
@@ -1,6 +1,7 @@
 //! Tests with real processes: hosts, engines, a service and the platform.
 
 mod changes;
+mod edges;
 mod harness;
 mod keys;
 mod orders;
--- a/crates/standins/tests/machines/main.rs
+++ b/crates/standins/tests/machines/main.rs
@@ -2,5 +2,6 @@
 //! delays, doubles and reorders, with a platform that has outages.
 
 mod allowance;
+mod decoders;
 mod faults;
 mod orders;
