--- a/crates/skylarkgw/src/decision/allowance.rs
+++ b/crates/skylarkgw/src/decision/allowance.rs
@@ -114,6 +114,15 @@
         (self.base + borrowed).saturating_sub(self.lent_parts())
     }
 
+    /// Returns the parts that this host may use at a time, with a base share
+    /// that may differ from the one set last.
+    pub fn parts_at(&self, at: Duration, base: ShareParts) -> ShareParts {
+        let active = |loans: &[ShareLoan]| -> ShareParts {
+            loans.iter().filter(|loan| loan.until > at).map(|loan| loan.parts).sum()
+        };
+        (base + active(&self.borrowed)).saturating_sub(active(&self.lent))
+    }
+
     /// Returns the parts that this host has lent out.
     pub fn lent_parts(&self) -> ShareParts {
         self.lent.iter().map(|loan| loan.parts).sum()
--- a/crates/skylarkgw/src/decision/host.rs
+++ b/crates/skylarkgw/src/decision/host.rs
@@ -467,8 +467,10 @@
     }
 
     /// Returns the parts of a workspace's allowance that this host may use.
-    pub fn parts(&self, workspace: &str) -> u64 {
-        self.workspaces.get(workspace).map_or(0, |state| state.bucket.parts())
+    pub fn parts(&self, now: Duration, workspace: &str) -> u64 {
+        let base = self.keeper.usable_base(now);
+        let state = self.workspaces.get(workspace);
+        state.map_or(0, |state| state.bucket.parts_at(now, base))
     }
 
     /// Returns the base share that this host may use now.
--- a/crates/standins/src/network.rs
+++ b/crates/standins/src/network.rs
@@ -321,6 +321,17 @@
             })
     }
 
+    /// Returns the parts that all hosts together may use now, frozen ones as if
+    /// they went on at this moment.
+    pub fn parts_in_use(&self) -> u64 {
+        let hosts = self.hosts.iter().enumerate();
+        let parts = hosts.filter_map(|(number, host)| {
+            let machine = &host.as_ref()?.machine;
+            Some(machine.parts(self.local(number), WORKSPACE))
+        });
+        parts.sum()
+    }
+
     /// Returns how often a host's revision was seen to fall.
     pub fn revision_falls(&self) -> u64 {
         self.falls
--- a/crates/standins/src/network/scenario.rs
+++ b/crates/standins/src/network/scenario.rs
@@ -17,8 +17,12 @@
 /// Time in which a withdrawn key stops on all hosts.
 pub const WITHDRAWAL_LIMIT: Duration = Duration::from_secs(5);
 
-const REQUEST_PAUSE: Duration = Duration::from_millis(8);
-const LARGEST_REQUEST: u64 = 4_000;
+const PHASE: Duration = Duration::from_millis(4_000);
+const LULL: Duration = Duration::from_millis(3_000);
+const LULL_PAUSE: Duration = Duration::from_millis(20);
+const FLOOD_PAUSE: Duration = Duration::from_millis(5);
+const SMALL_REQUEST: u64 = 200;
+const LARGE_REQUEST: u64 = 4_000;
 const ENGINES: usize = 5;
 const ENGINE_MEMORY_MB: u64 = 1_000;
 const MODELS: usize = 6;
@@ -82,7 +86,8 @@
     pub violations: u64,
     /// Revisions that were seen to fall.
     pub revision_falls: u64,
-    /// Parts that the ledger gives beyond the whole.
+    /// Parts beyond the whole that hosts could use at any one moment, or that
+    /// the ledger gave.
     pub surplus_parts: u64,
     /// Hosts that accepted a withdrawn key too late.
     pub late_keys: u64,
@@ -175,6 +180,7 @@
         late_keys: 0,
         keys: 0,
         versions: 1,
+        surplus_parts: 0,
     };
     run.declare_models();
     run.pass(Duration::from_secs(5));
@@ -193,6 +199,7 @@
     late_keys: u64,
     keys: u64,
     versions: u64,
+    surplus_parts: u64,
 }
 
 impl ScenarioRun {
@@ -315,23 +322,46 @@
         }
     }
 
+    /// Lets time pass: buckets fill in a lull, then all hosts are flooded.
     fn pass(&mut self, time: Duration) {
         let end = self.network.now + time;
         while self.network.now < end {
-            let host = self.network.source.random_range(0..self.network.hosts.len());
-            let workspace =
-                if self.network.source.random_bool(0.5) { WORKSPACE } else { OTHER_WORKSPACE };
-            let reserve = self.network.source.random_range(1..LARGEST_REQUEST);
-            let used = self.network.source.random_range(0..=reserve);
-            let length = Duration::from_millis(self.network.source.random_range(1..8_000));
-            let request = TestRequest { workspace: workspace.into(), reserve, used, length };
-            self.network.request(host, request);
-            self.network.run(REQUEST_PAUSE);
+            let flooded = self.network.now.as_millis() % PHASE.as_millis() >= LULL.as_millis();
+            if flooded {
+                (0..self.network.hosts.len()).for_each(|host| self.small_request(host));
+            }
+            if self.network.source.random_bool(0.05) {
+                self.large_request();
+            }
+            self.network.run(if flooded { FLOOD_PAUSE } else { LULL_PAUSE });
+            let surplus = self.network.parts_in_use().saturating_sub(ALL_PARTS);
+            self.surplus_parts = self.surplus_parts.max(surplus);
             self.end_leaving();
         }
         self.look_at_keys();
     }
 
+    /// Makes a request that uses all that it reserves, almost at once.
+    fn small_request(&mut self, host: usize) {
+        let tokens = self.network.source.random_range(1..SMALL_REQUEST);
+        let length = Duration::from_millis(self.network.source.random_range(0..20));
+        let request =
+            TestRequest { workspace: WORKSPACE.into(), reserve: tokens, used: tokens, length };
+        self.network.request(host, request);
+    }
+
+    /// Makes a request that runs long and gives a part of its tokens back.
+    fn large_request(&mut self) {
+        let source = &mut self.network.source;
+        let host = source.random_range(0..self.network.hosts.len());
+        let workspace = if source.random_bool(0.5) { WORKSPACE } else { OTHER_WORKSPACE };
+        let reserve = source.random_range(1..LARGE_REQUEST);
+        let used = source.random_range(0..=reserve);
+        let length = Duration::from_millis(source.random_range(1..8_000));
+        let request = TestRequest { workspace: workspace.into(), reserve, used, length };
+        self.network.request(host, request);
+    }
+
     fn end_leaving(&mut self) {
         let now = self.network.now;
         let due = |(at, _): &(Duration, usize)| *at <= now;
@@ -373,7 +403,7 @@
             excess: self.network.judge.excess(rate, burst),
             violations: total_violations() - violations,
             revision_falls: self.network.revision_falls(),
-            surplus_parts: parts.saturating_sub(ALL_PARTS),
+            surplus_parts: self.surplus_parts.max(parts.saturating_sub(ALL_PARTS)),
             late_keys: self.late_keys,
             engine_faults: self.network.engines.faults,
             unreachable_models: unreachable as u64,
