--- a/crates/standins/src/process.rs
+++ b/crates/standins/src/process.rs
@@ -1,10 +1,11 @@
 //! Runs a stand-in as a process.
 
-use std::net::SocketAddr;
+use std::net::{SocketAddr, TcpListener};
 use std::process::ExitCode;
 
-use poem::listener::{Acceptor, Listener, TcpListener};
+use poem::listener::Acceptor;
 use poem::{Endpoint, Response, Server};
+use skylarkgw::edge::CallerAcceptor;
 
 /// Serves a stand-in and prints its address as the first line.
 pub fn serve(address: SocketAddr, routes: impl Endpoint<Output = Response> + 'static) -> ExitCode {
@@ -14,7 +15,9 @@
             Err(error) => return fail(&error),
         };
     runtime.block_on(async move {
-        let acceptor = match TcpListener::bind(address).into_acceptor().await {
+        // With the delay of small writes an engine's tokens arrive 40 ms late.
+        let bound = TcpListener::bind(address).and_then(CallerAcceptor::new);
+        let acceptor = match bound {
             Ok(acceptor) => acceptor,
             Err(error) => return fail(&error),
         };
