--- a/crates/skylarkgw/src/control.rs
+++ b/crates/skylarkgw/src/control.rs
@@ -14,10 +14,8 @@
     TicketId,
 };
 use crate::decision::message::PeerMessage;
-use crate::decision::placement::EngineOrder;
 use crate::decision::routing::{EndpointView, RouteTarget};
-use crate::decision::shares::PlatformCall;
-use crate::ids::{EndpointId, KeyHash, ModelName, Tokens, WorkspaceId};
+use crate::ids::{EndpointId, Tokens, WorkspaceId};
 
 /// Time between two ticks of the state machine.
 pub const TICK_INTERVAL: Duration = Duration::from_millis(25);
@@ -42,33 +40,11 @@
 
 /// What the control thread hands to tasks that do I/O.
 #[derive(Debug)]
-pub enum ControlOutput {
-    /// A message for another host.
-    Send {
-        /// The receiver's address.
-        address: Arc<str>,
-        /// The message.
-        message: PeerMessage,
-    },
-    /// A call of the share keeper to the platform.
-    Platform(PlatformCall),
-    /// A call of the placement to the platform.
-    PlacementCall(PlatformCall),
-    /// An order to an engine.
-    Order {
-        /// The engine.
-        engine: EndpointId,
-        /// Its address.
-        address: Arc<str>,
-        /// The order.
-        order: EngineOrder,
-        /// When it was decided.
-        decided_at: Duration,
-    },
-    /// Models whose next version may be switched to.
-    SwitchVersions(Vec<ModelName>),
-    /// Withdrawn keys that the platform does not know.
-    StoreWithdrawn(Vec<KeyHash>),
+pub struct ControlOutput {
+    /// What to do.
+    pub effect: HostEffect,
+    /// When it was decided.
+    pub decided_at: Duration,
 }
 
 enum ControlInput {
@@ -370,24 +346,8 @@
         match effect {
             HostEffect::Admitted { ticket, endpoint } => self.grant(now, ticket, endpoint),
             HostEffect::Refused { ticket, refusal } => self.refuse(ticket, refusal),
-            HostEffect::Send { address, message, .. } => {
-                let _ = self.outputs.send(ControlOutput::Send { address, message });
-            }
-            HostEffect::Platform(call) => {
-                let _ = self.outputs.send(ControlOutput::Platform(call));
-            }
-            HostEffect::PlacementCall(call) => {
-                let _ = self.outputs.send(ControlOutput::PlacementCall(call));
-            }
-            HostEffect::Order { engine, address, order } => {
-                let order = ControlOutput::Order { engine, address, order, decided_at: now };
-                let _ = self.outputs.send(order);
-            }
-            HostEffect::SwitchVersions(models) => {
-                let _ = self.outputs.send(ControlOutput::SwitchVersions(models));
-            }
-            HostEffect::StoreWithdrawn(hashes) => {
-                let _ = self.outputs.send(ControlOutput::StoreWithdrawn(hashes));
+            effect => {
+                let _ = self.outputs.send(ControlOutput { effect, decided_at: now });
             }
         }
     }
--- a/crates/skylarkgw/src/decision/membership.rs
+++ b/crates/skylarkgw/src/decision/membership.rs
@@ -248,6 +248,13 @@
         fresh * 2 >= known
     }
 
+    /// Returns this host's place among all live hosts, by name.
+    pub fn place(&self, now: Duration) -> usize {
+        self.live(now)
+            .filter(|entry| entry.phase == MemberPhase::Live && entry.host < self.own.host)
+            .count()
+    }
+
     /// Returns this host's rank among the live members of its data centre.
     pub fn rank(&self, now: Duration) -> usize {
         self.live(now)
--- a/crates/skylarkgw/src/sync.rs
+++ b/crates/skylarkgw/src/sync.rs
@@ -10,7 +10,7 @@
 
 use crate::configuration::{FleetConfiguration, HeadDocument};
 use crate::control::{ADMISSION_VALIDITY, ControlHandle, ControlOutput};
-use crate::decision::host::HostInput;
+use crate::decision::host::{HostEffect, HostInput};
 use crate::decision::membership::MemberEntry;
 use crate::decision::placement::{EngineOrder, OrderOutcome};
 use crate::decision::shares::PlatformCall;
@@ -152,35 +152,34 @@
         let mut outputs = outputs.lock().await;
         let (store, stored) = mpsc::channel::<Vec<KeyHash>>(1);
         tokio::spawn(self.clone().store_withdrawn(stored));
-        while let Some(output) = outputs.recv().await {
-            match output {
-                ControlOutput::Send { address, message } => peers.send(address, message),
-                ControlOutput::Platform(call) => {
-                    let sync = self.clone();
+        while let Some(ControlOutput { effect, decided_at }) = outputs.recv().await {
+            let sync = self.clone();
+            match effect {
+                HostEffect::Send { address, message, .. } => peers.send(address, message),
+                HostEffect::Platform(call) => {
                     tokio::spawn(async move {
                         let outcome = sync.platform.perform(call).await;
                         sync.control.send(HostInput::PlatformDone { outcome });
                     });
                 }
-                ControlOutput::PlacementCall(call) => {
-                    let sync = self.clone();
+                HostEffect::PlacementCall(call) => {
                     tokio::spawn(async move { sync.call_for_placement(call).await });
                 }
-                ControlOutput::Order { engine, address, order, decided_at } => {
-                    let sync = self.clone();
+                HostEffect::Order { engine, address, order } => {
                     tokio::spawn(async move {
                         sync.send_order(engine, &address, order, decided_at).await;
                     });
                 }
-                ControlOutput::SwitchVersions(models) => {
-                    let sync = self.clone();
+                HostEffect::SwitchVersions(models) => {
                     tokio::spawn(async move { sync.switch_versions(&models).await });
                 }
-                ControlOutput::StoreWithdrawn(hashes) => {
+                HostEffect::StoreWithdrawn(hashes) => {
                     // A full channel means that a store is under way; the
                     // machine asks again for as long as it is needed.
                     let _ = store.try_send(hashes);
                 }
+                // The control thread answers these itself.
+                HostEffect::Admitted { .. } | HostEffect::Refused { .. } => {}
             }
         }
     }
