--- a/crates/standins/tests/machines/main.rs
+++ b/crates/standins/tests/machines/main.rs
@@ -6,3 +6,4 @@
 mod faults;
 mod membership;
 mod orders;
+mod shares;
