--- /dev/null
+++ b/scripts/processes.sh
@@ -0,0 +1,35 @@
+# Starts programs in the background with their output in files, and ends them
+# with the script that sources this. Expects $bin, the folder of the programs.
+
+folder=$(mktemp -d "${TMPDIR:-/tmp}/skylarkgw.XXXXXX")
+pids=()
+stop_all() {
+  for pid in "${pids[@]}"; do kill "$pid" 2>/dev/null || true; done
+  for pid in "${pids[@]}"; do wait "$pid" 2>/dev/null || true; done
+  rm -rf "$folder"
+}
+trap stop_all EXIT
+trap 'exit 130' INT TERM
+
+# start NAME PROGRAM ARGUMENTS...: runs a program with its output in a file.
+start() {
+  local name=$1; shift
+  "$bin/$1" "${@:2}" >"$folder/$name.log" 2>&1 &
+  pids+=($!)
+}
+
+# wait_for NAME EXPRESSION: prints what a sed expression finds in its output.
+wait_for() {
+  local found
+  for _ in $(seq 300); do
+    found=$(sed -nE "$2" "$folder/$1.log" | head -n 1)
+    [ -n "$found" ] && { echo "$found"; return; }
+    sleep 0.1
+  done
+  echo "$1 did not start:" >&2; cat "$folder/$1.log" >&2; exit 1
+}
+
+# address NAME INTERFACE: prints an address that a host listens on.
+address() { wait_for "$1" "s/.*\"listening\".*\"$2\":\"([^\"]*)\".*/\\1/p"; }
+
+listening='s/^listening (.*)$/\1/p'
