--- a/crates/standins/src/network/scenario.rs
+++ b/crates/standins/src/network/scenario.rs
@@ -23,6 +23,8 @@
 const FLOOD_PAUSE: Duration = Duration::from_millis(5);
 const SMALL_REQUEST: u64 = 200;
 const LARGE_REQUEST: u64 = 4_000;
+const KEYS: u64 = 20;
+const SPREAD_TIME: Duration = Duration::from_secs(2);
 const ENGINES: usize = 5;
 const ENGINE_MEMORY_MB: u64 = 1_000;
 const MODELS: usize = 6;
@@ -183,6 +185,7 @@
         surplus_parts: 0,
     };
     run.declare_models();
+    run.declare_keys();
     run.pass(Duration::from_secs(5));
     for (pause, event) in events {
         run.pass(*pause);
@@ -215,6 +218,13 @@
         }
     }
 
+    /// Declares the keys that are withdrawn later, also in outages.
+    fn declare_keys(&mut self) {
+        for number in 1..=KEYS {
+            self.network.declare_key(&format!("key-{number}").into());
+        }
+    }
+
     /// Lets everything run again and waits until all models can be back.
     fn recover(&mut self) {
         self.network.platform.outage = false;
@@ -303,22 +313,19 @@
         });
     }
 
-    /// Withdraws a key at a host that all others and the platform can reach.
+    /// Withdraws a key at a host that others can reach, with or without the
+    /// platform.
     ///
-    /// The promise is for an operator who reaches a host; a host that is cut
-    /// off itself can pass nothing on.
+    /// A host that is cut off can pass nothing on, and one that dies at once
+    /// takes the withdrawal with it, so it is left alone for a moment.
     fn withdraw(&mut self, host: usize) {
         self.keys += 1;
         let hash: KeyHash = format!("key-{}", self.keys).into();
-        self.network.declare_key(&hash);
-        let connected = self.network.cuts.is_empty()
-            && self.network.cut_off.is_empty()
-            && !self.network.platform.outage;
-        self.network.run(Duration::from_secs(2));
-        if connected && self.network.is_running(host) {
+        if self.network.cuts.is_empty() && self.network.is_serving(host) {
             let hashes = vec![hash.clone()];
             self.network.step(host, HostInput::Withdraw { hashes });
             self.withdrawn.push((self.network.now, hash));
+            self.network.run(SPREAD_TIME);
         }
     }
 
@@ -337,8 +344,8 @@
             let surplus = self.network.parts_in_use().saturating_sub(ALL_PARTS);
             self.surplus_parts = self.surplus_parts.max(surplus);
             self.end_leaving();
+            self.look_at_keys();
         }
-        self.look_at_keys();
     }
 
     /// Makes a request that uses all that it reserves, almost at once.
