--- a/crates/standins/src/network.rs
+++ b/crates/standins/src/network.rs
@@ -45,6 +45,7 @@
 pub const OTHER_WORKSPACE: &str = "office";
 
 const WATCH_INTERVAL: Duration = Duration::from_millis(500);
+const HELD_INPUTS: usize = 24;
 const POLL_INTERVAL: Duration = Duration::from_millis(400);
 const ROUTE: &str = "stock";
 
@@ -421,7 +422,12 @@
         let local = self.local(number);
         let Some(host) = &mut self.hosts[number] else { return };
         if host.frozen {
-            host.held.push(input);
+            let is_message = matches!(input, HostInput::Message { .. });
+            // What a socket holds arrives after the pause; senders give up
+            // the rest.
+            if !is_message || host.held.len() < HELD_INPUTS {
+                host.held.push(input);
+            }
             return;
         }
         let life = host.life;
