--- a/crates/skylarkgw/src/decision/host.rs
+++ b/crates/skylarkgw/src/decision/host.rs
@@ -17,6 +17,7 @@
 use crate::decision::host::admission::WorkspaceState;
 use crate::decision::host::knowledge::HeartbeatEcho;
 use crate::decision::host::lending::{LoanRequest, PendingLoan};
+use crate::decision::invariant::Invariant;
 use crate::decision::keys::WithdrawnSet;
 use crate::decision::membership::{
     CONTACT_WINDOW, MemberEntry, MemberPhase, MemberTable, OutgoingBeat,
@@ -55,6 +56,7 @@
     pending: BTreeMap<u64, PendingLoan>,
     loan_number: u64,
     configuration: Arc<FleetConfiguration>,
+    highest_revision: Revision,
     withdrawn: WithdrawnSet,
     platform_withdrawn: WithdrawnSet,
     platform_heard: Option<Duration>,
@@ -83,6 +85,7 @@
             pending: BTreeMap::new(),
             loan_number: 0,
             configuration: Arc::default(),
+            highest_revision: 0,
             withdrawn: WithdrawnSet::default(),
             platform_withdrawn: WithdrawnSet::default(),
             platform_heard: None,
@@ -145,6 +148,9 @@
             HostInput::Leave => self.leave(),
         }
         self.update_phase(now);
+        let revision = self.configuration.revision;
+        Invariant::RevisionNeverFalls.check(revision >= self.highest_revision);
+        self.highest_revision = self.highest_revision.max(revision);
         std::mem::take(&mut self.effects)
     }
 
--- a/crates/skylarkgw/src/decision/host/admission.rs
+++ b/crates/skylarkgw/src/decision/host/admission.rs
@@ -44,6 +44,20 @@
 }
 
 impl WorkspaceState {
+    pub(super) fn new(bucket: AllowanceBucket) -> WorkspaceState {
+        WorkspaceState {
+            bucket,
+            waiting: VecDeque::new(),
+            rounds: 0,
+            asked_at: Duration::ZERO,
+            ask_at: Duration::ZERO,
+            pause: SHORTEST_LOAN_PAUSE,
+            refused_by: BTreeMap::new(),
+            last_lender: None,
+            prefetch_at: Duration::ZERO,
+        }
+    }
+
     pub(super) fn pause_asking(&mut self, now: Duration) {
         self.ask_at = now + self.pause;
         self.pause = (self.pause * 2).min(LONGEST_LOAN_PAUSE);
--- a/crates/skylarkgw/src/decision/host/knowledge.rs
+++ b/crates/skylarkgw/src/decision/host/knowledge.rs
@@ -1,14 +1,12 @@
 //! What hosts tell each other: configuration, withdrawn keys, liveness.
 
-use std::collections::{BTreeMap, VecDeque};
 use std::sync::Arc;
 use std::time::Duration;
 
 use crate::configuration::FleetConfiguration;
 use crate::decision::allowance::AllowanceBucket;
 use crate::decision::host::HostMachine;
-use crate::decision::host::admission::{SHORTEST_LOAN_PAUSE, WorkspaceState};
-use crate::decision::invariant::Invariant;
+use crate::decision::host::admission::WorkspaceState;
 use crate::decision::membership::{MemberEntry, MemberPhase};
 use crate::decision::message::PeerMessage;
 use crate::ids::{HostId, Incarnation, KeyHash, Revision};
@@ -21,29 +19,19 @@
 }
 
 impl HostMachine {
+    /// Takes a configuration into force if its revision is higher.
     pub(super) fn adopt(&mut self, now: Duration, configuration: Arc<FleetConfiguration>) {
         if configuration.revision <= self.configuration.revision {
             return;
         }
-        let risen = configuration.revision > self.configuration.revision;
-        if !Invariant::RevisionNeverFalls.check(risen) {
-            return;
-        }
         for (name, spec) in &configuration.workspaces {
             let base = self.base;
             self.workspaces
                 .entry(name.clone())
                 .and_modify(|state| state.bucket.set_allowance(now, spec.rate, spec.burst))
-                .or_insert_with(|| WorkspaceState {
-                    bucket: AllowanceBucket::new(now, spec.rate, spec.burst, base),
-                    waiting: VecDeque::new(),
-                    rounds: 0,
-                    asked_at: Duration::ZERO,
-                    ask_at: Duration::ZERO,
-                    pause: SHORTEST_LOAN_PAUSE,
-                    refused_by: BTreeMap::new(),
-                    last_lender: None,
-                    prefetch_at: Duration::ZERO,
+                .or_insert_with(|| {
+                    let bucket = AllowanceBucket::new(now, spec.rate, spec.burst, base);
+                    WorkspaceState::new(bucket)
                 });
         }
         for (name, state) in &mut self.workspaces {
