--- a/crates/skylarkgw/src/daemon.rs
+++ b/crates/skylarkgw/src/daemon.rs
@@ -181,6 +181,8 @@
         tokio::spawn(serve_callers(operator_acceptor, operators, operator_stop, Duration::ZERO));
 
         let routes = caller_routes(EdgeContext {
+            host: settings.host.clone(),
+            data_centre: settings.data_centre.clone(),
             control: control.clone(),
             hasher: KeyHasher::new(&secret),
             engines,
--- a/crates/skylarkgw/src/edge.rs
+++ b/crates/skylarkgw/src/edge.rs
@@ -18,12 +18,17 @@
 use crate::control::ControlHandle;
 use crate::decision::keys::KeyHasher;
 use crate::endpoint::{EngineClient, ServiceClient};
+use crate::ids::{DataCentre, HostId};
 use crate::platform::PlatformClient;
 use crate::telemetry::Metrics;
 
 /// Everything that requests of callers need.
 #[derive(Clone, Debug)]
 pub struct EdgeContext {
+    /// Name of this host, for logs.
+    pub host: HostId,
+    /// Its data centre, for logs.
+    pub data_centre: DataCentre,
     /// The control thread.
     pub control: ControlHandle,
     /// Hashes callers' keys.
--- a/crates/skylarkgw/src/edge/request.rs
+++ b/crates/skylarkgw/src/edge/request.rs
@@ -17,7 +17,7 @@
 use crate::decision::keys::{KeyRefusal, check_key};
 use crate::edge::EdgeContext;
 use crate::edge::answer::{EdgeRefusal, REQUEST_ID_HEADER, RefusalReason, RunOutcome};
-use crate::ids::{KeyHash, RequestId, WorkspaceId};
+use crate::ids::{DataCentre, HostId, KeyHash, RequestId, WorkspaceId};
 use crate::telemetry::{Metrics, RequestClass, RequestOutcome};
 
 /// Longest time in which a body has to arrive.
@@ -71,6 +71,8 @@
     pub id: RequestId,
     /// When it came.
     pub started: Instant,
+    host: HostId,
+    data_centre: DataCentre,
     workspace: WorkspaceId,
     class: RequestClass,
     metrics: Arc<Metrics>,
@@ -86,6 +88,8 @@
         RequestRecord {
             id: new_request_id(),
             started: Instant::now(),
+            host: context.host.clone(),
+            data_centre: context.data_centre.clone(),
             workspace: NO_WORKSPACE.into(),
             class,
             metrics: context.metrics.clone(),
@@ -153,6 +157,8 @@
         self.metrics.request_ended(&self.workspace, self.class, self.outcome);
         info!("request ended", kv: {
             request = &*self.id,
+            host = &*self.host,
+            data_centre = &*self.data_centre,
             workspace = &*self.workspace,
             outcome = format!("{:?}", self.outcome).as_str(),
             code = self.code,
--- a/crates/standins/tests/fleet/programs.rs
+++ b/crates/standins/tests/fleet/programs.rs
@@ -79,5 +79,7 @@
         (line["payload"] == "request ended" && line["kv"]["outcome"] == "Answered").then_some(line)
     });
     assert_eq!(ended["kv"]["workspace"], "shop");
+    assert_eq!(ended["kv"]["host"], "host-01");
+    assert_eq!(ended["kv"]["data_centre"], "muscat-a");
     assert!(ended["kv"]["request"].as_str().expect("text").starts_with("req-"));
 }
