--- a/crates/standins/tests/fleet/placement.rs
+++ b/crates/standins/tests/fleet/placement.rs
@@ -89,3 +89,26 @@
     }
     assert_eq!(overcommits(&fleet).await, 0);
 }
+
+#[tokio::test]
+async fn drained_engine_gets_no_new_work_once_the_change_is_in_force() {
+    let fleet = TestFleet::start(FleetShape::default()).await;
+    let revision = fleet
+        .accept(|next| {
+            if let Some(spec) = next.endpoints.get_mut("engine-0") {
+                spec.leaving = true;
+            }
+        })
+        .await;
+    fleet.wait_revision(revision).await;
+    let generations = async |engine: usize| {
+        fleet.engines[engine].get("/standin/counts").await["generations"].as_u64()
+    };
+    let (drained, other) = (generations(0).await, generations(1).await);
+    for number in 0..18 {
+        let host = &fleet.hosts[number % fleet.hosts.len()];
+        assert_eq!(fleet.chat(host, &format!("prompt {number}"), 2).await.status(), 200);
+    }
+    assert_eq!(generations(0).await, drained);
+    assert!(generations(1).await > other);
+}
