--- a/crates/skylarkgw/src/endpoint.rs
+++ b/crates/skylarkgw/src/endpoint.rs
@@ -1,5 +1,6 @@
 //! Towards endpoints: engines and plain services over HTTP.
 
+mod client;
 mod engine;
 mod generation;
 mod service;
--- a/crates/skylarkgw/src/endpoint/engine.rs
+++ b/crates/skylarkgw/src/endpoint/engine.rs
@@ -12,6 +12,7 @@
 
 use crate::decision::placement::{EngineOrder, OrderOutcome};
 use crate::decision::routing::LoadReport;
+use crate::endpoint::client::client_builder;
 use crate::ids::{ModelName, RequestId, Tokens};
 
 /// Silence on a stream after which its connection counts as lost.
@@ -129,15 +130,7 @@
     ///
     /// [`EngineError::Client`] if the HTTP client cannot be built.
     pub fn new() -> Result<EngineClient, EngineError> {
-        let builder = || {
-            reqwest::Client::builder()
-                .no_proxy()
-                .http1_only()
-                .tcp_nodelay(true)
-                .connect_timeout(CONNECT_TIMEOUT)
-                .pool_idle_timeout(IDLE_TIMEOUT)
-                .retry(reqwest::retry::never())
-        };
+        let builder = || client_builder(CONNECT_TIMEOUT).pool_idle_timeout(IDLE_TIMEOUT);
         let http = builder().build().map_err(EngineError::Client)?;
         let single = builder().pool_max_idle_per_host(0).build().map_err(EngineError::Client)?;
         Ok(EngineClient { http, single })
--- a/crates/skylarkgw/src/endpoint/service.rs
+++ b/crates/skylarkgw/src/endpoint/service.rs
@@ -10,6 +10,7 @@
 use futures::StreamExt;
 use thiserror::Error;
 
+use crate::endpoint::client::client_builder;
 use crate::ids::RequestId;
 
 /// Header in which a service says whether it ran a call it refused.
@@ -93,14 +94,9 @@
     /// [`ServiceError::Client`] if an HTTP client cannot be built.
     pub fn new() -> Result<ServiceClient, ServiceError> {
         let builder = || {
-            reqwest::Client::builder()
-                .no_proxy()
-                .http1_only()
-                .tcp_nodelay(true)
-                .connect_timeout(CONNECT_TIMEOUT)
+            client_builder(CONNECT_TIMEOUT)
                 .timeout(ANSWER_TIMEOUT)
                 .redirect(reqwest::redirect::Policy::none())
-                .retry(reqwest::retry::never())
         };
         let pooled = builder().pool_idle_timeout(IDLE_TIMEOUT).build();
         let single = builder().pool_max_idle_per_host(0).build();
--- a/crates/standins/src/network.rs
+++ b/crates/standins/src/network.rs
@@ -5,6 +5,7 @@
 //! frozen and cut from each other. There is no model of load or hardware: only
 //! what the invariants need.
 
+mod delivery;
 mod demand;
 mod engines;
 mod judge;
@@ -26,10 +27,10 @@
 };
 use skylarkgw::decision::membership::{MemberEntry, MemberPhase};
 use skylarkgw::decision::message::PeerMessage;
-use skylarkgw::decision::placement::{EngineOrder, ORDER_LIFE, OrderOutcome};
-use skylarkgw::decision::routing::{LoadReport, RouteTarget, RoutingPolicy};
+use skylarkgw::decision::placement::EngineOrder;
+use skylarkgw::decision::routing::{RouteTarget, RoutingPolicy};
 use skylarkgw::decision::shares::PlatformCall;
-use skylarkgw::ids::{EndpointId, KeyHash, ModelName, Revision, Tokens, WorkspaceId};
+use skylarkgw::ids::{EndpointId, KeyHash, Revision, Tokens, WorkspaceId};
 
 pub use demand::{DemandPattern, SchemeReport, ShareScheme, measure_scheme};
 pub use engines::{EngineFaults, QueueEngine, QueueEngines};
@@ -560,75 +561,6 @@
         Duration::from_micros(100 + self.source.random_range(0..=longest))
     }
 
-    /// Sends an order, which may be lost, or late within its life.
-    fn send_order(&mut self, host: usize, life: u64, engine: EndpointId, order: EngineOrder) {
-        let faults = self.settings.faults;
-        if self.source.random_bool(faults.loss) {
-            let (number, outcome) = (order.number, OrderOutcome::Unknown);
-            let input = HostInput::OrderDone { engine, number, outcome };
-            self.push(TICK, QueueEvent::Input { host, life, input });
-            return;
-        }
-        let late = self.source.random_bool(faults.loss);
-        let longest = if late { ORDER_LIFE.as_millis() as u64 - 1 } else { 20 };
-        let delay = Duration::from_millis(self.source.random_range(1..=longest));
-        self.push(delay, QueueEvent::Order { host, life, engine, order });
-    }
-
-    fn deliver_order(&mut self, host: usize, life: u64, engine: &EndpointId, order: &EngineOrder) {
-        let outcome = self.engines.apply(self.now, engine, order);
-        let lost = self.source.random_bool(self.settings.faults.loss);
-        let outcome = if lost { OrderOutcome::Unknown } else { outcome };
-        let (engine, number) = (engine.clone(), order.number);
-        let input = HostInput::OrderDone { engine, number, outcome };
-        self.push(TICK, QueueEvent::Input { host, life, input });
-    }
-
-    /// Asks every engine for a report, which reaches the host a little later.
-    fn poll_engines(&mut self, host: usize, life: u64) {
-        if !self.is_running(host) {
-            return;
-        }
-        self.engines.advance(self.now);
-        let asked_at = self.local(host);
-        for name in self.engines.engines.keys().cloned().collect::<Vec<_>>() {
-            let lost = self.source.random_bool(self.settings.faults.loss);
-            let engine = self.engines.report(&name).filter(|_| !lost);
-            let report = engine.map(|engine| LoadReport { engine, ..LoadReport::default() });
-            let delay = self.delay();
-            let input = HostInput::Report { endpoint: name, asked_at, report };
-            self.push(delay, QueueEvent::Input { host, life, input });
-        }
-    }
-
-    fn switch_versions(&mut self, models: &[ModelName]) {
-        if self.platform.outage {
-            return;
-        }
-        self.accept(|next| {
-            for model in models {
-                let Some(spec) = next.models.get_mut(model) else { continue };
-                if let Some(version) = spec.next.take() {
-                    spec.version = version;
-                }
-            }
-        });
-    }
-
-    fn perform_placement(&mut self, host: usize, life: u64, call: PlatformCall) {
-        let name = match &call {
-            PlatformCall::Read { name } | PlatformCall::Write { name, .. } => name.clone(),
-        };
-        let reachable = !self.cut_off.contains(&host);
-        let (outcome, late) = self.platform.perform(&mut self.source, reachable, call);
-        if let Some((delay, call)) = late {
-            self.push(delay, QueueEvent::LateWrite { call });
-        }
-        let delay = self.delay();
-        let input = HostInput::PlacementDone { name, outcome };
-        self.push(delay, QueueEvent::Input { host, life, input });
-    }
-
     fn perform(&mut self, host: usize, life: u64, call: PlatformCall) {
         let reachable = !self.cut_off.contains(&host);
         let (outcome, late) = self.platform.perform(&mut self.source, reachable, call);
