--- a/crates/skylarkgw/src/decision.rs
+++ b/crates/skylarkgw/src/decision.rs
@@ -7,15 +7,25 @@
 //! process; tests run several of them against a queue that loses messages.
 
 pub mod allowance;
+pub mod coordinator;
+pub mod coordinator_lease;
+pub mod directory;
+pub mod engine_choice;
 pub mod fencing;
+pub mod fleet_planner;
 pub mod host;
 pub mod invariant;
 pub mod keys;
 pub mod membership;
 pub mod message;
+pub mod model_plan;
 pub mod orders;
 pub mod placement;
+pub mod quota_bank;
+pub mod retry_budget;
+pub mod route_table;
 pub mod routing;
 pub mod shares;
+pub mod traffic;
 
 pub use host::HostMachine;
--- /dev/null
+++ b/crates/skylarkgw/src/decision/coordinator.rs
@@ -0,0 +1,196 @@
+//! What the holder of the lease knows and gives out; soft state only.
+
+use std::collections::{HashMap, HashSet};
+use std::sync::Arc;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use crate::decision::fleet_planner::{FleetPlanner, PlacementNotice, PlannerCall};
+use crate::decision::quota_bank::{QuotaBank, QuotaGrant, SILENT_AFTER};
+use crate::gateway::declaration::{FleetDeclaration, ServiceName};
+use crate::gateway::registry::EngineEntry;
+use crate::ids::{EndpointId, HostId, ModelName, Tokens, WorkspaceId};
+
+/// Time constant of the demand estimate, in seconds.
+const DEMAND_MEMORY_S: f64 = 1.5;
+/// Time after which a host that says nothing is forgotten.
+const FORGET_AFTER: Duration = Duration::from_secs(5);
+/// Time in which a new holder gathers demand before it moves models.
+const GATHER_TIME: Duration = Duration::from_millis(1_200);
+
+/// What a host reports with each exchange.
+#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct HostReport {
+    /// The host.
+    pub host: HostId,
+    /// Requests that it has at engines.
+    pub running: Vec<(EndpointId, u32)>,
+    /// Work asked for since the last report.
+    pub demand: Vec<(ServiceName, ModelName, f64)>,
+    /// Tokens that it wants for its purses.
+    pub wanted: Vec<(WorkspaceId, Tokens)>,
+    /// Adapters used since the last report.
+    pub adapter_uses: Vec<(EndpointId, ModelName, Arc<str>)>,
+    /// Version of the placement notice that it has.
+    pub notice_version: u64,
+}
+
+/// What a host gets back.
+#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct CoordinatorReply {
+    /// Hosts that are heard from.
+    pub hosts: u32,
+    /// Requests of other hosts at engines.
+    pub running_elsewhere: Vec<(EndpointId, u32)>,
+    /// Tokens for the purses.
+    pub grants: Vec<(WorkspaceId, Tokens, f64)>,
+    /// Placement notice with its version, if the host has another one.
+    pub notice: Option<(u64, PlacementNotice)>,
+}
+
+#[derive(Debug)]
+struct HostState {
+    running: HashMap<EndpointId, u32>,
+    heard_at: Duration,
+}
+
+/// The coordinator's state.
+#[derive(Debug)]
+pub struct Coordinator {
+    token: u64,
+    started_at: Duration,
+    hosts: HashMap<HostId, HostState>,
+    demand: HashMap<(ServiceName, ModelName), f64>,
+    decayed_at: Duration,
+    bank: QuotaBank,
+    planner: FleetPlanner,
+    notice: PlacementNotice,
+    notice_version: u64,
+}
+
+impl Coordinator {
+    /// Creates the state of a new holder.
+    ///
+    /// `is_first` says that nobody can have held the lease before.
+    pub fn new(now: Duration, token: u64, is_first: bool) -> Coordinator {
+        Coordinator {
+            token,
+            started_at: now,
+            hosts: HashMap::new(),
+            demand: HashMap::new(),
+            decayed_at: now,
+            bank: QuotaBank::new(now, is_first),
+            planner: FleetPlanner::default(),
+            notice: PlacementNotice::default(),
+            // Versions of different holders never meet.
+            notice_version: token << 32,
+        }
+    }
+
+    /// Returns the fencing token.
+    pub fn token(&self) -> u64 {
+        self.token
+    }
+
+    /// Takes in the declared workspaces.
+    pub fn declare(&mut self, now: Duration, declaration: &FleetDeclaration) {
+        self.bank.set_workspaces(now, &declaration.workspaces);
+    }
+
+    /// Takes in the registry.
+    pub fn observe(&mut self, engines: &[Arc<EngineEntry>]) {
+        let ids: HashSet<&EndpointId> = engines.iter().map(|entry| &entry.id).collect();
+        for host in self.hosts.values_mut() {
+            host.running.retain(|engine, _| ids.contains(engine));
+        }
+        self.planner.observe(engines);
+        self.refresh_notice();
+    }
+
+    /// Returns the planner.
+    pub fn planner(&mut self) -> &mut FleetPlanner {
+        &mut self.planner
+    }
+
+    /// Returns the orders and questions that are due.
+    pub fn plan(
+        &mut self,
+        now: Duration,
+        order_token: Option<u64>,
+        declaration: &FleetDeclaration,
+        window: Duration,
+    ) -> Vec<PlannerCall> {
+        self.decay(now);
+        let Some(token) = order_token else { return Vec::new() };
+        if now.saturating_sub(self.started_at) < GATHER_TIME {
+            return Vec::new();
+        }
+        let calls = self.planner.step(now, token, declaration, &self.demand, window);
+        self.refresh_notice();
+        calls
+    }
+
+    /// Notes that the planner's ledgers may have changed.
+    pub fn refresh_notice(&mut self) {
+        let notice = self.planner.notice();
+        if notice != self.notice {
+            self.notice = notice;
+            self.notice_version += 1;
+        }
+    }
+
+    /// Takes in a report and returns what the host needs.
+    pub fn exchange(&mut self, now: Duration, report: HostReport) -> CoordinatorReply {
+        self.decay(now);
+        self.bank.note_host(now, &report.host);
+        for (service, model, work) in report.demand {
+            *self.demand.entry((service, model)).or_default() += work / DEMAND_MEMORY_S;
+        }
+        for (engine, model, adapter) in &report.adapter_uses {
+            self.planner.note_use(now, engine, model, adapter);
+        }
+        let running = report.running.into_iter().collect();
+        self.hosts.insert(report.host.clone(), HostState { running, heard_at: now });
+        self.hosts.retain(|_, host| now.saturating_sub(host.heard_at) < FORGET_AFTER);
+        let mut elsewhere: HashMap<&EndpointId, u32> = HashMap::new();
+        let others = self.hosts.iter().filter(|(host, state)| {
+            **host != report.host && now.saturating_sub(state.heard_at) < SILENT_AFTER
+        });
+        for (engine, running) in others.flat_map(|(_, state)| &state.running) {
+            *elsewhere.entry(engine).or_default() += running;
+        }
+        let elsewhere = elsewhere.into_iter();
+        let running_elsewhere = elsewhere.map(|(engine, count)| (engine.clone(), count)).collect();
+        let wanted = report.wanted.into_iter();
+        let grants = wanted.filter_map(|(workspace, wanted)| {
+            let grant = self.bank.draw(now, &report.host, &workspace, wanted, 0)?;
+            Some((workspace, grant.tokens, grant.coast_per_s))
+        });
+        let grants = grants.collect();
+        let is_known = report.notice_version == self.notice_version;
+        let notice = (!is_known).then(|| (self.notice_version, self.notice.clone()));
+        CoordinatorReply { hosts: self.hosts.len() as u32, running_elsewhere, grants, notice }
+    }
+
+    /// Draws tokens for one request.
+    pub fn draw(
+        &mut self,
+        now: Duration,
+        host: &HostId,
+        workspace: &str,
+        tokens: Tokens,
+    ) -> QuotaGrant {
+        self.bank.draw(now, host, workspace, tokens, tokens).unwrap_or_default()
+    }
+
+    fn decay(&mut self, now: Duration) {
+        let elapsed = now.saturating_sub(self.decayed_at).as_secs_f64();
+        self.decayed_at = now;
+        let factor = (-elapsed / DEMAND_MEMORY_S).exp();
+        self.demand.values_mut().for_each(|work| *work *= factor);
+        self.demand.retain(|_, work| *work > 0.1);
+    }
+}
--- /dev/null
+++ b/crates/skylarkgw/src/decision/engine_choice.rs
@@ -0,0 +1,62 @@
+//! Chooses the engine of a request.
+//!
+//! The estimate is the time until the request runs: waiting work, reading what
+//! the engine does not keep of the prompt, and the way there. Two hosts that
+//! decide from the same counts would herd, so each adds its own requests at
+//! once and ties are broken by a number drawn for the request.
+
+/// Time that a request holds a slot, in milliseconds; only the order of
+/// candidates depends on it.
+const SLOT_HOLD_MS: f64 = 1_500.0;
+/// Cost of a share of busy slots, in milliseconds: prompts of others are read
+/// between the tokens of a request.
+const BUSY_COST_MS: f64 = 60.0;
+/// Cost of another data centre, in milliseconds of waiting.
+const DISTANCE_COST_MS: f64 = 8.0;
+/// Cost of loading an adapter first, in milliseconds.
+const ADAPTER_COST_MS: f64 = 40.0;
+/// Cost of an engine whose last requests failed, in milliseconds.
+const FAILURE_COST_MS: f64 = 2_000.0;
+
+/// One engine that could serve a request.
+#[derive(Clone, Debug, PartialEq)]
+pub struct EngineCandidate {
+    /// Requests that it works on at once.
+    pub slots: u32,
+    /// Requests that all hosts have there, as far as known.
+    pub running: u32,
+    /// Whether it is in this host's data centre.
+    pub is_near: bool,
+    /// Whether it holds the adapter, where one is asked for.
+    pub has_adapter: bool,
+    /// Time to read what it does not keep of the prompt, in milliseconds.
+    pub read_ms: f64,
+    /// Share of its recent requests that failed, from 0 to 1.
+    pub failure_share: f64,
+}
+
+impl EngineCandidate {
+    /// Returns the estimated time until a request runs, in milliseconds.
+    pub fn wait_ms(&self) -> f64 {
+        let slots = f64::from(self.slots.max(1));
+        let busy = f64::from(self.running) / slots;
+        let queued = f64::from((self.running + 1).saturating_sub(self.slots));
+        queued * SLOT_HOLD_MS / slots + busy * BUSY_COST_MS + self.read_ms
+    }
+
+    fn cost_ms(&self) -> f64 {
+        let distance = if self.is_near { 0.0 } else { DISTANCE_COST_MS };
+        let adapter = if self.has_adapter { 0.0 } else { ADAPTER_COST_MS };
+        self.wait_ms() + distance + adapter + self.failure_share * FAILURE_COST_MS
+    }
+}
+
+/// Returns the place of the candidate with the least cost.
+///
+/// `tie` chooses among equals.
+pub fn choose_engine(candidates: &[EngineCandidate], tie: u64) -> Option<usize> {
+    let count = candidates.len();
+    (0..count)
+        .map(|step| (step + tie as usize % count) % count)
+        .min_by(|a, b| candidates[*a].cost_ms().total_cmp(&candidates[*b].cost_ms()))
+}
--- /dev/null
+++ b/crates/skylarkgw/src/decision/model_plan.rs
@@ -0,0 +1,153 @@
+//! Which engine holds which model.
+//!
+//! Every declared model keeps one replica. The remaining memory follows demand:
+//! the model with the most demand for each of its replicas gets the next one,
+//! and gives way where another's need is clearly larger. The factor between
+//! the two keeps replicas from moving on every small change of demand. This
+//! answers the diurnal shift, in which demand moves to other models.
+
+use std::collections::HashMap;
+
+use crate::gateway::declaration::{GenerationRule, ModelRule};
+use crate::ids::{EndpointId, ModelName};
+
+/// Need of a model, relative to that of the one that gives way.
+const SWAP_FACTOR: f64 = 2.0;
+/// Demand for one replica below which no replica is added, in parts of the
+/// mean demand of an engine.
+const ADD_SHARE: f64 = 0.5;
+/// Need that a load from the weight store must have beyond one from a copy.
+const STORE_LOAD_FACTOR: f64 = 1.5;
+
+/// One engine as the plan sees it.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct PlannedEngine {
+    /// The engine.
+    pub id: EndpointId,
+    /// Models that it holds or is loading, without those it gives up.
+    pub models: Vec<ModelName>,
+    /// Memory that is not taken, in megabytes; what it gives up counts as
+    /// taken until it is gone.
+    pub free_mb: f64,
+    /// Whether an order can be given now.
+    pub is_idle: bool,
+    /// Models that it can load without the weight store.
+    pub copies: Vec<ModelName>,
+}
+
+/// One change of placement.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum PlanChange {
+    /// Load a model.
+    Load {
+        /// Engine.
+        engine: EndpointId,
+        /// Model.
+        model: ModelName,
+        /// Whether the weights come from the weight store.
+        from_store: bool,
+    },
+    /// Send no new requests for a model there, then give it up.
+    Close {
+        /// Engine.
+        engine: EndpointId,
+        /// Model.
+        model: ModelName,
+    },
+}
+
+struct ModelPlan<'a> {
+    engines: &'a [PlannedEngine],
+    replicas: HashMap<&'a ModelName, u32>,
+    demand: &'a HashMap<ModelName, f64>,
+    models: HashMap<&'a ModelName, &'a ModelRule>,
+}
+
+/// Returns the next change, if one is worth it.
+///
+/// `demand` is in any unit of work a second. `store_loads` is the number of
+/// loads from the weight store that may begin now.
+pub fn plan_change(
+    rule: &GenerationRule,
+    engines: &[PlannedEngine],
+    demand: &HashMap<ModelName, f64>,
+    store_loads: u32,
+) -> Option<PlanChange> {
+    let mut replicas: HashMap<&ModelName, u32> = HashMap::new();
+    for model in engines.iter().flat_map(|engine| &engine.models) {
+        *replicas.entry(model).or_default() += 1;
+    }
+    let models = rule.models.iter().map(|model| (&model.name, model)).collect();
+    let plan = ModelPlan { engines, replicas, demand, models };
+    let missing = rule.models.iter().find(|model| plan.replicas(&model.name) == 0);
+    if let Some(model) = missing
+        && let Some(change) = plan.place(model, f64::INFINITY, store_loads)
+    {
+        return Some(change);
+    }
+    let total: f64 = demand.values().sum();
+    let least = total / engines.len().max(1) as f64 * ADD_SHARE;
+    let mut wanted: Vec<&ModelRule> =
+        rule.models.iter().filter(|model| plan.need(&model.name, 0) > least).collect();
+    wanted.sort_by(|a, b| plan.need(&b.name, 0).total_cmp(&plan.need(&a.name, 0)));
+    wanted.into_iter().find_map(|model| {
+        // The need that is left once the replica is there decides.
+        let need = plan.need(&model.name, 1);
+        plan.place(model, need, store_loads)
+    })
+}
+
+impl ModelPlan<'_> {
+    fn replicas(&self, model: &ModelName) -> u32 {
+        self.replicas.get(model).copied().unwrap_or_default()
+    }
+
+    /// Returns the demand for each replica, with `more` replicas added.
+    fn need(&self, model: &ModelName, more: i64) -> f64 {
+        let replicas = i64::from(self.replicas(model)) + more;
+        let demand = self.demand.get(model).copied().unwrap_or_default();
+        demand / replicas.max(1) as f64
+    }
+
+    fn place(&self, model: &ModelRule, need: f64, store_loads: u32) -> Option<PlanChange> {
+        let lacking = self.engines.iter().filter(|engine| !engine.models.contains(&model.name));
+        let (with_copy, without): (Vec<_>, Vec<_>) =
+            lacking.partition(|engine| engine.copies.contains(&model.name));
+        let from_copy = self.place_among(model, need, &with_copy, false);
+        from_copy.or_else(|| {
+            let need = need / STORE_LOAD_FACTOR;
+            (store_loads > 0).then(|| self.place_among(model, need, &without, true)).flatten()
+        })
+    }
+
+    fn place_among(
+        &self,
+        model: &ModelRule,
+        need: f64,
+        engines: &[&PlannedEngine],
+        from_store: bool,
+    ) -> Option<PlanChange> {
+        let idle = || engines.iter().filter(|engine| engine.is_idle);
+        let roomy = idle().filter(|engine| engine.free_mb >= model.weights_mb);
+        let least_loaded = roomy.min_by(|a, b| self.load(a).total_cmp(&self.load(b)));
+        if let Some(engine) = least_loaded {
+            let (engine, model) = (engine.id.clone(), model.name.clone());
+            return Some(PlanChange::Load { engine, model, from_store });
+        }
+        let victims = idle().flat_map(|engine| {
+            engine.models.iter().map(move |victim| (*engine, victim))
+        });
+        let victims = victims.filter(|(engine, victim)| {
+            let frees = self.models.get(victim).map_or(0.0, |rule| rule.weights_mb);
+            self.replicas(victim) > 1 && engine.free_mb + frees >= model.weights_mb
+        });
+        let (engine, victim) = victims
+            .min_by(|a, b| self.need(a.1, -1).total_cmp(&self.need(b.1, -1)))
+            .filter(|(_, victim)| self.need(victim, -1) * SWAP_FACTOR < need)?;
+        Some(PlanChange::Close { engine: engine.id.clone(), model: victim.clone() })
+    }
+
+    fn load(&self, engine: &PlannedEngine) -> f64 {
+        engine.models.iter().map(|model| self.need(model, 0)).sum()
+    }
+}
--- /dev/null
+++ b/crates/skylarkgw/src/decision/quota_bank.rs
@@ -0,0 +1,223 @@
+//! Quotas over all hosts: one bank, and a purse on every host.
+//!
+//! The coordinator holds one token bucket for each workspace. Hosts draw ahead
+//! of their demand, so a request rarely waits for the bank; what a host has
+//! drawn is gone from the bucket, so no two hosts spend the same tokens. A host
+//! that loses the coordinator goes on for [`COAST_TIME`] at the rate that it
+//! had, which the bank keeps back for it. This answers the noisy neighbour
+//! without a split that starves small workspaces.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use crate::gateway::declaration::WorkspaceRule;
+use crate::ids::{HostId, Tokens, WorkspaceId};
+
+/// Time for which a host without a coordinator spends at its last rate.
+pub const COAST_TIME: Duration = Duration::from_millis(4_500);
+/// Time without a report after which a host is taken to coast; also the time
+/// after which a host starts to.
+pub const SILENT_AFTER: Duration = Duration::from_millis(700);
+/// Demand that a purse covers ahead, in seconds.
+const PURSE_HORIZON_S: f64 = 0.45;
+/// Time constant of the demand estimate, in seconds.
+const DEMAND_MEMORY_S: f64 = 1.0;
+/// Most tokens that a purse holds, in seconds of its demand.
+const PURSE_LIMIT_S: f64 = 1.0;
+
+#[derive(Debug)]
+struct BankAccount {
+    rate: f64,
+    burst: f64,
+    level: f64,
+    drawn_per_s: HashMap<HostId, f64>,
+}
+
+/// Buckets of all workspaces.
+#[derive(Debug, Default)]
+pub struct QuotaBank {
+    accounts: HashMap<WorkspaceId, BankAccount>,
+    advanced_at: Duration,
+    heard_at: HashMap<HostId, Duration>,
+    starts_full: bool,
+}
+
+/// What a host gets from the bank.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct QuotaGrant {
+    /// Tokens to spend.
+    pub tokens: Tokens,
+    /// Tokens a second to go on with if the coordinator is lost.
+    pub coast_per_s: f64,
+}
+
+impl QuotaBank {
+    /// Creates a bank. Its buckets start empty unless nothing can have been
+    /// spent before, as a new holder does not know what the last one granted.
+    pub fn new(now: Duration, starts_full: bool) -> QuotaBank {
+        QuotaBank { advanced_at: now, starts_full, ..QuotaBank::default() }
+    }
+
+    /// Takes in the declared workspaces.
+    pub fn set_workspaces(&mut self, now: Duration, workspaces: &[WorkspaceRule]) {
+        self.advance(now);
+        let limited = workspaces.iter().filter(|workspace| workspace.tokens_per_s > 0);
+        let mut accounts = HashMap::new();
+        for workspace in limited {
+            let (rate, burst) = (workspace.tokens_per_s as f64, workspace.burst_tokens as f64);
+            let start = if self.starts_full { burst } else { 0.0 };
+            let account = self.accounts.remove(&workspace.name);
+            let mut account = account.unwrap_or_else(|| BankAccount {
+                rate,
+                burst,
+                level: start,
+                drawn_per_s: HashMap::new(),
+            });
+            account.rate = rate;
+            account.burst = burst;
+            account.level = account.level.min(burst);
+            accounts.insert(workspace.name.clone(), account);
+        }
+        self.accounts = accounts;
+    }
+
+    /// Notes that a host is heard from.
+    pub fn note_host(&mut self, now: Duration, host: &HostId) {
+        self.heard_at.insert(host.clone(), now);
+    }
+
+    /// Grants up to `wanted` tokens, none if fewer than `least` are there.
+    ///
+    /// One request may be larger than the burst; it then needs a full bucket
+    /// and leaves a debt.
+    pub fn draw(
+        &mut self,
+        now: Duration,
+        host: &HostId,
+        workspace: &str,
+        wanted: Tokens,
+        least: Tokens,
+    ) -> Option<QuotaGrant> {
+        self.advance(now);
+        let account = self.accounts.get_mut(workspace)?;
+        let needed = (least as f64).min(account.burst);
+        let granted = if account.level < needed || account.level <= 0.0 {
+            0.0
+        } else {
+            (wanted as f64).min(account.level).max(least as f64).floor()
+        };
+        account.level -= granted;
+        let drawn = account.drawn_per_s.entry(host.clone()).or_default();
+        *drawn += granted / DEMAND_MEMORY_S;
+        let total: f64 = account.drawn_per_s.values().sum();
+        let drawn = account.drawn_per_s.get(host).copied().unwrap_or_default();
+        let coast_per_s = drawn.min(account.rate * drawn / total.max(1.0));
+        Some(QuotaGrant { tokens: granted as Tokens, coast_per_s })
+    }
+
+    /// Returns the tokens in a workspace's bucket.
+    pub fn level(&mut self, now: Duration, workspace: &str) -> Option<f64> {
+        self.advance(now);
+        self.accounts.get(workspace).map(|account| account.level)
+    }
+
+    fn advance(&mut self, now: Duration) {
+        let elapsed = now.saturating_sub(self.advanced_at).as_secs_f64();
+        self.advanced_at = now;
+        self.heard_at.retain(|_, heard_at| now.saturating_sub(*heard_at) < COAST_TIME);
+        let heard_at = &self.heard_at;
+        let is_silent = |host: &HostId| {
+            heard_at.get(host).is_some_and(|at| now.saturating_sub(*at) >= SILENT_AFTER)
+        };
+        for account in self.accounts.values_mut() {
+            // A silent host may be coasting: what it spends is not given again.
+            let silent = account.drawn_per_s.iter().filter(|(host, _)| is_silent(host));
+            let kept_back: f64 = silent.map(|(_, drawn)| *drawn).sum();
+            let refill = (account.rate - kept_back).max(0.0) * elapsed;
+            account.level = (account.level + refill).min(account.burst);
+            let decay = (-elapsed / DEMAND_MEMORY_S).exp();
+            account.drawn_per_s.retain(|host, drawn| {
+                if !is_silent(host) {
+                    *drawn *= decay;
+                }
+                heard_at.contains_key(host) && *drawn > 0.5
+            });
+        }
+    }
+}
+
+/// Tokens of one workspace on one host.
+#[derive(Debug)]
+pub struct QuotaPurse {
+    balance: f64,
+    coast_per_s: f64,
+    demand_per_s: f64,
+    refilled_at: Duration,
+    advanced_at: Duration,
+}
+
+impl QuotaPurse {
+    /// Creates an empty purse.
+    pub fn new(now: Duration) -> QuotaPurse {
+        QuotaPurse {
+            balance: 0.0,
+            coast_per_s: 0.0,
+            demand_per_s: 0.0,
+            refilled_at: now,
+            advanced_at: now,
+        }
+    }
+
+    /// Notes that a request wants tokens.
+    pub fn note_demand(&mut self, now: Duration, tokens: Tokens) {
+        self.advance(now);
+        self.demand_per_s += tokens as f64 / DEMAND_MEMORY_S;
+    }
+
+    /// Takes tokens for a request and returns whether they were there.
+    pub fn spend(&mut self, now: Duration, tokens: Tokens) -> bool {
+        self.advance(now);
+        let is_enough = self.balance >= tokens as f64;
+        if is_enough {
+            self.balance -= tokens as f64;
+        }
+        is_enough
+    }
+
+    /// Gives back the tokens of a request that did not run.
+    pub fn refund(&mut self, tokens: Tokens) {
+        self.balance += tokens as f64;
+    }
+
+    /// Takes in a grant.
+    pub fn deposit(&mut self, now: Duration, grant: QuotaGrant) {
+        self.advance(now);
+        self.balance += grant.tokens as f64;
+        self.coast_per_s = grant.coast_per_s;
+        self.refilled_at = now;
+    }
+
+    /// Returns the tokens to ask the bank for.
+    pub fn wanted(&mut self, now: Duration) -> Tokens {
+        self.advance(now);
+        (self.demand_per_s * PURSE_HORIZON_S - self.balance).max(0.0) as Tokens
+    }
+
+    /// Returns the tokens at hand.
+    pub fn balance(&self) -> f64 {
+        self.balance
+    }
+
+    fn advance(&mut self, now: Duration) {
+        let elapsed = now.saturating_sub(self.advanced_at).as_secs_f64();
+        let coast_from = self.advanced_at.max(self.refilled_at + SILENT_AFTER);
+        let coast_until = now.min(self.refilled_at + COAST_TIME);
+        let coasted = coast_until.saturating_sub(coast_from).as_secs_f64();
+        self.advanced_at = now;
+        self.demand_per_s *= (-elapsed / DEMAND_MEMORY_S).exp();
+        if coasted > 0.0 {
+            let limit = self.coast_per_s * PURSE_LIMIT_S;
+            self.balance += (self.coast_per_s * coasted).min((limit - self.balance).max(0.0));
+        }
+    }
+}
--- /dev/null
+++ b/crates/skylarkgw/src/decision/route_table.rs
@@ -0,0 +1,56 @@
+//! Finds the route and the workspace of a request.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use crate::gateway::declaration::{FleetDeclaration, RouteRule, WorkspaceRule};
+
+/// Routes by host, longest prefix first, and workspaces by key.
+#[derive(Debug, Default)]
+pub struct RouteTable {
+    routes: HashMap<Arc<str>, Vec<Arc<RouteRule>>>,
+    workspaces: HashMap<Arc<str>, Arc<WorkspaceRule>>,
+}
+
+impl RouteTable {
+    /// Builds the table of a declaration.
+    pub fn new(declaration: &FleetDeclaration) -> RouteTable {
+        let mut routes: HashMap<Arc<str>, Vec<Arc<RouteRule>>> = HashMap::new();
+        for route in &declaration.routes {
+            let host: Arc<str> = route.host.to_ascii_lowercase().into();
+            routes.entry(host).or_default().push(Arc::new(route.clone()));
+        }
+        for routes in routes.values_mut() {
+            routes.sort_by_key(|route| std::cmp::Reverse(route.path_prefix.len()));
+        }
+        let workspaces = declaration
+            .workspaces
+            .iter()
+            .map(|workspace| Arc::new(workspace.clone()))
+            .flat_map(|workspace| {
+                let keys = workspace.keys.clone();
+                keys.into_iter().map(move |key| (key, workspace.clone()))
+            })
+            .collect();
+        RouteTable { routes, workspaces }
+    }
+
+    /// Returns the route with the longest prefix of a path.
+    ///
+    /// `host` may carry a port, which is ignored.
+    pub fn find_route(&self, host: &str, path: &str) -> Option<&Arc<RouteRule>> {
+        let name = host.rsplit_once(':').map_or(host, |(name, _)| name).to_ascii_lowercase();
+        let routes = self.routes.get(name.as_str())?;
+        routes.iter().find(|route| path.starts_with(&*route.path_prefix))
+    }
+
+    /// Returns the workspace that holds a key.
+    pub fn find_workspace(&self, key: &str) -> Option<&Arc<WorkspaceRule>> {
+        self.workspaces.get(key)
+    }
+
+    /// Returns whether any workspace is declared.
+    pub fn has_workspaces(&self) -> bool {
+        !self.workspaces.is_empty()
+    }
+}
--- a/crates/skylarkgw/src/edge.rs
+++ b/crates/skylarkgw/src/edge.rs
@@ -2,6 +2,7 @@
 
 mod answer;
 mod chat;
+pub mod forward;
 mod listener;
 mod request;
 mod service;
--- /dev/null
+++ b/crates/skylarkgw/src/edge/forward/place.rs
@@ -0,0 +1,148 @@
+//! Finds the engine that a request goes to.
+
+use std::collections::HashSet;
+use std::sync::Arc;
+use std::time::Duration;
+
+use rand::Rng;
+use tokio::sync::oneshot;
+use tokio::time::{Instant, timeout};
+
+use crate::decision::engine_choice::{EngineCandidate, choose_engine};
+use crate::edge::forward::accept::AdmittedRequest;
+use crate::edge::forward::refusal::{RefusalReason, RequestRefusal};
+use crate::gateway::clock::boot_time;
+use crate::gateway::registry::{EngineEntry, EnginePhase};
+use crate::gateway::state::{CoordinatorAsk, FleetSnapshot};
+use crate::ids::EndpointId;
+
+/// Time that a request waits for an adapter to get a place.
+const ADAPTER_PATIENCE: Duration = Duration::from_millis(400);
+/// Requests for each slot of an engine beyond which nothing more is sent.
+const QUEUE_FACTOR: f64 = 1.6;
+/// Time to come again when all engines are full.
+const FULL_RETRY: Duration = Duration::from_millis(700);
+/// Time to come again when no engine holds the model.
+const MODEL_RETRY: Duration = Duration::from_millis(900);
+
+/// The engine that a request goes to, and why.
+pub struct ChosenEngine {
+    /// The engine.
+    pub entry: Arc<EngineEntry>,
+    /// Requests known there.
+    pub running: u32,
+    /// Estimated time until the request runs, in milliseconds.
+    pub wait_ms: f64,
+}
+
+/// Chooses an engine that was not tried before.
+///
+/// # Errors
+///
+/// [`RequestRefusal`] if none can take the request in time.
+pub async fn choose(
+    admitted: &AdmittedRequest,
+    tried: &HashSet<EndpointId>,
+) -> Result<ChosenEngine, RequestRefusal> {
+    let snapshot = admitted.state.snapshot.load_full();
+    let no_engine = RequestRefusal::after(RefusalReason::NoEngine, MODEL_RETRY);
+    let mut usable = usable_engines(&snapshot, admitted, tried);
+    if usable.is_empty() {
+        return Err(no_engine);
+    }
+    let adapter = admitted.header.target.as_ref().and_then(|target| target.adapter.as_ref());
+    if adapter.is_some() && !usable.iter().any(|entry| has_adapter(&snapshot, admitted, entry)) {
+        let engine = ask_adapter(admitted).await.ok_or(no_engine)?;
+        usable.retain(|entry| entry.id == engine);
+        if usable.is_empty() {
+            return Err(no_engine);
+        }
+    } else if adapter.is_some() {
+        usable.retain(|entry| has_adapter(&snapshot, admitted, entry));
+    }
+    let candidates: Vec<EngineCandidate> =
+        usable.iter().map(|entry| candidate(&snapshot, admitted, entry)).collect();
+    let open: Vec<usize> = (0..usable.len())
+        .filter(|place| {
+            let candidate = &candidates[*place];
+            f64::from(candidate.running) < f64::from(candidate.slots) * QUEUE_FACTOR
+        })
+        .collect();
+    let shortlist: Vec<EngineCandidate> =
+        open.iter().map(|place| candidates[*place].clone()).collect();
+    let chosen = choose_engine(&shortlist, rand::rng().random());
+    let place = open[chosen.ok_or(RequestRefusal::after(RefusalReason::Overloaded, FULL_RETRY))?];
+    let candidate = &candidates[place];
+    let wait_ms = candidate.wait_ms();
+    let left = admitted.deadline.saturating_duration_since(Instant::now());
+    if wait_ms > left.as_secs_f64() * 1_000.0 {
+        return Err(RequestRefusal::after(RefusalReason::Overloaded, FULL_RETRY));
+    }
+    Ok(ChosenEngine { entry: usable.swap_remove(place), running: candidate.running, wait_ms })
+}
+
+fn usable_engines(
+    snapshot: &FleetSnapshot,
+    admitted: &AdmittedRequest,
+    tried: &HashSet<EndpointId>,
+) -> Vec<Arc<EngineEntry>> {
+    let engines = snapshot.engines.get(&admitted.service).map(Vec::as_slice).unwrap_or_default();
+    let generates = snapshot
+        .declaration
+        .as_ref()
+        .and_then(|declaration| declaration.services.get(&admitted.service))
+        .is_some_and(|service| service.generation.is_some());
+    let target = admitted.header.target.as_ref().filter(|_| generates);
+    let holds = |entry: &EngineEntry| {
+        target.is_none_or(|target| {
+            let is_held = entry.models.iter().any(|held| held.name == target.model);
+            let place = (entry.id.clone(), target.model.clone());
+            is_held && !snapshot.view.closing.contains(&place)
+        })
+    };
+    let takes_work = |entry: &EngineEntry| {
+        entry.phase == EnginePhase::Ready && entry.leaves_in.is_none() && !tried.contains(&entry.id)
+    };
+    engines.iter().filter(|entry| takes_work(entry) && holds(entry)).cloned().collect()
+}
+
+fn has_adapter(
+    snapshot: &FleetSnapshot,
+    admitted: &AdmittedRequest,
+    entry: &EngineEntry,
+) -> bool {
+    let Some(target) = &admitted.header.target else { return true };
+    let Some(adapter) = &target.adapter else { return true };
+    let place = (entry.id.clone(), target.model.clone(), adapter.clone());
+    snapshot.view.adapters.contains(&place)
+}
+
+fn candidate(
+    snapshot: &FleetSnapshot,
+    admitted: &AdmittedRequest,
+    entry: &EngineEntry,
+) -> EngineCandidate {
+    let elsewhere = snapshot.view.running_elsewhere.get(&entry.id).copied().unwrap_or_default();
+    let traffic = admitted.state.traffic();
+    EngineCandidate {
+        slots: entry.slots,
+        running: traffic.running(&entry.id) + elsewhere,
+        is_near: entry.data_centre == admitted.state.settings.data_centre,
+        has_adapter: true,
+        read_ms: 0.0,
+        failure_share: traffic.failure_share(boot_time(), &entry.id),
+    }
+}
+
+async fn ask_adapter(admitted: &AdmittedRequest) -> Option<EndpointId> {
+    let target = admitted.header.target.as_ref()?;
+    let (reply, answer) = oneshot::channel();
+    let ask = CoordinatorAsk::Adapter {
+        service: admitted.service.clone(),
+        model: target.model.clone(),
+        adapter: target.adapter.clone()?,
+        reply,
+    };
+    admitted.state.asks.try_send(ask).ok()?;
+    timeout(ADAPTER_PATIENCE, answer).await.ok()?.ok()
+}
--- /dev/null
+++ b/crates/skylarkgw/src/endpoint/pool.rs
@@ -0,0 +1,108 @@
+//! Kept connections to endpoints.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Mutex;
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+use crate::endpoint::link::{HttpLink, LinkError};
+
+/// Time that a connection may be idle where the endpoint names no limit; below
+/// the few seconds after which endpoints commonly close.
+const DEFAULT_IDLE: Duration = Duration::from_millis(3_500);
+/// Time before an endpoint's own limit at which a connection is given up, so
+/// that a request does not cross the endpoint's close.
+const IDLE_MARGIN: Duration = Duration::from_millis(700);
+/// Idle connections kept for one endpoint; more are closed.
+const IDLE_LIMIT: usize = 6;
+
+struct IdleLink {
+    link: HttpLink,
+    until: Instant,
+}
+
+/// Idle connections by endpoint address.
+#[derive(Default)]
+pub struct LinkPool {
+    idle: Mutex<HashMap<SocketAddr, Vec<IdleLink>>>,
+}
+
+/// A connection taken from the pool, or a new one.
+pub struct PooledLink {
+    /// The connection.
+    pub link: HttpLink,
+    /// Whether it has carried a request before.
+    pub is_reused: bool,
+}
+
+impl LinkPool {
+    /// Takes an idle connection, or opens one.
+    ///
+    /// `freshest` is the longest time that a kept connection may have been
+    /// idle; a request that cannot be repeated asks for a shorter one.
+    ///
+    /// # Errors
+    ///
+    /// [`LinkError`] if no connection can be made.
+    pub async fn take(
+        &self,
+        address: SocketAddr,
+        freshest: Duration,
+        connect_limit: Duration,
+    ) -> Result<PooledLink, LinkError> {
+        if let Some(link) = self.take_idle(address, freshest) {
+            return Ok(PooledLink { link, is_reused: true });
+        }
+        let link = HttpLink::open(address, connect_limit).await?;
+        Ok(PooledLink { link, is_reused: false })
+    }
+
+    fn take_idle(&self, address: SocketAddr, freshest: Duration) -> Option<HttpLink> {
+        let now = Instant::now();
+        let mut idle = lock(&self.idle);
+        let links = idle.get_mut(&address)?;
+        links.retain(|idle| idle.until > now && idle.link.is_usable());
+        let newest = links.last()?;
+        if now.duration_since(newest.link.last_used()) > freshest {
+            return None;
+        }
+        links.pop().map(|idle| idle.link)
+    }
+
+    /// Keeps a connection whose answer has been read to its end.
+    ///
+    /// `idle_limit` is the time after which the endpoint closes it.
+    pub fn give_back(&self, address: SocketAddr, mut link: HttpLink, idle_limit: Option<Duration>) {
+        link.touch();
+        let keep = match idle_limit {
+            Some(limit) => limit.saturating_sub(IDLE_MARGIN).min(DEFAULT_IDLE),
+            None => DEFAULT_IDLE,
+        };
+        let mut idle = lock(&self.idle);
+        let links = idle.entry(address).or_default();
+        if links.len() < IDLE_LIMIT && !keep.is_zero() {
+            links.push(IdleLink { link, until: Instant::now() + keep });
+        }
+    }
+
+    /// Closes the idle connections to an address.
+    pub fn close(&self, address: SocketAddr) {
+        lock(&self.idle).remove(&address);
+    }
+
+    /// Closes connections that have been idle for too long.
+    pub fn sweep(&self) {
+        let now = Instant::now();
+        lock(&self.idle).retain(|_, links| {
+            links.retain(|idle| idle.until > now && idle.link.is_usable());
+            !links.is_empty()
+        });
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
+    // A panic elsewhere leaves the map whole: every change is one call.
+    mutex.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
+}
--- a/crates/skylarkgw/src/lib.rs
+++ b/crates/skylarkgw/src/lib.rs
@@ -67,6 +67,7 @@
 pub mod decision;
 pub mod edge;
 pub mod endpoint;
+pub mod gateway;
 pub mod ids;
 pub mod operator;
 pub mod operators;
--- a/crates/skylarkgw/src/telemetry.rs
+++ b/crates/skylarkgw/src/telemetry.rs
@@ -1,5 +1,6 @@
 //! JSON-line logs and metrics.
 
+mod bounded;
 mod metrics;
 
 use std::sync::Arc;
@@ -8,6 +9,7 @@
 use spdlog::sink::{StdStream, StdStreamSink};
 use spdlog::{Logger, info, warn};
 
+pub use bounded::{allow_request_line, dropped_lines, start_bounded_log};
 pub use metrics::{Metrics, RequestClass, RequestOutcome};
 
 /// Why logs cannot be written.
