Count an engine's orders by its reports

The registry entry's counter counts renewals of the entry, the report's counts orders; one ledger was fed from both and never agreed.

Ruled out: a lease that was not taken (taken after 0.3 s), reports that cannot be decoded (decoded).

--- a/crates/skylarkgw/src/decision/fleet_planner.rs
+++ b/crates/skylarkgw/src/decision/fleet_planner.rs
@@ -106,16 +106,16 @@
 
 impl EngineLedger {
     fn new(entry: Arc<EngineEntry>) -> EngineLedger {
-        let is_known = entry.order_count == 0;
         let mut ledger = EngineLedger {
-            order_count: entry.order_count,
+            order_count: 0,
             models: HashSet::new(),
             adapters: Vec::new(),
             loading: None,
             closing: None,
             unloading: None,
             has_call: false,
-            is_known,
+            // Its registry entry does not say how many orders it has accepted.
+            is_known: false,
             asked_at: None,
             entry: entry.clone(),
         };
@@ -147,10 +147,7 @@
             return;
         }
         self.entry = entry.clone();
-        if entry.order_count >= self.order_count && !self.has_call {
-            self.order_count = entry.order_count;
-            self.set_models(entry.models.iter().map(|held| held.name.clone()).collect());
-        }
+        self.set_models(entry.models.iter().map(|held| held.name.clone()).collect());
     }
 
     fn set_models(&mut self, models: HashSet<ModelName>) {
@@ -314,7 +311,8 @@
             let generates = service.is_some_and(|service| service.generation.is_some());
             let slow = ledger.loading.as_ref().is_some_and(|(model, since)| {
                 let rules = service.and_then(|service| service.generation.as_ref());
-                let rule = rules.and_then(|rule| rule.models.iter().find(|rule| rule.name == *model));
+                let rule =
+                    rules.and_then(|rule| rule.models.iter().find(|rule| rule.name == *model));
                 let expected = rule.map_or(Duration::ZERO, |rule| rule.store_load * 3);
                 now.saturating_sub(*since) > expected + LOAD_GRACE
             });
@@ -382,12 +380,11 @@
         for (model, adapter) in &report.pending {
             ledger.note_adapters(now, model, std::slice::from_ref(adapter));
         }
-        ledger.set_models(report.models.into_iter().map(|(model, _)| model).collect());
         if !report.is_busy {
             ledger.loading = None;
             ledger.unloading = None;
+            ledger.is_known = true;
         }
-        ledger.is_known = true;
     }
 
     /// Returns where a request for an adapter can go.
@@ -454,10 +451,12 @@
         let mut notice = PlacementNotice::default();
         for (id, ledger) in &self.engines {
             let leaving = [&ledger.closing, &ledger.unloading];
-            let leaving = leaving.into_iter().flatten().map(|(model, _)| (id.clone(), model.clone()));
+            let leaving =
+                leaving.into_iter().flatten().map(|(model, _)| (id.clone(), model.clone()));
             notice.closing.extend(leaving);
             let adapters = ledger.adapters.iter();
-            let adapters = adapters.map(|held| (id.clone(), held.model.clone(), held.adapter.clone()));
+            let adapters =
+                adapters.map(|held| (id.clone(), held.model.clone(), held.adapter.clone()));
             notice.adapters.extend(adapters);
         }
         notice.closing.sort();
--- a/crates/skylarkgw/src/decision/model_plan.rs
+++ b/crates/skylarkgw/src/decision/model_plan.rs
@@ -134,9 +134,8 @@
             let (engine, model) = (engine.id.clone(), model.name.clone());
             return Some(PlanChange::Load { engine, model, from_store });
         }
-        let victims = idle().flat_map(|engine| {
-            engine.models.iter().map(move |victim| (*engine, victim))
-        });
+        let victims =
+            idle().flat_map(|engine| engine.models.iter().map(move |victim| (*engine, victim)));
         let victims = victims.filter(|(engine, victim)| {
             let frees = self.models.get(victim).map_or(0.0, |rule| rule.weights_mb);
             self.replicas(victim) > 1 && engine.free_mb + frees >= model.weights_mb
--- a/crates/skylarkgw/src/edge/forward/place.rs
+++ b/crates/skylarkgw/src/edge/forward/place.rs
@@ -106,11 +106,7 @@
     engines.iter().filter(|entry| takes_work(entry) && holds(entry)).cloned().collect()
 }
 
-fn has_adapter(
-    snapshot: &FleetSnapshot,
-    admitted: &AdmittedRequest,
-    entry: &EngineEntry,
-) -> bool {
+fn has_adapter(snapshot: &FleetSnapshot, admitted: &AdmittedRequest, entry: &EngineEntry) -> bool {
     let Some(target) = &admitted.header.target else { return true };
     let Some(adapter) = &target.adapter else { return true };
     let place = (entry.id.clone(), target.model.clone(), adapter.clone());
--- a/crates/skylarkgw/src/edge/forward/record.rs
+++ b/crates/skylarkgw/src/edge/forward/record.rs
@@ -127,7 +127,10 @@
 
     fn tries_text(&self) -> String {
         let text = |one: &TryRecord| {
-            format!("{}:{} running={} wait_ms={:.0}", one.engine, one.outcome, one.running, one.wait_ms)
+            format!(
+                "{}:{} running={} wait_ms={:.0}",
+                one.engine, one.outcome, one.running, one.wait_ms
+            )
         };
         self.tries.iter().map(text).collect::<Vec<_>>().join("; ")
     }
--- a/crates/skylarkgw/src/edge/forward/refusal.rs
+++ b/crates/skylarkgw/src/edge/forward/refusal.rs
@@ -115,7 +115,11 @@
         record.status = status.as_u16();
         record.reason = self.reason.label();
         record.retry_after = self.retry_after;
-        record.finish(if self.reason.is_not_run() { RequestEnd::Refused } else { RequestEnd::Failed });
+        record.finish(if self.reason.is_not_run() {
+            RequestEnd::Refused
+        } else {
+            RequestEnd::Failed
+        });
         let body = Full::new(Bytes::from_static(self.reason.label().as_bytes()));
         let body = body.map_err(|never| match never {}).boxed_unsync();
         let mut response = Response::new(body);
--- a/crates/skylarkgw/src/edge/forward/relay.rs
+++ b/crates/skylarkgw/src/edge/forward/relay.rs
@@ -58,9 +58,12 @@
 
 impl StreamSource {
     fn new(open: OpenAnswer) -> (http::response::Parts, StreamSource) {
-        let closes = open.parts.headers.get_all(header::CONNECTION).iter().any(|value| {
-            value.to_str().is_ok_and(|value| value.eq_ignore_ascii_case("close"))
-        });
+        let closes = open
+            .parts
+            .headers
+            .get_all(header::CONNECTION)
+            .iter()
+            .any(|value| value.to_str().is_ok_and(|value| value.eq_ignore_ascii_case("close")));
         let source = StreamSource {
             body: open.body,
             link: open.link,
@@ -122,7 +125,8 @@
     async fn read_source(&mut self) -> SourceStep {
         let Some(source) = &mut self.source else { return SourceStep::Broken("no-source") };
         loop {
-            let stall = if self.record.first.is_some() { Some(Instant::now() + STALL_LIMIT) } else { None };
+            let stall =
+                if self.record.first.is_some() { Some(Instant::now() + STALL_LIMIT) } else { None };
             let is_resumable = self.admitted.route.repeat == RepeatRule::Resumable;
             let limit = stall.filter(|_| is_resumable).unwrap_or(self.admitted.deadline);
             let limit = limit.min(self.admitted.deadline);
@@ -176,8 +180,7 @@
             }
             self.tried.insert(chosen.entry.id.clone());
             let last_id = self.last_id.clone();
-            let outcome =
-                send_once(admitted, &chosen, last_id.as_deref(), &mut self.record).await;
+            let outcome = send_once(admitted, &chosen, last_id.as_deref(), &mut self.record).await;
             match outcome {
                 TryOutcome::NotRun(_) => continue,
                 TryOutcome::Answered(open) if open.parts.status.is_success() => {
--- a/crates/skylarkgw/src/edge/forward/send.rs
+++ b/crates/skylarkgw/src/edge/forward/send.rs
@@ -142,7 +142,8 @@
                 if !passed && may_run_again(&admitted, runs) {
                     continue;
                 }
-                let reason = if passed { RefusalReason::AnswerTimeout } else { RefusalReason::NoAnswer };
+                let reason =
+                    if passed { RefusalReason::AnswerTimeout } else { RefusalReason::NoAnswer };
                 record.reason = label;
                 refusal = RequestRefusal::new(reason);
                 break;
@@ -167,7 +168,8 @@
                 if !passed && may_run_again(&admitted, runs) {
                     continue;
                 }
-                let reason = if passed { RefusalReason::AnswerTimeout } else { RefusalReason::NoAnswer };
+                let reason =
+                    if passed { RefusalReason::AnswerTimeout } else { RefusalReason::NoAnswer };
                 refusal = RequestRefusal::new(reason);
                 break;
             }
@@ -351,9 +353,10 @@
     match read {
         Ok(Ok(body)) => {
             record.note_first();
-            let keeps = !parts.headers.get_all(header::CONNECTION).iter().any(|value| {
-                value.to_str().is_ok_and(|value| value.eq_ignore_ascii_case("close"))
-            });
+            let keeps =
+                !parts.headers.get_all(header::CONNECTION).iter().any(|value| {
+                    value.to_str().is_ok_and(|value| value.eq_ignore_ascii_case("close"))
+                });
             if keeps {
                 admitted.state.pool.give_back(engine.entry.address, link, mark.idle_limit);
             }
--- a/crates/skylarkgw/src/endpoint/link.rs
+++ b/crates/skylarkgw/src/endpoint/link.rs
@@ -154,8 +154,7 @@
     ) -> Result<(http::response::Parts, Bytes), LinkError> {
         let answer = async {
             let (parts, body) = self.send(request).await?.into_parts();
-            let body =
-                Limited::new(body, body_limit).collect().await.map_err(LinkError::Body)?;
+            let body = Limited::new(body, body_limit).collect().await.map_err(LinkError::Body)?;
             Ok((parts, body.to_bytes()))
         };
         let answer = timeout(limit, answer).await.map_err(|_| LinkError::AnswerTimeout)?;
--- a/crates/skylarkgw/src/gateway/control.rs
+++ b/crates/skylarkgw/src/gateway/control.rs
@@ -132,7 +132,8 @@
         let now = boot_time();
         let token = lock(&self.lease).token(now)?;
         let mut coordinator = lock(&self.coordinator);
-        let coordinator = coordinator.as_mut().filter(|coordinator| coordinator.token() == token)?;
+        let coordinator =
+            coordinator.as_mut().filter(|coordinator| coordinator.token() == token)?;
         Some(act(now, coordinator))
     }
 
--- a/crates/skylarkgw/src/gateway/peers.rs
+++ b/crates/skylarkgw/src/gateway/peers.rs
@@ -37,8 +37,11 @@
     /// Draws tokens for one request.
     async fn draw(host: HostId, workspace: WorkspaceId, tokens: Tokens) -> Option<bool>;
     /// Finds or makes a place for an adapter.
-    async fn adapter(service: ServiceName, model: ModelName, adapter: Arc<str>)
-    -> Option<EndpointId>;
+    async fn adapter(
+        service: ServiceName,
+        model: ModelName,
+        adapter: Arc<str>,
+    ) -> Option<EndpointId>;
 }
 
 #[derive(Clone)]
@@ -118,12 +121,7 @@
     }
 
     /// Draws tokens; `None` says that nothing is known.
-    pub async fn draw(
-        &self,
-        host: HostId,
-        workspace: WorkspaceId,
-        tokens: Tokens,
-    ) -> Option<bool> {
+    pub async fn draw(&self, host: HostId, workspace: WorkspaceId, tokens: Tokens) -> Option<bool> {
         self.client.draw(within(QUOTA_LIMIT), host, workspace, tokens).await.ok()?
     }
 
--- a/crates/skylarkgw/src/gateway/probe.rs
+++ b/crates/skylarkgw/src/gateway/probe.rs
@@ -52,7 +52,9 @@
     let (status, body) = if path == state.codec.readiness_path {
         match readiness(state) {
             None => (StatusCode::OK, Bytes::new()),
-            Some(reason) => (StatusCode::SERVICE_UNAVAILABLE, Bytes::from_static(reason.as_bytes())),
+            Some(reason) => {
+                (StatusCode::SERVICE_UNAVAILABLE, Bytes::from_static(reason.as_bytes()))
+            }
         }
     } else if path == METRICS_PATH {
         match state.metrics.encode() {
--- a/crates/skylarkgw/src/gateway/registry.rs
+++ b/crates/skylarkgw/src/gateway/registry.rs
@@ -49,8 +49,6 @@
     pub leaves_in: Option<Duration>,
     /// Models that it holds.
     pub models: Vec<HeldModel>,
-    /// Orders that it has accepted since its start.
-    pub order_count: u64,
     /// Start of this life, in milliseconds of Unix time.
     pub started_ms: u64,
     /// Models whose weights it keeps in host memory.
