Take the store's state from the coordinator; count what an engine may hold

Now everything that report, entry and running order may mean counts, and only a report taken after the last order frees it. - 3.4 s without a coordinator after it lost the store: others waited a whole lease from the moment they first read the record. Now the coordinator passes on what changed and how old its knowledge is; a host watches for itself only without contact, or for a newer declaration.

Ruled out: quotas that were too small for the demand (the refusals of one workspace are beyond its lowered limit; the others fell into the gap).

--- a/crates/skylarkgw/src/decision/coordinator.rs
+++ b/crates/skylarkgw/src/decision/coordinator.rs
@@ -10,7 +10,7 @@
 use crate::decision::quota_bank::{QuotaBank, QuotaGrant, SILENT_AFTER};
 use crate::gateway::declaration::{FleetDeclaration, ServiceName};
 use crate::gateway::registry::EngineEntry;
-use crate::ids::{EndpointId, HostId, ModelName, Tokens, WorkspaceId};
+use crate::ids::{EndpointId, HostId, ModelName, ObjectVersion, Revision, Tokens, WorkspaceId};
 
 /// Time constant of the demand estimate, in seconds.
 const DEMAND_MEMORY_S: f64 = 1.5;
@@ -35,6 +35,32 @@
     pub adapter_uses: Vec<(EndpointId, ModelName, Arc<str>)>,
     /// Version of the placement notice that it has.
     pub notice_version: u64,
+    /// Version of the registry that it has.
+    pub registry_version: u64,
+}
+
+/// What has changed in the registry.
+#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct RegistryDelta {
+    /// Version of the registry.
+    pub version: u64,
+    /// Engines that are new or have changed.
+    pub changed: Vec<EngineEntry>,
+    /// All engines; others are gone.
+    pub engines: Vec<EndpointId>,
+}
+
+/// How current the coordinator's own knowledge is.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct KnowledgeAge {
+    /// Newest declaration that it knows.
+    pub revision: Revision,
+    /// Time since that declaration was proven to be the newest.
+    pub declaration: Duration,
+    /// Time since the registry was proven current.
+    pub registry: Duration,
 }
 
 /// What a host gets back.
@@ -49,6 +75,12 @@
     pub grants: Vec<(WorkspaceId, Tokens, f64)>,
     /// Placement notice with its version, if the host has another one.
     pub notice: Option<(u64, PlacementNotice)>,
+    /// Changes of the registry, if the host has another one.
+    pub registry: Option<RegistryDelta>,
+    /// How current the coordinator's knowledge is.
+    pub age: KnowledgeAge,
+    /// Version of the lease record and the time that the lease still lasts.
+    pub lease: Option<(ObjectVersion, Duration)>,
 }
 
 #[derive(Debug)]
@@ -69,6 +101,8 @@
     planner: FleetPlanner,
     notice: PlacementNotice,
     notice_version: u64,
+    registry: HashMap<EndpointId, (u64, Arc<EngineEntry>)>,
+    registry_version: u64,
 }
 
 impl Coordinator {
@@ -87,6 +121,8 @@
             notice: PlacementNotice::default(),
             // Versions of different holders never meet.
             notice_version: token << 32,
+            registry: HashMap::new(),
+            registry_version: token << 32,
         }
     }
 
@@ -106,10 +142,40 @@
         for host in self.hosts.values_mut() {
             host.running.retain(|engine, _| ids.contains(engine));
         }
+        let next = self.registry_version + 1;
+        let has_changed = |entry: &Arc<EngineEntry>| {
+            self.registry.get(&entry.id).is_none_or(|(_, known)| known != entry)
+        };
+        let changed: Vec<Arc<EngineEntry>> =
+            engines.iter().filter(|entry| has_changed(entry)).cloned().collect();
+        let count = self.registry.len();
+        self.registry.retain(|id, _| ids.contains(id));
+        if !changed.is_empty() || self.registry.len() != count {
+            self.registry_version = next;
+        }
+        for entry in changed {
+            self.registry.insert(entry.id.clone(), (next, entry));
+        }
         self.planner.observe(engines);
         self.refresh_notice();
     }
 
+    fn registry_since(&self, version: u64) -> Option<RegistryDelta> {
+        let current = self.registry_version;
+        // A version of another holder says nothing about this one's numbers.
+        let is_own = version >> 32 == current >> 32;
+        if is_own && version == current {
+            return None;
+        }
+        let entries = self.registry.values();
+        let changed = entries.filter(|(changed_at, _)| !is_own || *changed_at > version);
+        Some(RegistryDelta {
+            version: current,
+            changed: changed.map(|(_, entry)| (**entry).clone()).collect(),
+            engines: self.registry.keys().cloned().collect(),
+        })
+    }
+
     /// Returns the planner.
     pub fn planner(&mut self) -> &mut FleetPlanner {
         &mut self.planner
@@ -172,7 +238,15 @@
         let grants = grants.collect();
         let is_known = report.notice_version == self.notice_version;
         let notice = (!is_known).then(|| (self.notice_version, self.notice.clone()));
-        CoordinatorReply { hosts: self.hosts.len() as u32, running_elsewhere, grants, notice }
+        CoordinatorReply {
+            hosts: self.hosts.len() as u32,
+            running_elsewhere,
+            grants,
+            notice,
+            registry: self.registry_since(report.registry_version),
+            age: KnowledgeAge::default(),
+            lease: None,
+        }
     }
 
     /// Draws tokens for one request.
--- a/crates/skylarkgw/src/decision/coordinator_lease.rs
+++ b/crates/skylarkgw/src/decision/coordinator_lease.rs
@@ -18,7 +18,10 @@
 /// Share of the lease after which its holder stops.
 const HOLD_SHARE: f64 = 0.75;
 /// Time beyond the lease that others wait, for clocks that drift.
-const TAKE_MARGIN: Duration = Duration::from_millis(150);
+const TAKE_MARGIN: Duration = Duration::from_millis(100);
+/// Time before the end of its lease at which a holder gives no more orders, so
+/// that the next one may give some sooner.
+const ORDER_MARGIN: Duration = Duration::from_millis(900);
 
 /// What to do next.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -40,7 +43,8 @@
 struct SeenRecord {
     version: ObjectVersion,
     record: Option<LeaseRecord>,
-    first_seen: Duration,
+    /// Latest time at which its holder stops, as this host can tell.
+    ends_by: Duration,
 }
 
 #[derive(Clone, Debug)]
@@ -60,6 +64,7 @@
     lease: Duration,
     seen: Option<SeenRecord>,
     is_missing: bool,
+    told: Option<(ObjectVersion, Duration)>,
     held: Option<HeldLease>,
     next_call: Duration,
     retiring: bool,
@@ -80,6 +85,7 @@
             lease,
             seen: None,
             is_missing: false,
+            told: None,
             held: None,
             next_call: Duration::ZERO,
             retiring: false,
@@ -94,7 +100,20 @@
     /// Returns the fencing token once the orders of the holder before are over.
     pub fn order_token(&self, now: Duration) -> Option<u64> {
         let held = self.held.as_ref().filter(|held| now < held.valid_until)?;
-        (now >= held.orders_from && !self.retiring).then_some(held.token)
+        let is_open = now >= held.orders_from && now + ORDER_MARGIN < held.valid_until;
+        (is_open && !self.retiring).then_some(held.token)
+    }
+
+    /// Returns the version of the held record and the time that it still lasts.
+    pub fn remaining(&self, now: Duration) -> Option<(ObjectVersion, Duration)> {
+        let held = self.held.as_ref().filter(|held| now < held.valid_until)?;
+        Some((self.seen_version()?, held.valid_until - now))
+    }
+
+    /// Takes in the holder's own word, received at `now`, on how long the
+    /// lease lasts that a version of the record gives it.
+    pub fn note_remaining(&mut self, now: Duration, version: ObjectVersion, remaining: Duration) {
+        self.told = Some((version, now + remaining));
     }
 
     /// Returns the address of the coordinator as last seen.
@@ -169,7 +188,9 @@
                     self.held = None;
                 }
                 if self.seen_version() != Some(version) {
-                    self.seen = Some(SeenRecord { version, record, first_seen: now });
+                    // The holder sent its last renewal before this answer.
+                    let ends_by = now + self.lease.mul_f64(HOLD_SHARE);
+                    self.seen = Some(SeenRecord { version, record, ends_by });
                 }
             }
             LeaseAnswer::Missing => {
@@ -194,27 +215,36 @@
         let renew_at = sent_at + RENEW_AFTER;
         let orders_from = match &self.held {
             Some(held) if held.token == record.token => held.orders_from,
-            _ => sent_at + self.order_pause(),
+            _ => self.orders_from(sent_at),
         };
         let token = record.token;
         self.held = Some(HeldLease { token, valid_until, renew_at, orders_from });
     }
 
-    /// Returns the time that orders wait after a takeover.
-    fn order_pause(&self) -> Duration {
-        let before = self.seen.as_ref().and_then(|seen| seen.record.as_ref());
-        match before {
-            // Nobody, or an earlier life of this host, gave orders before.
-            None => Duration::ZERO,
-            Some(before) if before.holder == self.host => Duration::ZERO,
-            Some(_) => self.lease + TAKE_MARGIN,
+    /// Returns when orders may begin after a takeover at `now`.
+    fn orders_from(&self, now: Duration) -> Duration {
+        let Some(seen) = &self.seen else { return now };
+        let Some(before) = &seen.record else { return now + self.lease };
+        if before.holder == self.host {
+            // An earlier life of this host gave the orders before.
+            return now;
+        }
+        let last_order =
+            if before.is_released { now } else { self.ends_by(seen).saturating_sub(ORDER_MARGIN) };
+        now.max(last_order + self.lease + TAKE_MARGIN)
+    }
+
+    fn ends_by(&self, seen: &SeenRecord) -> Duration {
+        match self.told {
+            Some((version, ends_by)) if version == seen.version => ends_by.min(seen.ends_by),
+            _ => seen.ends_by,
         }
     }
 
     fn may_take(&self, now: Duration, seen: &SeenRecord) -> bool {
         let Some(record) = &seen.record else { return true };
-        let age = now.saturating_sub(seen.first_seen);
-        record.is_released || record.holder == self.host || age >= self.lease + TAKE_MARGIN
+        let is_over = now >= self.ends_by(seen) + TAKE_MARGIN;
+        record.is_released || record.holder == self.host || is_over
     }
 
     fn seen_version(&self) -> Option<ObjectVersion> {
--- a/crates/skylarkgw/src/decision/directory.rs
+++ b/crates/skylarkgw/src/decision/directory.rs
@@ -47,6 +47,11 @@
         self.entries = listed;
     }
 
+    /// Notes that the registry has not changed.
+    pub fn note_unchanged(&mut self, now: Duration) {
+        self.heard_at = Some(now);
+    }
+
     /// Notes that the store could not be reached.
     pub fn note_failure(&mut self, now: Duration) {
         // The next answer may follow at once, with entries that lapsed before.
--- a/crates/skylarkgw/src/decision/fleet_planner.rs
+++ b/crates/skylarkgw/src/decision/fleet_planner.rs
@@ -25,6 +25,8 @@
 const ADAPTER_LOAD: Duration = Duration::from_millis(15);
 /// Time after which an engine is asked again what it holds.
 const ASK_PAUSE: Duration = Duration::from_millis(400);
+/// Time after which an engine is asked whether it has given a model up.
+const UNLOAD_ASK_PAUSE: Duration = Duration::from_millis(300);
 /// Time that a load may take beyond three times the declared one.
 const LOAD_GRACE: Duration = Duration::from_secs(3);
 /// Changes that begin in one step at most.
@@ -147,19 +149,22 @@
             return;
         }
         self.entry = entry.clone();
-        self.set_models(entry.models.iter().map(|held| held.name.clone()).collect());
-    }
-
-    fn set_models(&mut self, models: HashSet<ModelName>) {
-        self.models = models;
-        if self.loading.as_ref().is_some_and(|(model, _)| self.models.contains(model)) {
+        // The entry may be older than the last order, so it adds what the
+        // engine holds and never takes away.
+        let listed = entry.models.iter().map(|held| &held.name);
+        let loaded =
+            listed.filter(|name| self.loading.as_ref().is_some_and(|(model, _)| model == *name));
+        if let Some(model) = loaded.cloned().next() {
+            self.models.insert(model);
             self.loading = None;
         }
-        if self.unloading.as_ref().is_some_and(|(model, _)| !self.models.contains(model)) {
-            self.unloading = None;
-        }
-        let models = &self.models;
-        self.adapters.retain(|held| models.contains(&held.model));
+    }
+
+    /// Returns all models that the engine may hold.
+    fn possible_models(&self) -> HashSet<&ModelName> {
+        let listed = self.entry.models.iter().map(|held| &held.name);
+        let loading = self.loading.iter().map(|(model, _)| model);
+        self.models.iter().chain(listed).chain(loading).collect()
     }
 
     fn is_ready(&self) -> bool {
@@ -177,16 +182,15 @@
             let models = rule.models.iter().find(|rule| rule.name == *model);
             models.map_or(rule.weights_mb, |rule| rule.weights_mb)
         };
-        let loading = self.loading.iter().map(|(model, _)| model);
-        let loading = loading.filter(|model| !self.models.contains(*model));
-        let taken: f64 = self.models.iter().chain(loading.clone()).map(size).sum();
+        let possible = self.possible_models();
+        let taken: f64 = possible.iter().map(|model| size(model)).sum();
         let adapter_mb = rule.models.iter().map(|model| model.adapter_mb).fold(0.0, f64::max);
         let adapters_mb = adapter_mb * f64::from(rule.adapter_slots);
         let leaving = [&self.closing, &self.unloading];
         let leaves = |model: &ModelName| {
             leaving.iter().any(|change| change.as_ref().is_some_and(|(name, _)| name == model))
         };
-        let models = self.models.iter().chain(loading).filter(|model| !leaves(model));
+        let models = possible.into_iter().filter(|model| !leaves(model));
         let copies = self.entry.copies_in_memory.iter().chain(&self.entry.copies_on_disk);
         PlannedEngine {
             id: self.entry.id.clone(),
@@ -316,9 +320,12 @@
                 let expected = rule.map_or(Duration::ZERO, |rule| rule.store_load * 3);
                 now.saturating_sub(*since) > expected + LOAD_GRACE
             });
+            let unloads = ledger.unloading.is_some();
+            let pause = if unloads { UNLOAD_ASK_PAUSE } else { ASK_PAUSE };
             let is_due =
-                ledger.asked_at.is_none_or(|asked_at| now.saturating_sub(asked_at) > ASK_PAUSE);
-            if generates && is_due && !ledger.has_call && (!ledger.is_known || slow) {
+                ledger.asked_at.is_none_or(|asked_at| now.saturating_sub(asked_at) > pause);
+            let is_open = !ledger.is_known || slow || unloads;
+            if generates && is_due && !ledger.has_call && is_open {
                 ledger.asked_at = Some(now);
                 let (engine, address) = (ledger.entry.id.clone(), ledger.entry.address);
                 calls.push(PlannerCall::Report { engine, address });
@@ -343,7 +350,11 @@
                 ledger.order_count += 1;
                 ledger.forget(&order.model, order.adapter.as_ref());
             }
-            (OrderAnswer::Accepted, _, None) => ledger.order_count += 1,
+            (OrderAnswer::Accepted, _, None) => {
+                ledger.order_count += 1;
+                // A report lags, so one that is asked for now may be from before.
+                ledger.asked_at = Some(now);
+            }
             (OrderAnswer::Holds, OrderKind::Unload, Some(_)) => {
                 // An adapter that nothing uses is given up at once.
                 ledger.order_count += 1;
@@ -381,10 +392,15 @@
             ledger.note_adapters(now, model, std::slice::from_ref(adapter));
         }
         if !report.is_busy {
+            // No order has been accepted since, so the report is complete.
+            let models = report.models.into_iter().map(|(model, _)| model);
+            ledger.models = models.collect();
             ledger.loading = None;
             ledger.unloading = None;
             ledger.is_known = true;
         }
+        let models = &ledger.models;
+        ledger.adapters.retain(|held| models.contains(&held.model));
     }
 
     /// Returns where a request for an adapter can go.
--- a/crates/skylarkgw/src/decision/quota_bank.rs
+++ b/crates/skylarkgw/src/decision/quota_bank.rs
@@ -17,9 +17,12 @@
 pub const COAST_TIME: Duration = Duration::from_millis(4_500);
 /// Time without a report after which a host is taken to coast; also the time
 /// after which a host starts to.
-pub const SILENT_AFTER: Duration = Duration::from_millis(700);
+pub const SILENT_AFTER: Duration = Duration::from_millis(450);
 /// Demand that a purse covers ahead, in seconds.
-const PURSE_HORIZON_S: f64 = 0.45;
+const PURSE_HORIZON_S: f64 = 0.6;
+/// Part of the burst that a new holder's buckets start with; it fits into the
+/// slack of the promise, as what the holder before granted is not known.
+const START_SHARE: f64 = 0.25;
 /// Time constant of the demand estimate, in seconds.
 const DEMAND_MEMORY_S: f64 = 1.0;
 /// Most tokens that a purse holds, in seconds of its demand.
@@ -52,8 +55,8 @@
 }
 
 impl QuotaBank {
-    /// Creates a bank. Its buckets start empty unless nothing can have been
-    /// spent before, as a new holder does not know what the last one granted.
+    /// Creates a bank. Its buckets start nearly empty unless nothing can have
+    /// been spent before: a new holder does not know what the last one granted.
     pub fn new(now: Duration, starts_full: bool) -> QuotaBank {
         QuotaBank { advanced_at: now, starts_full, ..QuotaBank::default() }
     }
@@ -65,7 +68,7 @@
         let mut accounts = HashMap::new();
         for workspace in limited {
             let (rate, burst) = (workspace.tokens_per_s as f64, workspace.burst_tokens as f64);
-            let start = if self.starts_full { burst } else { 0.0 };
+            let start = if self.starts_full { burst } else { burst * START_SHARE };
             let account = self.accounts.remove(&workspace.name);
             let mut account = account.unwrap_or_else(|| BankAccount {
                 rate,
--- a/crates/skylarkgw/src/gateway.rs
+++ b/crates/skylarkgw/src/gateway.rs
@@ -31,7 +31,7 @@
 use tokio::time::{Instant, sleep, sleep_until};
 
 use crate::edge::forward::serve_forward;
-use crate::gateway::control::ControlContext;
+use crate::gateway::control::{ControlContext, ControlPorts};
 use crate::gateway::ports::GatewayPorts;
 use crate::gateway::settings::GatewaySettings;
 use crate::gateway::state::{CoordinatorAsk, GatewayState};
@@ -132,8 +132,13 @@
     let readiness = listen(state.settings.readiness).await?;
     let scrape = listen(state.settings.metrics).await?;
     let ports = open_ports(&state.settings);
-    let context = ControlContext::new(state.clone(), ports.lease, ports.orders);
-    let context = Arc::new(context);
+    let senders = ControlPorts {
+        lease: ports.lease,
+        orders: ports.orders,
+        watch_declarations: ports.watch_declarations,
+        watch_engines: ports.watch_engines,
+    };
+    let context = Arc::new(ControlContext::new(state.clone(), senders));
     tokio::spawn(control::follow_declarations(context.clone(), ports.declarations));
     tokio::spawn(control::follow_engines(context.clone(), ports.engines));
     tokio::spawn(control::answer_asks(context.clone(), asks));
--- a/crates/skylarkgw/src/gateway/control.rs
+++ b/crates/skylarkgw/src/gateway/control.rs
@@ -5,10 +5,12 @@
 use std::time::Duration;
 
 use spdlog::{info, warn};
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::sleep;
 
-use crate::decision::coordinator::{Coordinator, CoordinatorReply, HostReport};
+use crate::decision::coordinator::{
+    Coordinator, CoordinatorReply, HostReport, KnowledgeAge, RegistryDelta,
+};
 use crate::decision::coordinator_lease::{CoordinatorLease, LeaseStep};
 use crate::decision::directory::EngineDirectory;
 use crate::decision::fleet_planner::{AdapterStep, PlannerCall};
@@ -32,6 +34,8 @@
 const PLAN_INTERVAL: Duration = Duration::from_millis(100);
 /// Time between two looks at entries that may have lapsed.
 const DIRECTORY_INTERVAL: Duration = Duration::from_millis(300);
+/// Age of the coordinator's knowledge beyond which a host asks the store itself.
+const WATCH_AGE: Duration = Duration::from_millis(2_500);
 /// Time without an exchange after which the coordinator counts as lost.
 const LOST_AFTER: Duration = Duration::from_millis(600);
 /// Time between two tries to give an adapter a place.
@@ -48,6 +52,21 @@
     contact: Mutex<CoordinatorContact>,
     lease_calls: mpsc::Sender<LeaseCall>,
     engine_calls: mpsc::Sender<EngineCall>,
+    watch_declarations: watch::Sender<bool>,
+    watch_engines: watch::Sender<bool>,
+}
+
+/// Sides of the adapter's channels that the control thread sends on.
+#[derive(Debug)]
+pub struct ControlPorts {
+    /// Calls on the lease record.
+    pub lease: mpsc::Sender<LeaseCall>,
+    /// Calls to engines.
+    pub orders: mpsc::Sender<EngineCall>,
+    /// Whether declarations are watched.
+    pub watch_declarations: watch::Sender<bool>,
+    /// Whether the registry is watched.
+    pub watch_engines: watch::Sender<bool>,
 }
 
 #[derive(Default)]
@@ -55,6 +74,12 @@
     client: Option<CoordinatorClient>,
     heard_at: Option<Duration>,
     notice_version: u64,
+    registry_version: u64,
+    engines: HashMap<EndpointId, EngineEntry>,
+}
+
+fn set_flag(flag: &watch::Sender<bool>, value: bool) {
+    flag.send_if_modified(|current| std::mem::replace(current, value) != value);
 }
 
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
@@ -64,11 +89,7 @@
 
 impl ControlContext {
     /// Creates the control state.
-    pub fn new(
-        state: Arc<GatewayState>,
-        lease_calls: mpsc::Sender<LeaseCall>,
-        engine_calls: mpsc::Sender<EngineCall>,
-    ) -> ControlContext {
+    pub fn new(state: Arc<GatewayState>, ports: ControlPorts) -> ControlContext {
         let settings = &state.settings;
         let lease = CoordinatorLease::new(
             settings.host.clone(),
@@ -82,14 +103,27 @@
             coordinator: Mutex::default(),
             directory: Mutex::default(),
             contact: Mutex::default(),
-            lease_calls,
-            engine_calls,
+            lease_calls: ports.lease,
+            engine_calls: ports.orders,
+            watch_declarations: ports.watch_declarations,
+            watch_engines: ports.watch_engines,
         }
     }
 
     /// Answers a report if this host is the coordinator.
     pub fn exchange(&self, report: HostReport) -> Option<CoordinatorReply> {
-        self.with_coordinator(|now, coordinator| coordinator.exchange(now, report))
+        let now = boot_time();
+        let lease = lock(&self.lease).remaining(now);
+        let declaration = self.state.snapshot.load().declaration.clone();
+        let age = KnowledgeAge {
+            revision: declaration.map_or(0, |declaration| declaration.revision),
+            declaration: self.state.declaration_age(now),
+            registry: self.state.registry_age(now),
+        };
+        self.with_coordinator(|now, coordinator| {
+            let reply = coordinator.exchange(now, report);
+            CoordinatorReply { age, lease, ..reply }
+        })
     }
 
     /// Draws tokens for one request if this host is the coordinator.
@@ -322,7 +356,11 @@
         }
     }
 
-    fn report(&self, now: Duration, notice_version: u64) -> HostReport {
+    fn report(&self, now: Duration) -> HostReport {
+        let (notice_version, registry_version) = {
+            let contact = lock(&self.contact);
+            (contact.notice_version, contact.registry_version)
+        };
         let mut traffic = self.state.traffic();
         let mut purses = self.state.purses();
         HostReport {
@@ -335,10 +373,17 @@
                 .map(|(workspace, purse)| (workspace.clone(), purse.wanted(now)))
                 .collect(),
             notice_version,
+            registry_version,
         }
     }
 
-    fn take_reply(&self, now: Duration, reply: CoordinatorReply) {
+    /// Takes in a reply to a report that was sent at `sent_at`.
+    fn take_reply(&self, sent_at: Duration, reply: CoordinatorReply) {
+        let now = boot_time();
+        if let Some((version, remaining)) = reply.lease {
+            lock(&self.lease).note_remaining(now, version, remaining);
+        }
+        self.take_knowledge(sent_at, &reply.age, reply.registry);
         {
             let mut purses = self.state.purses();
             for (workspace, tokens, coast_per_s) in reply.grants {
@@ -368,6 +413,52 @@
         self.set_snapshot(|snapshot| snapshot.view = Arc::new(view));
     }
 
+    /// Takes in the coordinator's knowledge, so that this host need not watch
+    /// the store itself. Ages count from the sending of the report.
+    fn take_knowledge(
+        &self,
+        sent_at: Duration,
+        age: &KnowledgeAge,
+        registry: Option<RegistryDelta>,
+    ) {
+        let declaration = self.state.snapshot.load().declaration.clone();
+        let revision = declaration.map_or(0, |declaration| declaration.revision);
+        if revision >= age.revision && revision > 0 {
+            self.state.note_declared(sent_at.saturating_sub(age.declaration));
+        }
+        self.state.note_listed(sent_at.saturating_sub(age.registry));
+        let is_coordinator = lock(&self.lease).token(boot_time()).is_some();
+        let is_behind = revision < age.revision || age.declaration > WATCH_AGE;
+        set_flag(&self.watch_declarations, is_coordinator || is_behind);
+        set_flag(&self.watch_engines, is_coordinator || age.registry > WATCH_AGE);
+        if is_coordinator {
+            return;
+        }
+        let Some(delta) = registry else {
+            lock(&self.directory).note_unchanged(boot_time());
+            return;
+        };
+        let engines = {
+            let mut contact = lock(&self.contact);
+            contact.registry_version = delta.version;
+            contact.engines.retain(|id, _| delta.engines.contains(id));
+            contact
+                .engines
+                .extend(delta.changed.into_iter().map(|entry| (entry.id.clone(), entry)));
+            contact.engines.values().cloned().collect()
+        };
+        lock(&self.directory).update(boot_time(), engines);
+        self.publish_engines();
+    }
+
+    /// Watches the store again unless the coordinator is heard from.
+    fn watch_without_contact(&self, now: Duration) {
+        if !self.has_contact(now) {
+            set_flag(&self.watch_declarations, true);
+            set_flag(&self.watch_engines, true);
+        }
+    }
+
     async fn client(&self) -> Option<CoordinatorClient> {
         let (holder, address) = lock(&self.lease).coordinator()?;
         if holder == self.state.settings.host {
@@ -384,18 +475,18 @@
 
     async fn exchange_once(&self) {
         let now = boot_time();
-        let notice_version = lock(&self.contact).notice_version;
+        self.watch_without_contact(now);
         if lock(&self.lease).token(now).is_some() {
-            let report = self.report(now, notice_version);
+            let report = self.report(now);
             if let Some(reply) = self.exchange(report) {
                 self.take_reply(now, reply);
             }
             return;
         }
         let Some(client) = self.client().await else { return };
-        let report = self.report(now, notice_version);
+        let report = self.report(now);
         match client.exchange(report).await {
-            Some(Some(reply)) => self.take_reply(boot_time(), reply),
+            Some(Some(reply)) => self.take_reply(now, reply),
             Some(None) => lock(&self.contact).heard_at = None,
             None => {
                 let mut contact = lock(&self.contact);
--- a/crates/skylarkgw/src/gateway/ports.rs
+++ b/crates/skylarkgw/src/gateway/ports.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::{mpsc, oneshot, watch};
 
 use crate::gateway::declaration::FleetDeclaration;
 use crate::gateway::registry::EngineEntry;
@@ -163,6 +163,10 @@
     pub declarations: mpsc::Receiver<StoreUpdate<Arc<FleetDeclaration>>>,
     /// The registry of engines.
     pub engines: mpsc::Receiver<StoreUpdate<Vec<EngineEntry>>>,
+    /// Whether the adapter watches declarations; otherwise it makes no calls.
+    pub watch_declarations: watch::Sender<bool>,
+    /// Whether the adapter watches the registry.
+    pub watch_engines: watch::Sender<bool>,
     /// Calls on the lease record.
     pub lease: mpsc::Sender<LeaseCall>,
     /// Calls to engines.
