Ask the store itself once the coordinator's knowledge is a second old

Cause: a coordinator that was cut from the store went on answering exchanges until its lease ended, and the hosts relied on it up to an age of 2.5 s, beyond the 2 s in which a withdrawn key or a leaving engine must be known.

Ruled out: the watch (its answer came in time), the hosts' own lists.

Now a watch waits 0.7 s and a host asks for itself at an age of 1.05 s. The test computes the worst case over all moments of the cut.

--- a/crates/skylarkgw/src/decision.rs
+++ b/crates/skylarkgw/src/decision.rs
@@ -13,6 +13,7 @@
 pub mod engine_choice;
 pub mod fencing;
 pub mod fleet_planner;
+pub mod freshness;
 pub mod host;
 pub mod invariant;
 pub mod keys;
--- a/crates/skylarkgw/src/edge/forward/accept.rs
+++ b/crates/skylarkgw/src/edge/forward/accept.rs
@@ -13,6 +13,7 @@
 use tokio::sync::oneshot;
 use tokio::time::{Instant, timeout, timeout_at};
 
+use crate::decision::freshness::{JUDGE_AGE, may_judge_keys};
 use crate::decision::quota_bank::QuotaPurse;
 use crate::edge::forward::record::RequestRecord;
 use crate::edge::forward::refusal::{RefusalReason, RequestRefusal};
@@ -22,11 +23,6 @@
 use crate::gateway::wire::CallerHeader;
 use crate::ids::Tokens;
 
-/// Time before the bound on withdrawn keys at which requests are refused: the
-/// way to the engine and the delay of a watch count as well.
-const REVOCATION_MARGIN: Duration = Duration::from_millis(900);
-/// Age of the declaration beyond which a missing route or key proves nothing.
-const JUDGE_AGE: Duration = Duration::from_millis(2_600);
 /// Time that a request waits for tokens of the bank.
 const QUOTA_PATIENCE: Duration = Duration::from_millis(150);
 /// Time to come again where the store is out of reach.
@@ -153,7 +149,7 @@
         return Ok(None);
     }
     let bounds = &state.settings.bounds;
-    if age > bounds.revocation.saturating_sub(REVOCATION_MARGIN) {
+    if !may_judge_keys(bounds.revocation, age) {
         return Err(RequestRefusal::after(RefusalReason::StaleKeys, STORE_RETRY));
     }
     let key = header.key.as_deref().ok_or(RequestRefusal::new(RefusalReason::UnknownKey))?;
--- a/crates/skylarkgw/src/gateway/control.rs
+++ b/crates/skylarkgw/src/gateway/control.rs
@@ -14,6 +14,7 @@
 use crate::decision::coordinator_lease::{CoordinatorLease, LeaseStep};
 use crate::decision::directory::EngineDirectory;
 use crate::decision::fleet_planner::{AdapterStep, PlannerCall};
+use crate::decision::freshness::{EXCHANGE_INTERVAL, asks_itself};
 use crate::decision::quota_bank::{QuotaGrant, QuotaPurse};
 use crate::decision::route_table::RouteTable;
 use crate::gateway::clock::boot_time;
@@ -26,16 +27,12 @@
 use crate::gateway::state::{CoordinatorAsk, FleetSnapshot, FleetView, GatewayState};
 use crate::ids::{EndpointId, HostId, ModelName, Tokens};
 
-/// Time between two exchanges with the coordinator.
-const EXCHANGE_INTERVAL: Duration = Duration::from_millis(150);
 /// Time between two looks at the lease.
 const LEASE_INTERVAL: Duration = Duration::from_millis(60);
 /// Time between two steps of the planner.
 const PLAN_INTERVAL: Duration = Duration::from_millis(100);
 /// Time between two looks at entries that may have lapsed.
 const DIRECTORY_INTERVAL: Duration = Duration::from_millis(300);
-/// Age of the coordinator's knowledge beyond which a host asks the store itself.
-const WATCH_AGE: Duration = Duration::from_millis(2_500);
 /// Time without an exchange after which the coordinator counts as lost.
 const LOST_AFTER: Duration = Duration::from_millis(600);
 /// Time between two tries to give an adapter a place.
@@ -428,9 +425,10 @@
         }
         self.state.note_listed(sent_at.saturating_sub(age.registry));
         let is_coordinator = lock(&self.lease).token(boot_time()).is_some();
-        let is_behind = revision < age.revision || age.declaration > WATCH_AGE;
-        set_flag(&self.watch_declarations, is_coordinator || is_behind);
-        set_flag(&self.watch_engines, is_coordinator || age.registry > WATCH_AGE);
+        let is_behind = revision < age.revision;
+        let asks_declaration = asks_itself(is_coordinator, is_behind, age.declaration);
+        set_flag(&self.watch_declarations, asks_declaration);
+        set_flag(&self.watch_engines, asks_itself(is_coordinator, false, age.registry));
         if is_coordinator {
             return;
         }
--- a/crates/skylarkgw/src/gateway/probe.rs
+++ b/crates/skylarkgw/src/gateway/probe.rs
@@ -15,15 +15,13 @@
 use tokio::net::TcpListener;
 use tokio::time::sleep;
 
+use crate::decision::freshness::READY_AGE;
 use crate::gateway::clock::boot_time;
 use crate::gateway::state::GatewayState;
 
 const METRICS_PATH: &str = "/metrics";
 const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
 const HEADER_LIMIT: Duration = Duration::from_secs(10);
-/// Age of the declaration up to which a host counts as ready; below the bound
-/// after which keys are refused.
-const READY_AGE: Duration = Duration::from_millis(3_800);
 
 /// Serves readiness and metrics until the task is ended.
 pub async fn serve_probe(listener: TcpListener, state: Arc<GatewayState>) {
--- a/crates/skylarkgw/tests/decisions/lease.rs
+++ b/crates/skylarkgw/tests/decisions/lease.rs
@@ -133,8 +133,7 @@
 
 #[test]
 fn host_that_stops_gives_the_lease_up() {
-    let (mut store, mut first, mut second) =
-        (RecordStore::default(), host("a"), host("b"));
+    let (mut store, mut first, mut second) = (RecordStore::default(), host("a"), host("b"));
     (0..4).for_each(|step| turn(&mut first, &mut store, step * 300));
     first.retire();
     (4..8).for_each(|step| turn(&mut first, &mut store, step * 300));
--- a/crates/skylarkgw/tests/decisions/main.rs
+++ b/crates/skylarkgw/tests/decisions/main.rs
@@ -3,6 +3,7 @@
 
 mod choice;
 mod directory;
+mod freshness;
 mod lease;
 mod placement;
 mod quota;
--- a/crates/skylarkgw/tests/decisions/placement.rs
+++ b/crates/skylarkgw/tests/decisions/placement.rs
@@ -34,8 +34,7 @@
     let rule = generation(&["busy", "rare"]);
     let engines = [planned("e1", &["busy"], 130_000.0), planned("e2", &["busy"], 10_000.0)];
     let change = plan_change(&rule, &engines, &demand(&[("busy", 1_000.0)]), 1);
-    let expected =
-        PlanChange::Load { engine: "e1".into(), model: "rare".into(), from_store: true };
+    let expected = PlanChange::Load { engine: "e1".into(), model: "rare".into(), from_store: true };
     assert_eq!(change, Some(expected));
 }
 
@@ -170,7 +169,8 @@
 fn engine_that_started_again_is_asked_before_it_gets_orders() {
     let mut fleet = EngineFleet::new(vec![engine("e1", &["a"])]);
     fleet.report("e1", &["a"], 9, false);
-    let restarted = EngineEntry { started_ms: 2, models: Vec::new(), ..(*fleet.entries[0]).clone() };
+    let restarted =
+        EngineEntry { started_ms: 2, models: Vec::new(), ..(*fleet.entries[0]).clone() };
     fleet.planner.observe(&[Arc::new(restarted)]);
     assert!(fleet.orders(&["a", "b"], &[]).is_empty());
 }
--- a/crates/skylarkgw/tests/decisions/routes.rs
+++ b/crates/skylarkgw/tests/decisions/routes.rs
@@ -10,9 +10,8 @@
     declaration.routes.push(route("deep", "a.example", "/chat/deep/"));
     declaration.routes.push(route("other", "b.example", "/chat/deep/er/"));
     let table = RouteTable::new(&declaration);
-    let name = |host: &str, path: &str| {
-        table.find_route(host, path).map(|route| route.name.to_string())
-    };
+    let name =
+        |host: &str, path: &str| table.find_route(host, path).map(|route| route.name.to_string());
     assert_eq!(name("a.example", "/chat/x").as_deref(), Some("chat"));
     assert_eq!(name("A.Example:80", "/chat/deep/er/x").as_deref(), Some("deep"));
     assert_eq!(name("a.example", "/chat"), None);
