--- a/crates/skylarkgw/src/decision/fleet_planner.rs
+++ b/crates/skylarkgw/src/decision/fleet_planner.rs
@@ -152,9 +152,9 @@
         // The entry may be older than the last order, so it adds what the
         // engine holds and never takes away.
         let listed = entry.models.iter().map(|held| &held.name);
-        let loaded =
+        let mut loaded =
             listed.filter(|name| self.loading.as_ref().is_some_and(|(model, _)| model == *name));
-        if let Some(model) = loaded.cloned().next() {
+        if let Some(model) = loaded.next().cloned() {
             self.models.insert(model);
             self.loading = None;
         }
--- a/crates/skylarkgw/src/edge/forward/relay.rs
+++ b/crates/skylarkgw/src/edge/forward/relay.rs
@@ -230,7 +230,7 @@
 /// Returns the last event identifier in whole events.
 fn last_event_id(events: &[u8]) -> Option<Arc<str>> {
     let lines = events.split(|byte| *byte == b'\n');
-    let ids = lines.filter_map(|line| line.strip_prefix(ID_FIELD));
-    let id = std::str::from_utf8(ids.last()?).ok()?;
+    let mut ids = lines.filter_map(|line| line.strip_prefix(ID_FIELD));
+    let id = std::str::from_utf8(ids.next_back()?).ok()?;
     Some(id.trim().into())
 }
--- a/crates/skylarkgw/src/gateway/control.rs
+++ b/crates/skylarkgw/src/gateway/control.rs
@@ -489,7 +489,7 @@
             None => {
                 let mut contact = lock(&self.contact);
                 contact.client = None;
-                if !contact.heard_at.is_some_and(|at| now.saturating_sub(at) < LOST_AFTER)
+                if contact.heard_at.is_none_or(|at| now.saturating_sub(at) >= LOST_AFTER)
                     && contact.heard_at.take().is_some()
                 {
                     warn!("coordinator lost");
