Grant a workspace what its window allows; tell refused callers their turn

And all refused callers were told to return after 0.5 s, found nothing again and gave up.

Ruled out: lost grants (the purses of all hosts held less than a second).

--- a/crates/skylarkgw/src/decision/coordinator.rs
+++ b/crates/skylarkgw/src/decision/coordinator.rs
@@ -7,7 +7,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::decision::fleet_planner::{FleetPlanner, PlacementNotice, PlannerCall};
-use crate::decision::quota_bank::{QuotaBank, QuotaGrant, SILENT_AFTER};
+use crate::decision::quota_bank::{QuotaBank, SILENT_AFTER};
 use crate::gateway::declaration::{FleetDeclaration, ServiceName};
 use crate::gateway::registry::EngineEntry;
 use crate::ids::{EndpointId, HostId, ModelName, ObjectVersion, Revision, Tokens, WorkspaceId};
@@ -39,6 +39,19 @@
     pub registry_version: u64,
 }
 
+/// Whether one request has its tokens.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum QuotaAnswer {
+    /// They are granted.
+    Granted,
+    /// They are not there.
+    Refused {
+        /// Time after which they may be.
+        retry_after: Duration,
+    },
+}
+
 /// What has changed in the registry.
 #[derive(Clone, Debug, Default, Deserialize, Serialize)]
 #[serde(rename_all = "kebab-case")]
@@ -108,15 +121,16 @@
 impl Coordinator {
     /// Creates the state of a new holder.
     ///
-    /// `is_first` says that nobody can have held the lease before.
-    pub fn new(now: Duration, token: u64, is_first: bool) -> Coordinator {
+    /// `is_first` says that nobody can have held the lease before, and
+    /// `quota_window` is the time in which quotas are counted.
+    pub fn new(now: Duration, token: u64, quota_window: Duration, is_first: bool) -> Coordinator {
         Coordinator {
             token,
             started_at: now,
             hosts: HashMap::new(),
             demand: HashMap::new(),
             decayed_at: now,
-            bank: QuotaBank::new(now, is_first),
+            bank: QuotaBank::new(now, quota_window, is_first),
             planner: FleetPlanner::default(),
             notice: PlacementNotice::default(),
             // Versions of different holders never meet.
@@ -256,8 +270,14 @@
         host: &HostId,
         workspace: &str,
         tokens: Tokens,
-    ) -> QuotaGrant {
-        self.bank.draw(now, host, workspace, tokens, tokens).unwrap_or_default()
+    ) -> QuotaAnswer {
+        match self.bank.draw(now, host, workspace, tokens, tokens) {
+            Some(grant) if grant.tokens < tokens => {
+                QuotaAnswer::Refused { retry_after: grant.retry_after }
+            }
+            // A workspace without an account has no limit.
+            _ => QuotaAnswer::Granted,
+        }
     }
 
     fn decay(&mut self, now: Duration) {
--- a/crates/skylarkgw/src/decision/quota_bank.rs
+++ b/crates/skylarkgw/src/decision/quota_bank.rs
@@ -6,8 +6,12 @@
 //! that loses the coordinator goes on for [`COAST_TIME`] at the rate that it
 //! had, which the bank keeps back for it. This answers the noisy neighbour
 //! without a split that starves small workspaces.
+//!
+//! A workspace may use rate times window plus burst in any window. A plain
+//! token bucket gives its burst only once, so the bucket refills by a part of
+//! the burst as well, and a log of the window keeps the whole within the bound.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 use std::time::Duration;
 
 use crate::gateway::declaration::WorkspaceRule;
@@ -28,20 +32,51 @@
 /// Most tokens that a purse holds, in seconds of its demand.
 const PURSE_LIMIT_S: f64 = 1.0;
 
+/// Part of the burst that comes back within a window.
+const RETURNED_SHARE: f64 = 0.75;
+/// Spans that the log of a window is kept in.
+const WINDOW_SPANS: u32 = 32;
+/// Longest time to come again that a caller is told.
+const LONGEST_RETRY: Duration = Duration::from_secs(6);
+/// Shortest one; a refused caller that returns at once is refused again.
+const SHORTEST_RETRY: Duration = Duration::from_millis(150);
+
 #[derive(Debug)]
 struct BankAccount {
     rate: f64,
     burst: f64,
     level: f64,
+    /// Tokens that refused requests wait for.
+    backlog: f64,
+    /// Tokens granted in each span of the window, oldest first.
+    granted: VecDeque<(Duration, f64)>,
     drawn_per_s: HashMap<HostId, f64>,
 }
 
+impl BankAccount {
+    /// Returns the tokens that may still be granted in the window.
+    fn room(&self, window: Duration) -> f64 {
+        let granted: f64 = self.granted.iter().map(|(_, tokens)| tokens).sum();
+        self.rate * window.as_secs_f64() + self.burst - granted
+    }
+
+    fn note_granted(&mut self, now: Duration, window: Duration, tokens: f64) {
+        let span = window / WINDOW_SPANS;
+        match self.granted.back_mut() {
+            Some((since, granted)) if now.saturating_sub(*since) < span => *granted += tokens,
+            _ => self.granted.push_back((now, tokens)),
+        }
+    }
+}
+
 /// Buckets of all workspaces.
 #[derive(Debug, Default)]
 pub struct QuotaBank {
     accounts: HashMap<WorkspaceId, BankAccount>,
     advanced_at: Duration,
     heard_at: HashMap<HostId, Duration>,
+    window: Duration,
+    started_at: Duration,
     starts_full: bool,
 }
 
@@ -52,13 +87,15 @@
     pub tokens: Tokens,
     /// Tokens a second to go on with if the coordinator is lost.
     pub coast_per_s: f64,
+    /// Time after which a refused request may find tokens.
+    pub retry_after: Duration,
 }
 
 impl QuotaBank {
     /// Creates a bank. Its buckets start nearly empty unless nothing can have
     /// been spent before: a new holder does not know what the last one granted.
-    pub fn new(now: Duration, starts_full: bool) -> QuotaBank {
-        QuotaBank { advanced_at: now, starts_full, ..QuotaBank::default() }
+    pub fn new(now: Duration, window: Duration, starts_full: bool) -> QuotaBank {
+        QuotaBank { advanced_at: now, started_at: now, window, starts_full, ..QuotaBank::default() }
     }
 
     /// Takes in the declared workspaces.
@@ -74,6 +111,8 @@
                 rate,
                 burst,
                 level: start,
+                backlog: 0.0,
+                granted: VecDeque::new(),
                 drawn_per_s: HashMap::new(),
             });
             account.rate = rate;
@@ -104,18 +143,28 @@
         self.advance(now);
         let account = self.accounts.get_mut(workspace)?;
         let needed = (least as f64).min(account.burst);
-        let granted = if account.level < needed || account.level <= 0.0 {
+        let room = account.room(self.window);
+        let granted = if account.level < needed || account.level <= 0.0 || room < least as f64 {
             0.0
         } else {
-            (wanted as f64).min(account.level).max(least as f64).floor()
+            (wanted as f64).min(account.level).min(room).max(least as f64).floor()
         };
         account.level -= granted;
+        account.note_granted(now, self.window, granted);
         let drawn = account.drawn_per_s.entry(host.clone()).or_default();
         *drawn += granted / DEMAND_MEMORY_S;
         let total: f64 = account.drawn_per_s.values().sum();
         let drawn = account.drawn_per_s.get(host).copied().unwrap_or_default();
         let coast_per_s = drawn.min(account.rate * drawn / total.max(1.0));
-        Some(QuotaGrant { tokens: granted as Tokens, coast_per_s })
+        let mut retry_after = Duration::ZERO;
+        if granted < least as f64 {
+            // Whoever was refused before comes back before this one.
+            account.backlog += least as f64;
+            let missing = (account.backlog - account.level).max(0.0) / account.rate.max(1.0);
+            let wait = Duration::from_secs_f64(missing.min(LONGEST_RETRY.as_secs_f64()));
+            retry_after = wait.max(SHORTEST_RETRY);
+        }
+        Some(QuotaGrant { tokens: granted as Tokens, coast_per_s, retry_after })
     }
 
     /// Returns the tokens in a workspace's bucket.
@@ -128,6 +177,7 @@
         let elapsed = now.saturating_sub(self.advanced_at).as_secs_f64();
         self.advanced_at = now;
         self.heard_at.retain(|_, heard_at| now.saturating_sub(*heard_at) < COAST_TIME);
+        let (window, started_at, starts_full) = (self.window, self.started_at, self.starts_full);
         let heard_at = &self.heard_at;
         let is_silent = |host: &HostId| {
             heard_at.get(host).is_some_and(|at| now.saturating_sub(*at) >= SILENT_AFTER)
@@ -136,7 +186,18 @@
             // A silent host may be coasting: what it spends is not given again.
             let silent = account.drawn_per_s.iter().filter(|(host, _)| is_silent(host));
             let kept_back: f64 = silent.map(|(_, drawn)| *drawn).sum();
-            let refill = (account.rate - kept_back).max(0.0) * elapsed;
+            // What the holder before granted is in no log, so the burst comes
+            // back only once a window has passed.
+            let is_logged = starts_full || now.saturating_sub(started_at) >= window;
+            let returned = account.burst * RETURNED_SHARE / window.as_secs_f64();
+            let rate = account.rate + if is_logged { returned } else { 0.0 };
+            let refill = (rate - kept_back).max(0.0) * elapsed;
+            account.backlog = (account.backlog - rate * elapsed).max(0.0);
+            while account.granted.front().is_some_and(|(since, _)| {
+                now.saturating_sub(*since) > window + window / WINDOW_SPANS
+            }) {
+                account.granted.pop_front();
+            }
             account.level = (account.level + refill).min(account.burst);
             let decay = (-elapsed / DEMAND_MEMORY_S).exp();
             account.drawn_per_s.retain(|host, drawn| {
@@ -193,10 +254,10 @@
     }
 
     /// Takes in a grant.
-    pub fn deposit(&mut self, now: Duration, grant: QuotaGrant) {
+    pub fn deposit(&mut self, now: Duration, tokens: Tokens, coast_per_s: f64) {
         self.advance(now);
-        self.balance += grant.tokens as f64;
-        self.coast_per_s = grant.coast_per_s;
+        self.balance += tokens as f64;
+        self.coast_per_s = coast_per_s;
         self.refilled_at = now;
     }
 
--- a/crates/skylarkgw/src/edge/forward/accept.rs
+++ b/crates/skylarkgw/src/edge/forward/accept.rs
@@ -13,6 +13,7 @@
 use tokio::sync::oneshot;
 use tokio::time::{Instant, timeout, timeout_at};
 
+use crate::decision::coordinator::QuotaAnswer;
 use crate::decision::freshness::{JUDGE_AGE, may_judge_keys};
 use crate::decision::quota_bank::QuotaPurse;
 use crate::edge::forward::record::RequestRecord;
@@ -27,7 +28,8 @@
 const QUOTA_PATIENCE: Duration = Duration::from_millis(150);
 /// Time to come again where the store is out of reach.
 const STORE_RETRY: Duration = Duration::from_millis(600);
-/// Time to come again where a quota is used up.
+/// Shortest time to come again where no coordinator answers for a quota; up to
+/// three times as long, so that callers do not return together.
 const QUOTA_RETRY: Duration = Duration::from_millis(500);
 /// Time that is kept of the deadline for the way back.
 const ANSWER_MARGIN: Duration = Duration::from_millis(20);
@@ -218,15 +220,17 @@
     }
     let (reply, answer) = oneshot::channel();
     let ask = CoordinatorAsk::Quota { workspace: workspace.name.clone(), tokens, reply };
-    let granted = match state.asks.try_send(ask) {
-        Ok(()) => timeout(QUOTA_PATIENCE, answer).await,
+    let answer = match state.asks.try_send(ask) {
+        Ok(()) => timeout(QUOTA_PATIENCE, answer).await.ok().and_then(Result::ok),
         // Too many questions wait already.
-        Err(_) => Ok(Ok(false)),
+        Err(_) => None,
+    };
+    let retry_after = match answer {
+        Some(QuotaAnswer::Granted) => return Ok(hold),
+        Some(QuotaAnswer::Refused { retry_after }) => retry_after,
+        None => QUOTA_RETRY.mul_f64(rand::rng().random_range(1.0..3.0)),
     };
-    if matches!(granted, Ok(Ok(true))) {
-        return Ok(hold);
-    }
     let mut hold = hold;
     hold.settle();
-    Err(RequestRefusal::after(RefusalReason::OverQuota, QUOTA_RETRY))
+    Err(RequestRefusal::after(RefusalReason::OverQuota, retry_after))
 }
--- a/crates/skylarkgw/src/gateway/control.rs
+++ b/crates/skylarkgw/src/gateway/control.rs
@@ -9,13 +9,13 @@
 use tokio::time::sleep;
 
 use crate::decision::coordinator::{
-    Coordinator, CoordinatorReply, HostReport, KnowledgeAge, RegistryDelta,
+    Coordinator, CoordinatorReply, HostReport, KnowledgeAge, QuotaAnswer, RegistryDelta,
 };
 use crate::decision::coordinator_lease::{CoordinatorLease, LeaseStep};
 use crate::decision::directory::EngineDirectory;
 use crate::decision::fleet_planner::{AdapterStep, PlannerCall};
 use crate::decision::freshness::{EXCHANGE_INTERVAL, asks_itself};
-use crate::decision::quota_bank::{QuotaGrant, QuotaPurse};
+use crate::decision::quota_bank::QuotaPurse;
 use crate::decision::route_table::RouteTable;
 use crate::gateway::clock::boot_time;
 use crate::gateway::declaration::{FleetDeclaration, ServiceName};
@@ -124,10 +124,8 @@
     }
 
     /// Draws tokens for one request if this host is the coordinator.
-    pub fn draw(&self, host: &HostId, workspace: &str, tokens: Tokens) -> Option<bool> {
-        self.with_coordinator(|now, coordinator| {
-            coordinator.draw(now, host, workspace, tokens).tokens >= tokens
-        })
+    pub fn draw(&self, host: &HostId, workspace: &str, tokens: Tokens) -> Option<QuotaAnswer> {
+        self.with_coordinator(|now, coordinator| coordinator.draw(now, host, workspace, tokens))
     }
 
     /// Finds or makes a place for an adapter if this host is the coordinator.
@@ -336,7 +334,8 @@
         match token {
             Some(token) => {
                 let is_first = self.state.settings.is_first_start && token == 1;
-                let mut coordinator = Coordinator::new(now, token, is_first);
+                let quota_window = self.state.settings.bounds.quota_window;
+                let mut coordinator = Coordinator::new(now, token, quota_window, is_first);
                 if let Some(declaration) = &self.state.snapshot.load().declaration {
                     coordinator.declare(now, declaration);
                 }
@@ -385,7 +384,7 @@
             let mut purses = self.state.purses();
             for (workspace, tokens, coast_per_s) in reply.grants {
                 let purse = purses.entry(workspace).or_insert_with(|| QuotaPurse::new(now));
-                purse.deposit(now, QuotaGrant { tokens, coast_per_s });
+                purse.deposit(now, tokens, coast_per_s);
             }
         }
         let view = &self.state.snapshot.load().view;
@@ -502,15 +501,17 @@
         match ask {
             CoordinatorAsk::Quota { workspace, tokens, reply } => {
                 let host = self.state.settings.host.clone();
-                let granted = match self.draw(&host, &workspace, tokens) {
-                    Some(granted) => Some(granted),
+                let answer = match self.draw(&host, &workspace, tokens) {
+                    Some(answer) => Some(answer),
                     None => match self.client().await {
                         Some(client) => client.draw(host, workspace, tokens).await,
                         None => None,
                     },
                 };
-                // A caller that is gone does not need the tokens; they are lost.
-                let _ = reply.send(granted.unwrap_or(false));
+                if let Some(answer) = answer {
+                    // A caller that is gone does not need the tokens; they are lost.
+                    let _ = reply.send(answer);
+                }
             }
             CoordinatorAsk::Adapter { service, model, adapter, reply } => {
                 let is_coordinator = lock(&self.lease).token(boot_time()).is_some();
--- a/crates/skylarkgw/src/gateway/peers.rs
+++ b/crates/skylarkgw/src/gateway/peers.rs
@@ -12,7 +12,7 @@
 use tokio::time::{sleep, timeout};
 use tokio_util::codec::LengthDelimitedCodec;
 
-use crate::decision::coordinator::{CoordinatorReply, HostReport};
+use crate::decision::coordinator::{CoordinatorReply, HostReport, QuotaAnswer};
 use crate::gateway::control::ControlContext;
 use crate::gateway::declaration::ServiceName;
 use crate::ids::{EndpointId, HostId, ModelName, Tokens, WorkspaceId};
@@ -35,7 +35,7 @@
     /// Takes a report and gives counts, tokens and placement.
     async fn exchange(report: HostReport) -> Option<CoordinatorReply>;
     /// Draws tokens for one request.
-    async fn draw(host: HostId, workspace: WorkspaceId, tokens: Tokens) -> Option<bool>;
+    async fn draw(host: HostId, workspace: WorkspaceId, tokens: Tokens) -> Option<QuotaAnswer>;
     /// Finds or makes a place for an adapter.
     async fn adapter(
         service: ServiceName,
@@ -60,7 +60,7 @@
         host: HostId,
         workspace: WorkspaceId,
         tokens: Tokens,
-    ) -> Option<bool> {
+    ) -> Option<QuotaAnswer> {
         self.control.draw(&host, &workspace, tokens)
     }
 
@@ -121,7 +121,12 @@
     }
 
     /// Draws tokens; `None` says that nothing is known.
-    pub async fn draw(&self, host: HostId, workspace: WorkspaceId, tokens: Tokens) -> Option<bool> {
+    pub async fn draw(
+        &self,
+        host: HostId,
+        workspace: WorkspaceId,
+        tokens: Tokens,
+    ) -> Option<QuotaAnswer> {
         self.client.draw(within(QUOTA_LIMIT), host, workspace, tokens).await.ok()?
     }
 
--- a/crates/skylarkgw/src/gateway/settings.rs
+++ b/crates/skylarkgw/src/gateway/settings.rs
@@ -22,6 +22,8 @@
     pub retry_ratio: f64,
     /// Repeats beyond that, over all hosts and one window.
     pub retry_slack: f64,
+    /// Time in which the tokens of a workspace are counted.
+    pub quota_window: Duration,
     /// Time in which loads from the weight store are counted.
     pub load_window: Duration,
     /// Time between SIGTERM and SIGKILL.
--- a/crates/skylarkgw/src/gateway/state.rs
+++ b/crates/skylarkgw/src/gateway/state.rs
@@ -8,6 +8,7 @@
 use arc_swap::ArcSwap;
 use tokio::sync::{mpsc, oneshot};
 
+use crate::decision::coordinator::QuotaAnswer;
 use crate::decision::quota_bank::QuotaPurse;
 use crate::decision::route_table::RouteTable;
 use crate::decision::traffic::TrafficLedger;
@@ -54,8 +55,8 @@
         workspace: WorkspaceId,
         /// Tokens.
         tokens: Tokens,
-        /// Takes whether the tokens were granted.
-        reply: oneshot::Sender<bool>,
+        /// Takes the answer; dropped if no coordinator is found.
+        reply: oneshot::Sender<QuotaAnswer>,
     },
     /// An engine that holds an adapter.
     Adapter {
--- a/crates/skylarkgw/tests/decisions/quota.rs
+++ b/crates/skylarkgw/tests/decisions/quota.rs
@@ -2,13 +2,16 @@
 
 use std::collections::HashMap;
 use std::sync::Arc;
+use std::time::Duration;
 
 use proptest::prelude::*;
-use skylarkgw::decision::quota_bank::{COAST_TIME, QuotaBank, QuotaGrant, QuotaPurse};
+use skylarkgw::decision::quota_bank::{COAST_TIME, QuotaBank, QuotaPurse};
 
 use crate::samples::{ms, workspace};
 
 const RATE: u64 = 10_000;
+/// Time in which the deployments count a quota.
+const WINDOW: Duration = Duration::from_millis(8_000);
 const SHOP: &str = "shop";
 
 struct Fleet {
@@ -19,7 +22,7 @@
 
 impl Fleet {
     fn new(hosts: usize) -> Fleet {
-        let mut bank = QuotaBank::new(ms(0), true);
+        let mut bank = QuotaBank::new(ms(0), WINDOW, true);
         bank.set_workspaces(ms(0), &[workspace(SHOP, "key", RATE)]);
         let hosts = (0..hosts).map(|host| Arc::from(format!("host-{host}")));
         let purses = hosts.map(|host| (host, QuotaPurse::new(ms(0)))).collect();
@@ -31,7 +34,7 @@
             self.bank.note_host(ms(now), host);
             let wanted = purse.wanted(ms(now));
             let grant = self.bank.draw(ms(now), host, SHOP, wanted, 0).unwrap_or_default();
-            purse.deposit(ms(now), grant);
+            purse.deposit(ms(now), grant.tokens, grant.coast_per_s);
         }
     }
 
@@ -75,7 +78,7 @@
     }
     let allowed = RATE * 8 + RATE;
     assert!(fleet.most_in(8_000) <= allowed, "{} of {allowed}", fleet.most_in(8_000));
-    assert!(fleet.most_in(8_000) >= RATE * 8 * 9 / 10);
+    assert!(fleet.most_in(8_000) >= allowed * 9 / 10);
 }
 
 #[test]
@@ -96,7 +99,7 @@
 
 #[test]
 fn request_larger_than_the_burst_needs_a_full_bucket_and_leaves_a_debt() {
-    let mut bank = QuotaBank::new(ms(0), true);
+    let mut bank = QuotaBank::new(ms(0), WINDOW, true);
     bank.set_workspaces(ms(0), &[workspace(SHOP, "key", RATE)]);
     let host: Arc<str> = "host".into();
     let draw = |bank: &mut QuotaBank, now| {
@@ -106,12 +109,16 @@
     assert_eq!(draw(&mut bank, 0), RATE * 2);
     assert_eq!(draw(&mut bank, 1_000), 0);
     assert_eq!(draw(&mut bank, 2_100), RATE * 2);
+    // A third one would exceed rate times window plus burst.
+    (3..8).for_each(|second| assert!(draw(&mut bank, second * 1_000) <= RATE * 2));
+    let granted = (0..8).map(|second| draw(&mut bank, 8_000 + second * 1_000)).sum::<u64>();
+    assert!(granted <= RATE * 9);
 }
 
 #[test]
 fn host_that_loses_the_coordinator_goes_on_for_a_while_at_its_rate() {
     let mut purse = QuotaPurse::new(ms(0));
-    purse.deposit(ms(0), QuotaGrant { tokens: 0, coast_per_s: 1_000.0 });
+    purse.deposit(ms(0), 0, 1_000.0);
     let mut spent = 0;
     for now in (0..20_000).step_by(50) {
         if purse.spend(ms(now), 50) {
@@ -124,7 +131,7 @@
 
 #[test]
 fn bank_keeps_back_what_a_silent_host_may_spend() {
-    let mut bank = QuotaBank::new(ms(0), true);
+    let mut bank = QuotaBank::new(ms(0), WINDOW, true);
     bank.set_workspaces(ms(0), &[workspace(SHOP, "key", RATE)]);
     let (silent, heard): (Arc<str>, Arc<str>) = ("silent".into(), "heard".into());
     let mut coast_per_s = 0.0;
@@ -156,10 +163,26 @@
             }
             fleet.request(now, host, tokens, true);
         }
-        for window in [500, 2_000, 8_000] {
-            let allowed = RATE * window / 1_000 + RATE;
-            // What the purses held when the window began was granted before.
-            prop_assert!(fleet.most_in(window) <= allowed + RATE);
+        // What the purses held when the window began was granted before.
+        let allowed = RATE * 8 + RATE + RATE;
+        prop_assert!(fleet.most_in(8_000) <= allowed);
+    }
+}
+
+#[test]
+fn flood_of_one_workspace_is_told_to_return_one_after_the_other() {
+    let mut bank = QuotaBank::new(ms(0), WINDOW, true);
+    bank.set_workspaces(ms(0), &[workspace(SHOP, "key", RATE)]);
+    let host: Arc<str> = "host".into();
+    let mut waits = Vec::new();
+    for _ in 0..20 {
+        let grant = bank.draw(ms(10), &host, SHOP, 2_000, 2_000).unwrap_or_default();
+        if grant.tokens == 0 {
+            waits.push(grant.retry_after);
         }
     }
+    assert!(waits.len() >= 10);
+    assert!(waits.is_sorted(), "{waits:?}");
+    let spread = *waits.last().expect("a wait") - waits[0];
+    assert!(spread >= ms(1_500), "returns spread over {spread:?}");
 }
