--- a/crates/skylarkgw/src/decision.rs
+++ b/crates/skylarkgw/src/decision.rs
@@ -19,6 +19,7 @@
 pub mod keys;
 pub mod membership;
 pub mod message;
+pub mod model_demand;
 pub mod model_plan;
 pub mod orders;
 pub mod placement;
--- a/crates/skylarkgw/src/decision/coordinator.rs
+++ b/crates/skylarkgw/src/decision/coordinator.rs
@@ -7,13 +7,12 @@
 use serde::{Deserialize, Serialize};
 
 use crate::decision::fleet_planner::{FleetPlanner, PlacementNotice, PlannerCall};
+use crate::decision::model_demand::{DemandEstimate, ModelUse};
 use crate::decision::quota_bank::{QuotaBank, SILENT_AFTER};
 use crate::gateway::declaration::{FleetDeclaration, ServiceName};
 use crate::gateway::registry::EngineEntry;
 use crate::ids::{EndpointId, HostId, ModelName, ObjectVersion, Revision, Tokens, WorkspaceId};
 
-/// Time constant of the demand estimate, in seconds.
-const DEMAND_MEMORY_S: f64 = 1.5;
 /// Time after which a host that says nothing is forgotten.
 const FORGET_AFTER: Duration = Duration::from_secs(5);
 /// Time in which a new holder gathers demand before it moves models.
@@ -27,8 +26,8 @@
     pub host: HostId,
     /// Requests that it has at engines.
     pub running: Vec<(EndpointId, u32)>,
-    /// Work asked for since the last report.
-    pub demand: Vec<(ServiceName, ModelName, f64)>,
+    /// What was seen of each model since the last report.
+    pub uses: Vec<(ServiceName, ModelName, ModelUse)>,
     /// Tokens that it wants for its purses.
     pub wanted: Vec<(WorkspaceId, Tokens)>,
     /// Adapters used since the last report.
@@ -108,8 +107,7 @@
     token: u64,
     started_at: Duration,
     hosts: HashMap<HostId, HostState>,
-    demand: HashMap<(ServiceName, ModelName), f64>,
-    decayed_at: Duration,
+    demand: DemandEstimate,
     bank: QuotaBank,
     planner: FleetPlanner,
     notice: PlacementNotice,
@@ -128,8 +126,7 @@
             token,
             started_at: now,
             hosts: HashMap::new(),
-            demand: HashMap::new(),
-            decayed_at: now,
+            demand: DemandEstimate::default(),
             bank: QuotaBank::new(now, quota_window, is_first),
             planner: FleetPlanner::default(),
             notice: PlacementNotice::default(),
@@ -203,12 +200,11 @@
         declaration: &FleetDeclaration,
         window: Duration,
     ) -> Vec<PlannerCall> {
-        self.decay(now);
         let Some(token) = order_token else { return Vec::new() };
         if now.saturating_sub(self.started_at) < GATHER_TIME {
             return Vec::new();
         }
-        let calls = self.planner.step(now, token, declaration, &self.demand, window);
+        let calls = self.planner.step(now, token, declaration, &mut self.demand, window);
         self.refresh_notice();
         calls
     }
@@ -224,10 +220,9 @@
 
     /// Takes in a report and returns what the host needs.
     pub fn exchange(&mut self, now: Duration, report: HostReport) -> CoordinatorReply {
-        self.decay(now);
         self.bank.note_host(now, &report.host);
-        for (service, model, work) in report.demand {
-            *self.demand.entry((service, model)).or_default() += work / DEMAND_MEMORY_S;
+        for (service, model, seen) in report.uses {
+            self.demand.take(now, service, model, &seen);
         }
         for (engine, model, adapter) in &report.adapter_uses {
             self.planner.note_use(now, engine, model, adapter);
@@ -279,12 +274,4 @@
             _ => QuotaAnswer::Granted,
         }
     }
-
-    fn decay(&mut self, now: Duration) {
-        let elapsed = now.saturating_sub(self.decayed_at).as_secs_f64();
-        self.decayed_at = now;
-        let factor = (-elapsed / DEMAND_MEMORY_S).exp();
-        self.demand.values_mut().for_each(|work| *work *= factor);
-        self.demand.retain(|_, work| *work > 0.1);
-    }
 }
--- a/crates/skylarkgw/src/decision/engine_choice.rs
+++ b/crates/skylarkgw/src/decision/engine_choice.rs
@@ -5,6 +5,8 @@
 //! decide from the same counts would herd, so each adds its own requests at
 //! once and ties are broken by a number drawn for the request.
 
+use std::time::Duration;
+
 /// Time that a request holds a slot, in milliseconds; only the order of
 /// candidates depends on it.
 const SLOT_HOLD_MS: f64 = 1_500.0;
@@ -60,3 +62,33 @@
         .map(|step| (step + tie as usize % count) % count)
         .min_by(|a, b| candidates[*a].cost_ms().total_cmp(&candidates[*b].cost_ms()))
 }
+
+/// Part of its latency objective that a request may spend waiting for a slot.
+const WAIT_SHARE: f64 = 0.6;
+/// Shortest time to come again after a refusal; new replicas take longer.
+const SHORTEST_RETRY: Duration = Duration::from_millis(500);
+/// Longest one.
+const LONGEST_RETRY: Duration = Duration::from_millis(3_500);
+/// Part of the time that a caller has left within which it returns.
+const RETURN_SHARE: f64 = 0.3;
+
+/// Returns whether a request should wait for a slot rather than return later.
+///
+/// A queue that is longer than the objective makes every request late and
+/// serves none more, so beyond it a request is refused at once. This answers
+/// head-of-line blocking in an overload.
+pub fn may_wait(wait_ms: f64, objective: Duration, time_left: Duration) -> bool {
+    let limit = objective.mul_f64(WAIT_SHARE).min(time_left.mul_f64(WAIT_SHARE));
+    wait_ms <= limit.as_secs_f64() * 1_000.0
+}
+
+/// Returns when a caller that was refused for want of slots should return.
+///
+/// `draw`, from 0 to 1, spreads the callers of one moment, so that they do not
+/// come back as a thundering herd.
+pub fn return_after(wait_ms: f64, time_left: Duration, draw: f64) -> Duration {
+    let least = SHORTEST_RETRY.as_secs_f64().max(wait_ms / 1_000.0);
+    let most = LONGEST_RETRY.as_secs_f64().min(time_left.as_secs_f64() * RETURN_SHARE);
+    let span = (most - least).max(0.0);
+    Duration::from_secs_f64(least.min(most).max(0.0) + span * draw)
+}
--- a/crates/skylarkgw/src/decision/fleet_planner.rs
+++ b/crates/skylarkgw/src/decision/fleet_planner.rs
@@ -10,6 +10,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use crate::decision::model_demand::DemandEstimate;
 use crate::decision::model_plan::{PlanChange, PlannedEngine, plan_change};
 use crate::gateway::declaration::{FleetDeclaration, GenerationRule, ServiceName};
 use crate::gateway::ports::{EngineOrder, EngineReport, OrderAnswer, OrderKind};
@@ -18,9 +19,9 @@
 
 /// Time between closing a model to new requests and giving it up: hosts hear
 /// of it with their next exchange.
-const CLOSE_PAUSE: Duration = Duration::from_millis(400);
+const CLOSE_PAUSE: Duration = Duration::from_millis(250);
 /// Time that an adapter is kept after its last use.
-const ADAPTER_KEEP: Duration = Duration::from_millis(1_500);
+const ADAPTER_KEEP: Duration = Duration::from_millis(500);
 /// Time that an adapter needs before requests for it are sent.
 const ADAPTER_LOAD: Duration = Duration::from_millis(15);
 /// Time after which an engine is asked again what it holds.
@@ -31,6 +32,8 @@
 const LOAD_GRACE: Duration = Duration::from_secs(3);
 /// Changes that begin in one step at most.
 const CHANGES_PER_STEP: usize = 4;
+/// Time for which an adapter that was asked for is kept in mind.
+const ADAPTER_MEMORY: Duration = Duration::from_secs(15);
 /// Part of the promised rate of the weight store that is used.
 const STORE_SHARE: f64 = 0.9;
 
@@ -104,6 +107,7 @@
 pub struct FleetPlanner {
     engines: HashMap<EndpointId, EngineLedger>,
     store_loads: VecDeque<Duration>,
+    wanted_adapters: HashMap<(ModelName, Arc<str>), Duration>,
 }
 
 impl EngineLedger {
@@ -177,6 +181,11 @@
         self.is_ready() && self.is_known && !self.has_call && !has_change
     }
 
+    fn takes_adapters(&self) -> bool {
+        let has_order = self.loading.is_some() || self.unloading.is_some();
+        self.is_known && !self.has_call && !has_order
+    }
+
     fn planned(&self, rule: &GenerationRule) -> PlannedEngine {
         let size = |model: &ModelName| {
             let models = rule.models.iter().find(|rule| rule.name == *model);
@@ -198,6 +207,7 @@
             free_mb: rule.weights_mb - adapters_mb - taken,
             is_idle: self.is_idle(),
             copies: copies.cloned().collect(),
+            slots: self.entry.slots,
         }
     }
 
@@ -235,26 +245,26 @@
 
     /// Returns what to do now, with the fencing token for orders.
     ///
-    /// `demand` is the work a second for each model of each service, and
+    /// `demand` says how many slots each model needs, and
     /// `window` the time in which loads from the weight store are counted.
     pub fn step(
         &mut self,
         now: Duration,
         token: u64,
         declaration: &FleetDeclaration,
-        demand: &HashMap<(ServiceName, ModelName), f64>,
+        demand: &mut DemandEstimate,
         window: Duration,
     ) -> Vec<PlannerCall> {
         let mut calls = self.ask_unknown(now, declaration);
         calls.extend(self.give_up_closed(now, token));
+        calls.extend(self.load_ahead(now, token, declaration));
         while self.store_loads.front().is_some_and(|at| now.saturating_sub(*at) > window) {
             self.store_loads.pop_front();
         }
         for service in declaration.services.values() {
             let Some(rule) = &service.generation else { continue };
-            let demand = demand.iter().filter(|((name, _), _)| *name == service.name);
-            let demand: HashMap<ModelName, f64> =
-                demand.map(|((_, model), work)| (model.clone(), *work)).collect();
+            let slots = self.slots(&service.name);
+            let demand = demand.slots(now, &service.name, slots);
             let limit = (rule.store_loads_per_s * window.as_secs_f64() * STORE_SHARE) as usize;
             for _ in 0..CHANGES_PER_STEP {
                 let store_loads = limit.saturating_sub(self.store_loads.len()) as u32;
@@ -274,6 +284,13 @@
         engines
     }
 
+    /// Returns the slots of the smallest engine of a service.
+    fn slots(&self, service: &ServiceName) -> u32 {
+        let entries = self.engines.values().map(|ledger| &ledger.entry);
+        let entries = entries.filter(|entry| entry.service == *service);
+        entries.map(|entry| entry.slots).min().unwrap_or_default()
+    }
+
     fn begin(&mut self, now: Duration, token: u64, change: PlanChange) -> Option<PlannerCall> {
         match change {
             PlanChange::Load { engine, model, from_store } => {
@@ -292,6 +309,39 @@
         }
     }
 
+    /// Loads adapters that were asked for lately onto engines that hold their
+    /// model: while a model is loaded, an engine takes no order for adapters.
+    fn load_ahead(
+        &mut self,
+        now: Duration,
+        token: u64,
+        declaration: &FleetDeclaration,
+    ) -> Vec<PlannerCall> {
+        self.wanted_adapters.retain(|_, at| now.saturating_sub(*at) < ADAPTER_MEMORY);
+        let mut wanted: Vec<_> = self.wanted_adapters.iter().collect();
+        wanted.sort_by(|a, b| b.1.cmp(a.1).then_with(|| a.0.cmp(b.0)));
+        let mut calls = Vec::new();
+        for ledger in self.engines.values_mut().filter(|ledger| ledger.is_idle()) {
+            let service = declaration.services.get(&ledger.entry.service);
+            let Some(rule) = service.and_then(|service| service.generation.as_ref()) else {
+                continue;
+            };
+            if ledger.adapters.len() >= rule.adapter_slots as usize {
+                continue;
+            }
+            let missing = wanted.iter().map(|(wanted, _)| *wanted).find(|(model, adapter)| {
+                let holds = |held: &HeldAdapter| held.model == *model && held.adapter == *adapter;
+                ledger.models.contains(model) && !ledger.adapters.iter().any(holds)
+            });
+            if let Some((model, adapter)) = missing {
+                ledger.has_call = true;
+                let order = ledger.order(token, OrderKind::Load, model, Some(adapter.clone()));
+                calls.push(PlannerCall::Order(order));
+            }
+        }
+        calls
+    }
+
     fn give_up_closed(&mut self, now: Duration, token: u64) -> Vec<PlannerCall> {
         let mut calls = Vec::new();
         for ledger in self.engines.values_mut().filter(|ledger| !ledger.has_call) {
@@ -413,6 +463,7 @@
         adapter: &Arc<str>,
         slots: u32,
     ) -> AdapterStep {
+        self.wanted_adapters.insert((model.clone(), adapter.clone()), now);
         let mut holders: Vec<&mut EngineLedger> = self
             .engines
             .values_mut()
@@ -432,7 +483,8 @@
             }
         }
         let Some(token) = token else { return AdapterStep::NoEngine };
-        let usable = holders.into_iter().filter(|ledger| ledger.is_known && !ledger.has_call);
+        // An engine that loads or gives up a model refuses other orders.
+        let usable = holders.into_iter().filter(|ledger| ledger.takes_adapters());
         let Some(ledger) = usable.min_by_key(|ledger| ledger.adapters.len()) else {
             return AdapterStep::Wait;
         };
@@ -453,10 +505,17 @@
     }
 
     /// Notes that a host uses an adapter.
-    pub fn note_use(&mut self, now: Duration, engine: &EndpointId, model: &str, adapter: &str) {
+    pub fn note_use(
+        &mut self,
+        now: Duration,
+        engine: &EndpointId,
+        model: &ModelName,
+        adapter: &Arc<str>,
+    ) {
+        self.wanted_adapters.insert((model.clone(), adapter.clone()), now);
         let Some(ledger) = self.engines.get_mut(engine) else { return };
         for held in &mut ledger.adapters {
-            if *held.model == *model && *held.adapter == *adapter {
+            if held.model == *model && held.adapter == *adapter {
                 held.used_at = now;
             }
         }
--- a/crates/skylarkgw/src/decision/freshness.rs
+++ b/crates/skylarkgw/src/decision/freshness.rs
@@ -13,8 +13,11 @@
 /// Age of the coordinator's knowledge beyond which a host asks the store
 /// itself; above [`WATCH_WAIT`] and the time of an exchange.
 pub const ASK_AGE: Duration = Duration::from_millis(1_050);
-/// Time between two exchanges with the coordinator.
-pub const EXCHANGE_INTERVAL: Duration = Duration::from_millis(150);
+/// Shortest time between two exchanges with the coordinator.
+pub const EXCHANGE_INTERVAL: Duration = Duration::from_millis(80);
+/// Time that the coordinator has for the exchange of one host; with many hosts
+/// each exchanges less often.
+pub const EXCHANGE_SHARE: Duration = Duration::from_millis(3);
 /// Age of the declaration beyond which a missing route or key proves nothing.
 pub const JUDGE_AGE: Duration = Duration::from_millis(2_000);
 /// Age of the declaration up to which a host counts as ready.
@@ -33,3 +36,8 @@
 pub fn may_judge_keys(revocation: Duration, age: Duration) -> bool {
     age <= revocation.saturating_sub(REVOCATION_MARGIN)
 }
+
+/// Returns the time between two exchanges of a host among `hosts`.
+pub fn exchange_interval(hosts: u32) -> Duration {
+    EXCHANGE_INTERVAL.max(EXCHANGE_SHARE * hosts)
+}
--- a/crates/skylarkgw/src/decision/traffic.rs
+++ b/crates/skylarkgw/src/decision/traffic.rs
@@ -4,13 +4,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use crate::decision::model_demand::ModelUse;
 use crate::decision::retry_budget::RetryBudget;
 use crate::gateway::declaration::ServiceName;
-use crate::ids::{EndpointId, ModelName, Tokens};
+use crate::ids::{EndpointId, ModelName};
 
-/// Weight of a generated token against one of the prompt: an engine reads a
-/// prompt several times faster than it generates.
-const OUTPUT_WEIGHT: f64 = 9.0;
 /// Weight of the newest outcome in an engine's failure share.
 const FAILURE_WEIGHT: f64 = 0.3;
 /// Time in which a failure share without news halves.
@@ -27,7 +25,7 @@
 pub struct TrafficLedger {
     running: HashMap<EndpointId, u32>,
     failures: HashMap<EndpointId, FailureShare>,
-    demand: HashMap<(ServiceName, ModelName), f64>,
+    uses: HashMap<(ServiceName, ModelName), ModelUse>,
     adapter_uses: HashMap<(EndpointId, ModelName, Arc<str>), ()>,
     budgets: HashMap<ServiceName, RetryBudget>,
 }
@@ -78,22 +76,15 @@
         })
     }
 
-    /// Notes a request for a model, served or not.
-    pub fn note_demand(
-        &mut self,
-        service: &ServiceName,
-        model: &ModelName,
-        prompt: Tokens,
-        output: Tokens,
-    ) {
-        let work = prompt as f64 + OUTPUT_WEIGHT * output as f64;
-        *self.demand.entry((service.clone(), model.clone())).or_default() += work;
+    /// Returns what was seen of a model since the last report.
+    pub fn model(&mut self, service: &ServiceName, model: &ModelName) -> &mut ModelUse {
+        self.uses.entry((service.clone(), model.clone())).or_default()
     }
 
-    /// Returns the demand since the last call.
-    pub fn take_demand(&mut self) -> Vec<(ServiceName, ModelName, f64)> {
-        let demand = std::mem::take(&mut self.demand).into_iter();
-        demand.map(|((service, model), work)| (service, model, work)).collect()
+    /// Returns what was seen of all models since the last call.
+    pub fn take_uses(&mut self) -> Vec<(ServiceName, ModelName, ModelUse)> {
+        let uses = std::mem::take(&mut self.uses).into_iter();
+        uses.map(|((service, model), seen)| (service, model, seen)).collect()
     }
 
     /// Notes that a request uses an adapter.
--- a/crates/skylarkgw/src/edge/forward/accept.rs
+++ b/crates/skylarkgw/src/edge/forward/accept.rs
@@ -107,8 +107,8 @@
     let deadline = record.started() + wait.saturating_sub(ANSWER_MARGIN);
     let body = read_body(&parts.headers, body, declaration.limits.body_bytes, deadline).await?;
     let service = choose_service(&route)?;
-    if let (Some(target), Some((prompt, output))) = (&header.target, header.usage) {
-        state.traffic().note_demand(&service, &target.model, prompt, output);
+    if let Some(target) = &header.target {
+        state.traffic().model(&service, &target.model).arrivals += 1;
     }
     let quota = draw_quota(state, workspace.as_ref(), &header).await?;
     record.tokens = quota.tokens;
--- a/crates/skylarkgw/src/edge/forward/place.rs
+++ b/crates/skylarkgw/src/edge/forward/place.rs
@@ -8,7 +8,7 @@
 use tokio::sync::oneshot;
 use tokio::time::{Instant, timeout};
 
-use crate::decision::engine_choice::{EngineCandidate, choose_engine};
+use crate::decision::engine_choice::{EngineCandidate, choose_engine, may_wait, return_after};
 use crate::edge::forward::accept::AdmittedRequest;
 use crate::edge::forward::refusal::{RefusalReason, RequestRefusal};
 use crate::gateway::clock::boot_time;
@@ -17,13 +17,10 @@
 use crate::ids::EndpointId;
 
 /// Time that a request waits for an adapter to get a place.
-const ADAPTER_PATIENCE: Duration = Duration::from_millis(400);
-/// Requests for each slot of an engine beyond which nothing more is sent.
-const QUEUE_FACTOR: f64 = 1.6;
-/// Time to come again when all engines are full.
-const FULL_RETRY: Duration = Duration::from_millis(700);
-/// Time to come again when no engine holds the model.
-const MODEL_RETRY: Duration = Duration::from_millis(900);
+const ADAPTER_PATIENCE: Duration = Duration::from_millis(220);
+/// Time until a model or an adapter that is not there is expected, in
+/// milliseconds.
+const LOAD_WAIT_MS: f64 = 900.0;
 
 /// The engine that a request goes to, and why.
 pub struct ChosenEngine {
@@ -45,38 +42,32 @@
     tried: &HashSet<EndpointId>,
 ) -> Result<ChosenEngine, RequestRefusal> {
     let snapshot = admitted.state.snapshot.load_full();
-    let no_engine = RequestRefusal::after(RefusalReason::NoEngine, MODEL_RETRY);
+    let left = admitted.deadline.saturating_duration_since(Instant::now());
+    let refuse = |reason, wait_ms| {
+        RequestRefusal::after(reason, return_after(wait_ms, left, rand::rng().random()))
+    };
     let mut usable = usable_engines(&snapshot, admitted, tried);
     if usable.is_empty() {
-        return Err(no_engine);
+        return Err(refuse(RefusalReason::NoEngine, LOAD_WAIT_MS));
     }
     let adapter = admitted.header.target.as_ref().and_then(|target| target.adapter.as_ref());
     if adapter.is_some() && !usable.iter().any(|entry| has_adapter(&snapshot, admitted, entry)) {
-        let engine = ask_adapter(admitted).await.ok_or(no_engine)?;
-        usable.retain(|entry| entry.id == engine);
+        let engine = ask_adapter(admitted).await;
+        usable.retain(|entry| Some(&entry.id) == engine.as_ref());
         if usable.is_empty() {
-            return Err(no_engine);
+            return Err(refuse(RefusalReason::NoAdapter, LOAD_WAIT_MS));
         }
     } else if adapter.is_some() {
         usable.retain(|entry| has_adapter(&snapshot, admitted, entry));
     }
     let candidates: Vec<EngineCandidate> =
         usable.iter().map(|entry| candidate(&snapshot, admitted, entry)).collect();
-    let open: Vec<usize> = (0..usable.len())
-        .filter(|place| {
-            let candidate = &candidates[*place];
-            f64::from(candidate.running) < f64::from(candidate.slots) * QUEUE_FACTOR
-        })
-        .collect();
-    let shortlist: Vec<EngineCandidate> =
-        open.iter().map(|place| candidates[*place].clone()).collect();
-    let chosen = choose_engine(&shortlist, rand::rng().random());
-    let place = open[chosen.ok_or(RequestRefusal::after(RefusalReason::Overloaded, FULL_RETRY))?];
+    let chosen = choose_engine(&candidates, rand::rng().random());
+    let place = chosen.ok_or_else(|| refuse(RefusalReason::NoEngine, LOAD_WAIT_MS))?;
     let candidate = &candidates[place];
     let wait_ms = candidate.wait_ms();
-    let left = admitted.deadline.saturating_duration_since(Instant::now());
-    if wait_ms > left.as_secs_f64() * 1_000.0 {
-        return Err(RequestRefusal::after(RefusalReason::Overloaded, FULL_RETRY));
+    if !may_wait(wait_ms, admitted.route.latency_objective, left) {
+        return Err(refuse(RefusalReason::Overloaded, wait_ms));
     }
     Ok(ChosenEngine { entry: usable.swap_remove(place), running: candidate.running, wait_ms })
 }
--- a/crates/skylarkgw/src/edge/forward/refusal.rs
+++ b/crates/skylarkgw/src/edge/forward/refusal.rs
@@ -31,6 +31,8 @@
     OverQuota,
     /// No engine holds the model.
     NoEngine,
+    /// No engine that holds the model has room for the adapter now.
+    NoAdapter,
     /// All engines are full for longer than the caller waits.
     Overloaded,
     /// Engines refused the request, which has not run.
@@ -56,6 +58,7 @@
             RefusalReason::BodyBroken => "body-broken",
             RefusalReason::OverQuota => "over-quota",
             RefusalReason::NoEngine => "no-engine",
+            RefusalReason::NoAdapter => "no-adapter",
             RefusalReason::Overloaded => "overloaded",
             RefusalReason::NotRun => "not-run",
             RefusalReason::DeadlinePassed => "deadline-passed",
@@ -69,6 +72,7 @@
             RefusalReason::NoDeclaration
             | RefusalReason::StaleKeys
             | RefusalReason::NoEngine
+            | RefusalReason::NoAdapter
             | RefusalReason::Overloaded
             | RefusalReason::NotRun
             | RefusalReason::DeadlinePassed => StatusCode::SERVICE_UNAVAILABLE,
--- a/crates/skylarkgw/src/edge/forward/relay.rs
+++ b/crates/skylarkgw/src/edge/forward/relay.rs
@@ -10,6 +10,7 @@
 use hyper::body::{Frame, Incoming};
 use tokio::time::{Instant, timeout_at};
 
+use crate::decision::model_demand::ModelUse;
 use crate::edge::forward::accept::AdmittedRequest;
 use crate::edge::forward::place::choose;
 use crate::edge::forward::record::{RequestEnd, RequestRecord};
@@ -103,11 +104,12 @@
         loop {
             let reason = match self.read_source().await {
                 SourceStep::Events(events) => {
-                    self.record.note_first();
+                    self.note_events();
                     return Some(Ok(events));
                 }
                 SourceStep::End => {
                     self.record.finish(RequestEnd::Answered);
+                    self.note_end();
                     self.return_link();
                     return None;
                 }
@@ -122,6 +124,42 @@
         }
     }
 
+    /// Learns from the first event how long the prompt was read, unless the
+    /// request may have queued.
+    fn note_events(&mut self) {
+        if self.record.first.is_some() {
+            return;
+        }
+        self.record.note_first();
+        let (Some(source), Some(first)) = (&self.source, self.record.first) else { return };
+        let running = self.record.tries.last().map_or(0, |last| last.running);
+        if self.runs == 1 && running * 2 < source.engine.entry.slots {
+            self.with_model_use(|seen| {
+                seen.reads += 1;
+                seen.reading += first;
+            });
+        }
+    }
+
+    /// Learns from the end how long the stream took to generate.
+    fn note_end(&mut self) {
+        let first = self.record.first.unwrap_or_default();
+        let generating = self.record.started().elapsed().saturating_sub(first);
+        if self.runs == 1 {
+            self.with_model_use(|seen| {
+                seen.streams += 1;
+                seen.generating += generating;
+            });
+        }
+    }
+
+    fn with_model_use(&self, note: impl FnOnce(&mut ModelUse)) {
+        if let Some(target) = &self.admitted.header.target {
+            let mut traffic = self.admitted.state.traffic();
+            note(traffic.model(&self.admitted.service, &target.model));
+        }
+    }
+
     async fn read_source(&mut self) -> SourceStep {
         let Some(source) = &mut self.source else { return SourceStep::Broken("no-source") };
         loop {
--- a/crates/skylarkgw/src/gateway/control.rs
+++ b/crates/skylarkgw/src/gateway/control.rs
@@ -14,7 +14,7 @@
 use crate::decision::coordinator_lease::{CoordinatorLease, LeaseStep};
 use crate::decision::directory::EngineDirectory;
 use crate::decision::fleet_planner::{AdapterStep, PlannerCall};
-use crate::decision::freshness::{EXCHANGE_INTERVAL, asks_itself};
+use crate::decision::freshness::{asks_itself, exchange_interval};
 use crate::decision::quota_bank::QuotaPurse;
 use crate::decision::route_table::RouteTable;
 use crate::gateway::clock::boot_time;
@@ -38,7 +38,7 @@
 /// Time between two tries to give an adapter a place.
 const ADAPTER_PAUSE: Duration = Duration::from_millis(5);
 /// Time that an adapter waits for a place.
-const ADAPTER_PATIENCE: Duration = Duration::from_millis(300);
+const ADAPTER_PATIENCE: Duration = Duration::from_millis(150);
 
 /// State of the control thread; no lock is held while it waits.
 pub struct ControlContext {
@@ -362,7 +362,7 @@
         HostReport {
             host: self.state.settings.host.clone(),
             running: traffic.all_running(),
-            demand: traffic.take_demand(),
+            uses: traffic.take_uses(),
             adapter_uses: traffic.take_adapter_uses(),
             wanted: purses
                 .iter_mut()
@@ -535,7 +535,7 @@
 pub async fn keep_exchange(control: Arc<ControlContext>) {
     loop {
         control.exchange_once().await;
-        sleep(EXCHANGE_INTERVAL).await;
+        sleep(exchange_interval(control.state.host_count())).await;
     }
 }
 
--- a/crates/skylarkgw/src/gateway/peers.rs
+++ b/crates/skylarkgw/src/gateway/peers.rs
@@ -23,7 +23,7 @@
 /// Time that a request may wait for tokens of the bank.
 const QUOTA_LIMIT: Duration = Duration::from_millis(120);
 /// Time that a request may wait for an adapter.
-const ADAPTER_LIMIT: Duration = Duration::from_millis(350);
+const ADAPTER_LIMIT: Duration = Duration::from_millis(200);
 const FRAME_LIMIT_BYTES: usize = 512 * 1024;
 const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
 /// Time without a call after which a connection is closed.
