--- a/crates/skylarkgw/src/decision/fleet_planner.rs
+++ b/crates/skylarkgw/src/decision/fleet_planner.rs
@@ -25,7 +25,7 @@
 /// Time that an adapter needs before requests for it are sent.
 const ADAPTER_LOAD: Duration = Duration::from_millis(15);
 /// Time after which an engine is asked again what it holds.
-const ASK_PAUSE: Duration = Duration::from_millis(400);
+const ASK_PAUSE: Duration = Duration::from_millis(300);
 /// Time after which an engine is asked whether it has given a model up.
 const UNLOAD_ASK_PAUSE: Duration = Duration::from_millis(300);
 /// Time that a load may take beyond three times the declared one.
@@ -33,7 +33,7 @@
 /// Changes that begin in one step at most.
 const CHANGES_PER_STEP: usize = 4;
 /// Time for which an adapter that was asked for is kept in mind.
-const ADAPTER_MEMORY: Duration = Duration::from_secs(15);
+const ADAPTER_MEMORY: Duration = Duration::from_secs(4);
 /// Part of the promised rate of the weight store that is used.
 const STORE_SHARE: f64 = 0.9;
 
@@ -257,7 +257,6 @@
     ) -> Vec<PlannerCall> {
         let mut calls = self.ask_unknown(now, declaration);
         calls.extend(self.give_up_closed(now, token));
-        calls.extend(self.load_ahead(now, token, declaration));
         while self.store_loads.front().is_some_and(|at| now.saturating_sub(*at) > window) {
             self.store_loads.pop_front();
         }
@@ -273,6 +272,8 @@
                 calls.extend(self.begin(now, token, change));
             }
         }
+        // Models go first: an engine carries out one order at a time.
+        calls.extend(self.load_ahead(now, token, declaration));
         calls
     }
 
--- a/crates/skylarkgw/src/decision/model_demand.rs
+++ b/crates/skylarkgw/src/decision/model_demand.rs
@@ -14,7 +14,7 @@
 use crate::ids::ModelName;
 
 /// Time constant of the arrival rate, in seconds.
-const ARRIVAL_MEMORY_S: f64 = 0.8;
+const ARRIVAL_MEMORY_S: f64 = 0.6;
 /// Requests after which what was learned of a model counts half.
 const SAMPLE_MEMORY: f64 = 60.0;
 /// Generating time of a model that nothing is known of, in seconds.
