--- a/crates/skylarkgw/src/decision/fleet_planner.rs
+++ b/crates/skylarkgw/src/decision/fleet_planner.rs
@@ -199,11 +199,14 @@
         let leaves = |model: &ModelName| {
             leaving.iter().any(|change| change.as_ref().is_some_and(|(name, _)| name == model))
         };
-        let models = possible.into_iter().filter(|model| !leaves(model));
+        let loading = self.loading.as_ref().map(|(model, _)| model);
+        let serves = |model: &&ModelName| Some(*model) != loading && !leaves(model);
+        let models = possible.into_iter().filter(serves);
         let copies = self.entry.copies_in_memory.iter().chain(&self.entry.copies_on_disk);
         PlannedEngine {
             id: self.entry.id.clone(),
             models: models.cloned().collect(),
+            loading: loading.cloned(),
             free_mb: rule.weights_mb - adapters_mb - taken,
             is_idle: self.is_idle(),
             copies: copies.cloned().collect(),
--- a/crates/skylarkgw/src/decision/model_plan.rs
+++ b/crates/skylarkgw/src/decision/model_plan.rs
@@ -25,8 +25,10 @@
 pub struct PlannedEngine {
     /// The engine.
     pub id: EndpointId,
-    /// Models that it holds or is loading, without those it gives up.
+    /// Models that it holds, without those it gives up.
     pub models: Vec<ModelName>,
+    /// Model that it is loading.
+    pub loading: Option<ModelName>,
     /// Memory that is not taken, in megabytes; what it gives up counts as
     /// taken until it is gone.
     pub free_mb: f64,
@@ -61,7 +63,8 @@
 
 struct ModelPlan<'a> {
     engines: &'a [PlannedEngine],
-    replicas: HashMap<&'a ModelName, u32>,
+    ready: HashMap<&'a ModelName, u32>,
+    coming: HashMap<&'a ModelName, u32>,
     demand: &'a HashMap<ModelName, f64>,
     models: HashMap<&'a ModelName, &'a ModelRule>,
     slots: f64,
@@ -77,13 +80,11 @@
     demand: &HashMap<ModelName, f64>,
     store_loads: u32,
 ) -> Option<PlanChange> {
-    let mut replicas: HashMap<&ModelName, u32> = HashMap::new();
-    for model in engines.iter().flat_map(|engine| &engine.models) {
-        *replicas.entry(model).or_default() += 1;
-    }
+    let ready = count(engines.iter().flat_map(|engine| &engine.models));
+    let coming = count(engines.iter().filter_map(|engine| engine.loading.as_ref()));
     let models = rule.models.iter().map(|model| (&model.name, model)).collect();
     let slots = engines.iter().map(|engine| f64::from(engine.slots)).fold(f64::INFINITY, f64::min);
-    let plan = ModelPlan { engines, replicas, demand, models, slots };
+    let plan = ModelPlan { engines, ready, coming, demand, models, slots };
     let missing = rule.models.iter().find(|model| plan.replicas(&model.name) == 0);
     if let Some(model) = missing
         && let Some(change) = plan.place(model, f64::INFINITY, store_loads)
@@ -91,25 +92,51 @@
         return Some(change);
     }
     let mut wanted: Vec<&ModelRule> =
-        rule.models.iter().filter(|model| plan.need(&model.name, 0) > slots * ADD_SHARE).collect();
-    wanted.sort_by(|a, b| plan.need(&b.name, 0).total_cmp(&plan.need(&a.name, 0)));
-    wanted.into_iter().find_map(|model| plan.place(model, plan.need(&model.name, 0), store_loads))
+        rule.models.iter().filter(|model| plan.need(&model.name) > slots * ADD_SHARE).collect();
+    wanted.sort_by(|a, b| plan.need(&b.name).total_cmp(&plan.need(&a.name)));
+    wanted.into_iter().find_map(|model| plan.place(model, plan.need(&model.name), store_loads))
+}
+
+fn count<'a>(models: impl Iterator<Item = &'a ModelName>) -> HashMap<&'a ModelName, u32> {
+    models.fold(HashMap::new(), |mut counts, model| {
+        *counts.entry(model).or_default() += 1;
+        counts
+    })
 }
 
 impl ModelPlan<'_> {
+    /// Returns the replicas that serve or will do so.
     fn replicas(&self, model: &ModelName) -> u32 {
-        self.replicas.get(model).copied().unwrap_or_default()
+        self.ready(model) + self.coming.get(model).copied().unwrap_or_default()
+    }
+
+    /// Returns the replicas that serve now.
+    fn ready(&self, model: &ModelName) -> u32 {
+        self.ready.get(model).copied().unwrap_or_default()
+    }
+
+    /// Returns the demand for each replica.
+    fn need(&self, model: &ModelName) -> f64 {
+        self.demand(model) / f64::from(self.replicas(model).max(1))
+    }
+
+    /// Returns the demand for each replica that serves, once one is gone.
+    ///
+    /// One that is still loading serves nobody for seconds.
+    fn need_without(&self, model: &ModelName) -> f64 {
+        self.demand(model) / f64::from(self.ready(model).saturating_sub(1).max(1))
     }
 
-    /// Returns the demand for each replica, with `more` replicas added.
-    fn need(&self, model: &ModelName, more: i64) -> f64 {
-        let replicas = i64::from(self.replicas(model)) + more;
-        let demand = self.demand.get(model).copied().unwrap_or_default();
-        demand / replicas.max(1) as f64
+    fn demand(&self, model: &ModelName) -> f64 {
+        self.demand.get(model).copied().unwrap_or_default()
     }
 
     fn place(&self, model: &ModelRule, need: f64, store_loads: u32) -> Option<PlanChange> {
-        let lacking = self.engines.iter().filter(|engine| !engine.models.contains(&model.name));
+        let lacks = |engine: &&PlannedEngine| {
+            let is_loading = engine.loading.as_ref() == Some(&model.name);
+            !is_loading && !engine.models.contains(&model.name)
+        };
+        let lacking = self.engines.iter().filter(lacks);
         let (with_copy, without): (Vec<_>, Vec<_>) =
             lacking.partition(|engine| engine.copies.contains(&model.name));
         let from_copy = self.place_among(model, need, &with_copy, false);
@@ -140,21 +167,22 @@
             idle().flat_map(|engine| engine.models.iter().map(move |victim| (*engine, victim)));
         let victims = victims.filter(|(engine, victim)| {
             let frees = self.models.get(victim).map_or(0.0, |rule| rule.weights_mb);
-            self.replicas(victim) > 1 && engine.free_mb + frees >= model.weights_mb
+            self.ready(victim) > 1 && engine.free_mb + frees >= model.weights_mb
         });
         let (engine, victim) = victims
             .min_by(|a, b| self.cost(a.0, a.1).total_cmp(&self.cost(b.0, b.1)))
-            .filter(|(_, victim)| self.need(victim, -1) * SWAP_FACTOR < need)?;
+            .filter(|(_, victim)| self.need_without(victim) * SWAP_FACTOR < need)?;
         Some(PlanChange::Close { engine: engine.id.clone(), model: victim.clone() })
     }
 
     /// Returns what giving a model up on an engine costs: the need of its other
     /// replicas, and the load that the newcomer meets there.
     fn cost(&self, engine: &PlannedEngine, victim: &ModelName) -> f64 {
-        self.need(victim, -1) + self.load(engine) - self.need(victim, 0)
+        self.need_without(victim) + self.load(engine) - self.need(victim)
     }
 
     fn load(&self, engine: &PlannedEngine) -> f64 {
-        engine.models.iter().map(|model| self.need(model, 0)).sum()
+        let models = engine.models.iter().chain(&engine.loading);
+        models.map(|model| self.need(model)).sum()
     }
 }
--- a/crates/skylarkgw/tests/decisions/placement.rs
+++ b/crates/skylarkgw/tests/decisions/placement.rs
@@ -20,6 +20,7 @@
     PlannedEngine {
         id: id.into(),
         models: models.iter().map(|name| ModelName::from(*name)).collect(),
+        loading: None,
         free_mb,
         is_idle: true,
         copies: Vec::new(),
@@ -54,6 +55,21 @@
     assert_eq!(plan_change(&rule, &single, &demand(&[("rising", 20.0)]), 9), None);
 }
 
+#[test]
+fn replica_that_is_still_loading_does_not_stand_in_for_the_last_one() {
+    let rule = generation(&["hot", "fading"]);
+    let mut engines = [
+        planned("e1", &["hot", "fading"], 0.0),
+        planned("e2", &["hot"], 0.0),
+        planned("e3", &["fading"], 0.0),
+    ];
+    let demand = demand(&[("hot", 90.0), ("fading", 0.1)]);
+    assert!(matches!(plan_change(&rule, &engines, &demand, 9), Some(PlanChange::Close { .. })));
+    engines[0].models.pop();
+    engines[0].loading = Some("fading".into());
+    assert_eq!(plan_change(&rule, &engines, &demand, 9), None);
+}
+
 #[test]
 fn small_changes_of_demand_move_nothing() {
     let rule = generation(&["a", "b"]);
