--- a/crates/skylarkgw/src/decision/model_plan.rs
+++ b/crates/skylarkgw/src/decision/model_plan.rs
@@ -17,6 +17,8 @@
 const ADD_SHARE: f64 = 0.3;
 /// Need below which nothing gives way for a replica, in the same parts.
 const SWAP_SHARE: f64 = 0.5;
+/// Loads from the weight store that are kept for models that nobody serves.
+const RESERVED_LOADS: u32 = 4;
 /// Need that a load from the weight store must have beyond one from a copy.
 const STORE_LOAD_FACTOR: f64 = 1.5;
 
@@ -85,12 +87,12 @@
     let models = rule.models.iter().map(|model| (&model.name, model)).collect();
     let slots = engines.iter().map(|engine| f64::from(engine.slots)).fold(f64::INFINITY, f64::min);
     let plan = ModelPlan { engines, ready, coming, demand, models, slots };
-    let missing = rule.models.iter().find(|model| plan.replicas(&model.name) == 0);
-    if let Some(model) = missing
-        && let Some(change) = plan.place(model, f64::INFINITY, store_loads)
-    {
-        return Some(change);
+    let mut missing = rule.models.iter().filter(|model| plan.replicas(&model.name) == 0);
+    let restore = missing.find_map(|model| plan.place(model, f64::INFINITY, store_loads));
+    if restore.is_some() {
+        return restore;
     }
+    let store_loads = store_loads.saturating_sub(RESERVED_LOADS);
     let mut wanted: Vec<&ModelRule> =
         rule.models.iter().filter(|model| plan.need(&model.name) > slots * ADD_SHARE).collect();
     wanted.sort_by(|a, b| plan.need(&b.name).total_cmp(&plan.need(&a.name)));
--- a/crates/skylarkgw/src/edge/forward/accept.rs
+++ b/crates/skylarkgw/src/edge/forward/accept.rs
@@ -25,7 +25,7 @@
 use crate::ids::Tokens;
 
 /// Time that a request waits for tokens of the bank.
-const QUOTA_PATIENCE: Duration = Duration::from_millis(150);
+const QUOTA_PATIENCE: Duration = Duration::from_millis(500);
 /// Time to come again where the store is out of reach.
 const STORE_RETRY: Duration = Duration::from_millis(600);
 /// Shortest time to come again where no coordinator answers for a quota; up to
--- a/crates/skylarkgw/src/gateway/control.rs
+++ b/crates/skylarkgw/src/gateway/control.rs
@@ -6,7 +6,7 @@
 
 use spdlog::{info, warn};
 use tokio::sync::{mpsc, oneshot, watch};
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 use crate::decision::coordinator::{
     Coordinator, CoordinatorReply, HostReport, KnowledgeAge, QuotaAnswer, RegistryDelta,
@@ -25,7 +25,7 @@
 };
 use crate::gateway::registry::EngineEntry;
 use crate::gateway::state::{CoordinatorAsk, FleetSnapshot, FleetView, GatewayState};
-use crate::ids::{EndpointId, HostId, ModelName, Tokens};
+use crate::ids::{EndpointId, HostId, ModelName, Tokens, WorkspaceId};
 
 /// Time between two looks at the lease.
 const LEASE_INTERVAL: Duration = Duration::from_millis(60);
@@ -35,6 +35,10 @@
 const DIRECTORY_INTERVAL: Duration = Duration::from_millis(300);
 /// Time without an exchange after which the coordinator counts as lost.
 const LOST_AFTER: Duration = Duration::from_millis(600);
+/// Time that a request waits for its tokens where no coordinator is found.
+const QUOTA_PATIENCE: Duration = Duration::from_millis(450);
+/// Time between two tries to find one.
+const QUOTA_PAUSE: Duration = Duration::from_millis(40);
 /// Time between two tries to give an adapter a place.
 const ADAPTER_PAUSE: Duration = Duration::from_millis(5);
 /// Time that an adapter waits for a place.
@@ -497,18 +501,33 @@
         }
     }
 
+    /// Draws tokens from whoever is the coordinator, as soon as there is one:
+    /// the lease changes hands within a few hundred milliseconds.
+    async fn draw_anywhere(
+        &self,
+        host: HostId,
+        workspace: WorkspaceId,
+        tokens: Tokens,
+    ) -> QuotaAnswer {
+        loop {
+            if let Some(answer) = self.draw(&host, &workspace, tokens) {
+                return answer;
+            }
+            if let Some(client) = self.client().await
+                && let Some(answer) = client.draw(host.clone(), workspace.clone(), tokens).await
+            {
+                return answer;
+            }
+            sleep(QUOTA_PAUSE).await;
+        }
+    }
+
     async fn answer_ask(&self, ask: CoordinatorAsk) {
         match ask {
             CoordinatorAsk::Quota { workspace, tokens, reply } => {
                 let host = self.state.settings.host.clone();
-                let answer = match self.draw(&host, &workspace, tokens) {
-                    Some(answer) => Some(answer),
-                    None => match self.client().await {
-                        Some(client) => client.draw(host, workspace, tokens).await,
-                        None => None,
-                    },
-                };
-                if let Some(answer) = answer {
+                let answer = timeout(QUOTA_PATIENCE, self.draw_anywhere(host, workspace, tokens));
+                if let Ok(answer) = answer.await {
                     // A caller that is gone does not need the tokens; they are lost.
                     let _ = reply.send(answer);
                 }
--- a/crates/skylarkgw/tests/decisions/placement.rs
+++ b/crates/skylarkgw/tests/decisions/placement.rs
@@ -7,11 +7,12 @@
 use skylarkgw::decision::fleet_planner::{AdapterStep, FleetPlanner, PlannerCall};
 use skylarkgw::decision::model_demand::{DemandEstimate, ModelUse};
 use skylarkgw::decision::model_plan::{PlanChange, PlannedEngine, plan_change};
+use skylarkgw::gateway::declaration::ModelRule;
 use skylarkgw::gateway::ports::{EngineOrder, EngineReport, OrderAnswer, OrderKind};
 use skylarkgw::gateway::registry::EngineEntry;
 use skylarkgw::ids::ModelName;
 
-use crate::samples::{MODELS, declaration, engine, generation, ms};
+use crate::samples::{MODELS, declaration, engine, generation, model, ms};
 
 const TOKEN: u64 = 7;
 const WINDOW: Duration = Duration::from_secs(5);
@@ -83,6 +84,25 @@
     }
 }
 
+#[test]
+fn model_that_cannot_be_restored_does_not_keep_the_next_from_it() {
+    let huge = ModelRule { weights_mb: 500_000.0, ..model("huge") };
+    let mut rule = generation(&["kept", "lost"]);
+    rule.models.insert(0, huge);
+    let engines = [planned("e1", &["kept"], 130_000.0)];
+    let change = plan_change(&rule, &engines, &demand(&[]), 1);
+    assert!(matches!(change, Some(PlanChange::Load { ref model, .. }) if &**model == "lost"));
+}
+
+#[test]
+fn moves_for_demand_leave_loads_for_models_that_nobody_serves() {
+    let rule = generation(&["hot"]);
+    let engines = [planned("e1", &["hot"], 0.0), planned("e2", &[], 200_000.0)];
+    assert_eq!(plan_change(&rule, &engines, &demand(&[("hot", 90.0)]), 3), None);
+    let lost = generation(&["hot", "lost"]);
+    assert!(plan_change(&lost, &engines, &demand(&[("hot", 90.0)]), 1).is_some());
+}
+
 #[test]
 fn weight_store_is_left_alone_when_its_rate_is_used_up() {
     let rule = generation(&["busy", "rare"]);
