--- a/crates/skylarkgw/src/decision/coordinator.rs
+++ b/crates/skylarkgw/src/decision/coordinator.rs
@@ -8,7 +8,7 @@
 
 use crate::decision::fleet_planner::{FleetPlanner, PlacementNotice, PlannerCall};
 use crate::decision::model_demand::{DemandEstimate, ModelUse};
-use crate::decision::quota_bank::{QuotaBank, SILENT_AFTER};
+use crate::decision::quota_bank::{QuotaBank, QuotaPromise, SILENT_AFTER};
 use crate::gateway::declaration::{FleetDeclaration, ServiceName};
 use crate::gateway::registry::EngineEntry;
 use crate::ids::{EndpointId, HostId, ModelName, ObjectVersion, Revision, Tokens, WorkspaceId};
@@ -120,14 +120,14 @@
     /// Creates the state of a new holder.
     ///
     /// `is_first` says that nobody can have held the lease before, and
-    /// `quota_window` is the time in which quotas are counted.
-    pub fn new(now: Duration, token: u64, quota_window: Duration, is_first: bool) -> Coordinator {
+    /// `quota` how exactly quotas are kept.
+    pub fn new(now: Duration, token: u64, quota: QuotaPromise, is_first: bool) -> Coordinator {
         Coordinator {
             token,
             started_at: now,
             hosts: HashMap::new(),
             demand: DemandEstimate::default(),
-            bank: QuotaBank::new(now, quota_window, is_first),
+            bank: QuotaBank::new(now, quota, is_first),
             planner: FleetPlanner::default(),
             notice: PlacementNotice::default(),
             // Versions of different holders never meet.
--- a/crates/skylarkgw/src/decision/quota_bank.rs
+++ b/crates/skylarkgw/src/decision/quota_bank.rs
@@ -14,6 +14,8 @@
 use std::collections::{HashMap, VecDeque};
 use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
+
 use crate::gateway::declaration::WorkspaceRule;
 use crate::ids::{HostId, Tokens, WorkspaceId};
 
@@ -24,9 +26,9 @@
 pub const SILENT_AFTER: Duration = Duration::from_millis(450);
 /// Demand that a purse covers ahead, in seconds.
 const PURSE_HORIZON_S: f64 = 0.6;
-/// Part of the burst that a new holder's buckets start with; it fits into the
-/// slack of the promise, as what the holder before granted is not known.
-const START_SHARE: f64 = 0.25;
+/// Part of the tolerance that a new holder's buckets start with, as what the
+/// holder before granted is not known; two holders may follow in one window.
+const START_SHARE: f64 = 0.45;
 /// Time constant of the demand estimate, in seconds.
 const DEMAND_MEMORY_S: f64 = 1.0;
 /// Most tokens that a purse holds, in seconds of its demand.
@@ -69,13 +71,31 @@
     }
 }
 
+/// How exactly quotas are kept.
+#[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct QuotaPromise {
+    /// Time in which the tokens of a workspace are counted.
+    pub window: Duration,
+    /// Part of rate times window plus burst by which it may be exceeded.
+    pub overshoot: f64,
+    /// Tokens by which it may be exceeded beside that.
+    pub slack_tokens: f64,
+}
+
+impl QuotaPromise {
+    fn tolerance(&self, rate: f64, burst: f64) -> f64 {
+        (rate * self.window.as_secs_f64() + burst) * self.overshoot + self.slack_tokens
+    }
+}
+
 /// Buckets of all workspaces.
 #[derive(Debug, Default)]
 pub struct QuotaBank {
     accounts: HashMap<WorkspaceId, BankAccount>,
     advanced_at: Duration,
     heard_at: HashMap<HostId, Duration>,
-    window: Duration,
+    promise: QuotaPromise,
     started_at: Duration,
     starts_full: bool,
 }
@@ -94,8 +114,14 @@
 impl QuotaBank {
     /// Creates a bank. Its buckets start nearly empty unless nothing can have
     /// been spent before: a new holder does not know what the last one granted.
-    pub fn new(now: Duration, window: Duration, starts_full: bool) -> QuotaBank {
-        QuotaBank { advanced_at: now, started_at: now, window, starts_full, ..QuotaBank::default() }
+    pub fn new(now: Duration, promise: QuotaPromise, starts_full: bool) -> QuotaBank {
+        QuotaBank {
+            advanced_at: now,
+            started_at: now,
+            promise,
+            starts_full,
+            ..QuotaBank::default()
+        }
     }
 
     /// Takes in the declared workspaces.
@@ -105,12 +131,16 @@
         let mut accounts = HashMap::new();
         for workspace in limited {
             let (rate, burst) = (workspace.tokens_per_s as f64, workspace.burst_tokens as f64);
-            let start = if self.starts_full { burst } else { burst * START_SHARE };
+            let start = if self.starts_full {
+                burst
+            } else {
+                self.promise.tolerance(rate, burst) * START_SHARE
+            };
             let account = self.accounts.remove(&workspace.name);
             let mut account = account.unwrap_or_else(|| BankAccount {
                 rate,
                 burst,
-                level: start,
+                level: start.min(burst),
                 backlog: 0.0,
                 granted: VecDeque::new(),
                 drawn_per_s: HashMap::new(),
@@ -143,14 +173,14 @@
         self.advance(now);
         let account = self.accounts.get_mut(workspace)?;
         let needed = (least as f64).min(account.burst);
-        let room = account.room(self.window);
+        let room = account.room(self.promise.window);
         let granted = if account.level < needed || account.level <= 0.0 || room < least as f64 {
             0.0
         } else {
             (wanted as f64).min(account.level).min(room).max(least as f64).floor()
         };
         account.level -= granted;
-        account.note_granted(now, self.window, granted);
+        account.note_granted(now, self.promise.window, granted);
         let drawn = account.drawn_per_s.entry(host.clone()).or_default();
         *drawn += granted / DEMAND_MEMORY_S;
         let total: f64 = account.drawn_per_s.values().sum();
@@ -177,7 +207,8 @@
         let elapsed = now.saturating_sub(self.advanced_at).as_secs_f64();
         self.advanced_at = now;
         self.heard_at.retain(|_, heard_at| now.saturating_sub(*heard_at) < COAST_TIME);
-        let (window, started_at, starts_full) = (self.window, self.started_at, self.starts_full);
+        let (window, started_at, starts_full) =
+            (self.promise.window, self.started_at, self.starts_full);
         let heard_at = &self.heard_at;
         let is_silent = |host: &HostId| {
             heard_at.get(host).is_some_and(|at| now.saturating_sub(*at) >= SILENT_AFTER)
@@ -239,9 +270,15 @@
     }
 
     /// Takes tokens for a request and returns whether they were there.
+    ///
+    /// Without a coordinator a request may leave a debt, since the rate of one
+    /// host is smaller than many a request.
     pub fn spend(&mut self, now: Duration, tokens: Tokens) -> bool {
         self.advance(now);
-        let is_enough = self.balance >= tokens as f64;
+        let silence = now.saturating_sub(self.refilled_at);
+        let is_coasting = (SILENT_AFTER..COAST_TIME).contains(&silence);
+        let may_owe = is_coasting && self.coast_per_s > 0.0 && self.balance > 0.0;
+        let is_enough = self.balance >= tokens as f64 || may_owe;
         if is_enough {
             self.balance -= tokens as f64;
         }
--- a/crates/skylarkgw/src/gateway/control.rs
+++ b/crates/skylarkgw/src/gateway/control.rs
@@ -338,8 +338,8 @@
         match token {
             Some(token) => {
                 let is_first = self.state.settings.is_first_start && token == 1;
-                let quota_window = self.state.settings.bounds.quota_window;
-                let mut coordinator = Coordinator::new(now, token, quota_window, is_first);
+                let quota = self.state.settings.bounds.quota;
+                let mut coordinator = Coordinator::new(now, token, quota, is_first);
                 if let Some(declaration) = &self.state.snapshot.load().declaration {
                     coordinator.declare(now, declaration);
                 }
--- a/crates/skylarkgw/src/gateway/settings.rs
+++ b/crates/skylarkgw/src/gateway/settings.rs
@@ -5,6 +5,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::decision::quota_bank::QuotaPromise;
 use crate::ids::{DataCentre, HostId};
 
 /// Times and shares that the deployment promises.
@@ -22,8 +23,8 @@
     pub retry_ratio: f64,
     /// Repeats beyond that, over all hosts and one window.
     pub retry_slack: f64,
-    /// Time in which the tokens of a workspace are counted.
-    pub quota_window: Duration,
+    /// How exactly quotas are kept.
+    pub quota: QuotaPromise,
     /// Time in which loads from the weight store are counted.
     pub load_window: Duration,
     /// Time between SIGTERM and SIGKILL.
--- a/crates/skylarkgw/src/telemetry/metrics.rs
+++ b/crates/skylarkgw/src/telemetry/metrics.rs
@@ -5,6 +5,7 @@
 };
 
 use crate::decision::invariant::Invariant;
+use crate::telemetry::bounded::dropped_lines;
 
 const LATENCY_BUCKETS_S: [f64; 14] =
     [0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.32, 0.48, 0.75, 1.0, 2.0, 5.0, 10.0, 30.0];
@@ -73,6 +74,7 @@
     pub decode_failures: IntCounter,
     /// Streams that were resumed on a new connection.
     pub resumes: IntCounter,
+    log_drops: IntCounter,
     /// Requests that run now.
     pub running: IntGauge,
     /// Configuration in force.
@@ -160,6 +162,10 @@
                 "skylark_stream_resumes_total",
                 "Streams resumed on a new connection",
             )?,
+            log_drops: counter(
+                "skylark_log_lines_dropped_total",
+                "Log lines that were not written, to keep the volume bounded",
+            )?,
             running: gauge("skylark_requests_running", "Requests that run now")?,
             revision: gauge("skylark_revision_in_force", "Configuration in force")?,
             serving: gauge("skylark_serving", "Whether this host takes requests")?,
@@ -203,6 +209,8 @@
             let counter = self.violations.with_label_values(&[invariant.label()]);
             counter.inc_by(invariant.violations().saturating_sub(counter.get()));
         }
+        let drops = dropped_lines().saturating_sub(self.log_drops.get());
+        self.log_drops.inc_by(drops);
         TextEncoder::new().encode_to_string(&self.registry.gather())
     }
 }
