--- a/crates/skylarkgw/src/edge/forward/send.rs
+++ b/crates/skylarkgw/src/edge/forward/send.rs
@@ -249,11 +249,10 @@
     let once = admitted.route.repeat == RepeatRule::AtMostOnce;
     let freshest = if once { ONCE_IDLE } else { REPEATABLE_IDLE };
     let left = admitted.deadline.saturating_duration_since(Instant::now());
-    let link = match state.pool.take(address, freshest, CONNECT_LIMIT.min(left)).await {
-        Ok(pooled) => pooled.link,
+    let mut link = match state.pool.take(address, freshest, CONNECT_LIMIT.min(left)).await {
+        Ok(link) => link,
         Err(error) => return TryOutcome::NotRun(error.label()),
     };
-    let mut link = link;
     let request = engine_request(admitted, &engine.entry, resume_after);
     let wait = answer_limit(admitted);
     let response = match timeout_at(wait, link.send(request)).await {
--- a/crates/skylarkgw/src/endpoint.rs
+++ b/crates/skylarkgw/src/endpoint.rs
@@ -10,5 +10,5 @@
 pub use engine::{EngineClient, EngineError, EngineEvent, GenerateCall, TokenEvent};
 pub use generation::{GenerationEvent, GenerationFailure, GenerationTask, poll_engines};
 pub use link::{HttpLink, LinkError};
-pub use pool::{LinkPool, PooledLink};
+pub use pool::LinkPool;
 pub use service::{ServiceAnswer, ServiceCall, ServiceClient, ServiceError};
--- a/crates/skylarkgw/src/endpoint/link.rs
+++ b/crates/skylarkgw/src/endpoint/link.rs
@@ -75,7 +75,6 @@
 pub struct HttpLink {
     sender: SendRequest<Full<Bytes>>,
     last_used: Instant,
-    requests: u64,
 }
 
 impl HttpLink {
@@ -97,7 +96,7 @@
             .map_err(LinkError::NotSent)?;
         // The task ends when the sender is dropped or the other end closes.
         tokio::spawn(connection);
-        Ok(HttpLink { sender, last_used: Instant::now(), requests: 0 })
+        Ok(HttpLink { sender, last_used: Instant::now() })
     }
 
     /// Returns whether the connection can take a request now.
@@ -110,11 +109,6 @@
         self.last_used
     }
 
-    /// Returns the number of requests sent so far.
-    pub fn requests(&self) -> u64 {
-        self.requests
-    }
-
     /// Notes that an answer has been read to its end.
     pub fn touch(&mut self) {
         self.last_used = Instant::now();
@@ -131,7 +125,6 @@
         &mut self,
         request: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, LinkError> {
-        self.requests += 1;
         self.sender.try_send_request(request).await.map_err(|mut failure| {
             match failure.take_message() {
                 Some(_) => LinkError::NotSent(failure.into_error()),
--- a/crates/skylarkgw/src/endpoint/pool.rs
+++ b/crates/skylarkgw/src/endpoint/pool.rs
@@ -29,14 +29,6 @@
     idle: Mutex<HashMap<SocketAddr, Vec<IdleLink>>>,
 }
 
-/// A connection taken from the pool, or a new one.
-pub struct PooledLink {
-    /// The connection.
-    pub link: HttpLink,
-    /// Whether it has carried a request before.
-    pub is_reused: bool,
-}
-
 impl LinkPool {
     /// Takes an idle connection, or opens one.
     ///
@@ -51,12 +43,11 @@
         address: SocketAddr,
         freshest: Duration,
         connect_limit: Duration,
-    ) -> Result<PooledLink, LinkError> {
-        if let Some(link) = self.take_idle(address, freshest) {
-            return Ok(PooledLink { link, is_reused: true });
+    ) -> Result<HttpLink, LinkError> {
+        match self.take_idle(address, freshest) {
+            Some(link) => Ok(link),
+            None => HttpLink::open(address, connect_limit).await,
         }
-        let link = HttpLink::open(address, connect_limit).await?;
-        Ok(PooledLink { link, is_reused: false })
     }
 
     fn take_idle(&self, address: SocketAddr, freshest: Duration) -> Option<HttpLink> {
@@ -87,11 +78,6 @@
         }
     }
 
-    /// Closes the idle connections to an address.
-    pub fn close(&self, address: SocketAddr) {
-        lock(&self.idle).remove(&address);
-    }
-
     /// Closes connections that have been idle for too long.
     pub fn sweep(&self) {
         let now = Instant::now();
