--- a/crates/skylarkgw/src/decision/quota_bank.rs
+++ b/crates/skylarkgw/src/decision/quota_bank.rs
@@ -285,6 +285,17 @@
         is_enough
     }
 
+    /// Takes what is there of a request's tokens; the rest is asked of the bank.
+    ///
+    /// A balance that is smaller than any request would otherwise stay, and be
+    /// spent in a later window than the one that it was granted in.
+    pub fn take_part(&mut self, now: Duration, tokens: Tokens) -> Tokens {
+        self.advance(now);
+        let part = self.balance.clamp(0.0, tokens as f64).floor();
+        self.balance -= part;
+        part as Tokens
+    }
+
     /// Gives back the tokens of a request that did not run.
     pub fn refund(&mut self, tokens: Tokens) {
         self.balance += tokens as f64;
--- a/crates/skylarkgw/src/edge/forward/accept.rs
+++ b/crates/skylarkgw/src/edge/forward/accept.rs
@@ -210,23 +210,30 @@
     let tokens = if workspace.counts_requests { 1 } else { used };
     let hold = QuotaHold { state: state.clone(), workspace: Some(workspace.clone()), tokens };
     let now = boot_time();
-    {
+    let part = {
         let mut purses = state.purses();
         let purse = purses.entry(workspace.name.clone()).or_insert_with(|| QuotaPurse::new(now));
         purse.note_demand(now, tokens);
         if purse.spend(now, tokens) {
             return Ok(hold);
         }
-    }
+        purse.take_part(now, tokens)
+    };
+    let part = QuotaHold { state: state.clone(), workspace: Some(workspace.clone()), tokens: part };
+    let missing = tokens - part.tokens;
     let (reply, answer) = oneshot::channel();
-    let ask = CoordinatorAsk::Quota { workspace: workspace.name.clone(), tokens, reply };
+    let ask = CoordinatorAsk::Quota { workspace: workspace.name.clone(), tokens: missing, reply };
     let answer = match state.asks.try_send(ask) {
         Ok(()) => timeout(QUOTA_PATIENCE, answer).await.ok().and_then(Result::ok),
         // Too many questions wait already.
         Err(_) => None,
     };
     let retry_after = match answer {
-        Some(QuotaAnswer::Granted) => return Ok(hold),
+        Some(QuotaAnswer::Granted) => {
+            let mut part = part;
+            part.settle();
+            return Ok(hold);
+        }
         Some(QuotaAnswer::Refused { retry_after }) => retry_after,
         None => QUOTA_RETRY.mul_f64(rand::rng().random_range(1.0..3.0)),
     };
