--- a/crates/skylarkgw/src/gateway.rs
+++ b/crates/skylarkgw/src/gateway.rs
@@ -27,7 +27,7 @@
 use tokio::net::TcpListener;
 use tokio::runtime::Runtime;
 use tokio::signal::unix::{SignalKind, signal};
-use tokio::sync::{mpsc, watch};
+use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::{Instant, sleep, sleep_until};
 
 use crate::edge::forward::serve_forward;
@@ -96,15 +96,14 @@
     info!("host started", kv: { host, data_centre = centre, incarnation });
     let (close_sender, close) = watch::channel(false);
     let traffic_state = state.clone();
-    let traffic = std::thread::Builder::new().name("traffic".to_owned()).spawn(move || {
+    let (traffic_sender, traffic_end) = oneshot::channel::<()>();
+    std::thread::Builder::new().name("traffic".to_owned()).spawn(move || {
+        // Closes the channel when the thread ends, in a panic as well.
+        let _ends = traffic_sender;
         let runtime = runtime()?;
         runtime.block_on(serve_forward(callers, traffic_state, close))
     })?;
-    let end = runtime()?.block_on(run_control(state, asks, open_ports, close_sender));
-    match end {
-        Ok(()) if traffic.is_finished() => Err(GatewayError::Traffic),
-        end => end,
-    }
+    runtime()?.block_on(run_control(state, asks, open_ports, close_sender, traffic_end))
 }
 
 fn runtime() -> std::io::Result<Runtime> {
@@ -125,6 +124,7 @@
     asks: mpsc::Receiver<CoordinatorAsk>,
     open_ports: fn(&GatewaySettings) -> GatewayPorts,
     close: watch::Sender<bool>,
+    mut traffic_end: oneshot::Receiver<()>,
 ) -> Result<(), GatewayError> {
     let mut terminate = signal(SignalKind::terminate())?;
     let mut hangup = signal(SignalKind::hangup())?;
@@ -157,6 +157,7 @@
     loop {
         tokio::select! {
             _ = terminate.recv() => break,
+            _ = &mut traffic_end => return Err(GatewayError::Traffic),
             // Addresses and bounds hold for the life of the process.
             _ = hangup.recv() => info!("settings changed; they are read at the next start"),
         }
