Remove inputs that nothing fills, say once what ends a sending

The estimate of an engine's wait had fields for adapters and prompts that were always the same; deadline checks and the test for a closing connection stood twice. The limit on held answers said that longer ones are passed on, which they are not: it is 8 MB now, and says so.

--- a/crates/skylarkgw/src/decision/engine_choice.rs
+++ b/crates/skylarkgw/src/decision/engine_choice.rs
@@ -1,7 +1,7 @@
 //! Chooses the engine of a request.
 //!
-//! The estimate is the time until the request runs: waiting work, reading what
-//! the engine does not keep of the prompt, and the way there. Two hosts that
+//! The estimate is the time until the request runs: waiting work and the way
+//! there. Two hosts that
 //! decide from the same counts would herd, so each adds its own requests at
 //! once and ties are broken by a number drawn for the request.
 
@@ -15,8 +15,6 @@
 const BUSY_COST_MS: f64 = 60.0;
 /// Cost of another data centre, in milliseconds of waiting.
 const DISTANCE_COST_MS: f64 = 8.0;
-/// Cost of loading an adapter first, in milliseconds.
-const ADAPTER_COST_MS: f64 = 40.0;
 /// Cost of an engine whose last requests failed, in milliseconds.
 const FAILURE_COST_MS: f64 = 2_000.0;
 
@@ -29,10 +27,6 @@
     pub running: u32,
     /// Whether it is in this host's data centre.
     pub is_near: bool,
-    /// Whether it holds the adapter, where one is asked for.
-    pub has_adapter: bool,
-    /// Time to read what it does not keep of the prompt, in milliseconds.
-    pub read_ms: f64,
     /// Share of its recent requests that failed, from 0 to 1.
     pub failure_share: f64,
 }
@@ -43,13 +37,12 @@
         let slots = f64::from(self.slots.max(1));
         let busy = f64::from(self.running) / slots;
         let queued = f64::from((self.running + 1).saturating_sub(self.slots));
-        queued * SLOT_HOLD_MS / slots + busy * BUSY_COST_MS + self.read_ms
+        queued * SLOT_HOLD_MS / slots + busy * BUSY_COST_MS
     }
 
     fn cost_ms(&self) -> f64 {
         let distance = if self.is_near { 0.0 } else { DISTANCE_COST_MS };
-        let adapter = if self.has_adapter { 0.0 } else { ADAPTER_COST_MS };
-        self.wait_ms() + distance + adapter + self.failure_share * FAILURE_COST_MS
+        self.wait_ms() + distance + self.failure_share * FAILURE_COST_MS
     }
 }
 
--- a/crates/skylarkgw/src/edge/forward/place.rs
+++ b/crates/skylarkgw/src/edge/forward/place.rs
@@ -115,8 +115,6 @@
         slots: entry.slots,
         running: traffic.running(&entry.id) + elsewhere,
         is_near: entry.data_centre == admitted.state.settings.data_centre,
-        has_adapter: true,
-        read_ms: 0.0,
         failure_share: traffic.failure_share(boot_time(), &entry.id),
     }
 }
--- a/crates/skylarkgw/src/edge/forward/relay.rs
+++ b/crates/skylarkgw/src/edge/forward/relay.rs
@@ -15,7 +15,8 @@
 use crate::edge::forward::place::choose;
 use crate::edge::forward::record::{RequestEnd, RequestRecord};
 use crate::edge::forward::send::{
-    EngineUse, OpenAnswer, TryOutcome, may_run_again, remove_hop_headers, send_once, spend_budget,
+    EngineUse, OpenAnswer, TryOutcome, closes_connection, may_run_again, remove_hop_headers,
+    send_once, spend_budget,
 };
 use crate::edge::forward::{AnswerAbort, AnswerBody};
 use crate::endpoint::HttpLink;
@@ -59,12 +60,7 @@
 
 impl StreamSource {
     fn new(open: OpenAnswer) -> (http::response::Parts, StreamSource) {
-        let closes = open
-            .parts
-            .headers
-            .get_all(header::CONNECTION)
-            .iter()
-            .any(|value| value.to_str().is_ok_and(|value| value.eq_ignore_ascii_case("close")));
+        let closes = closes_connection(&open.parts.headers);
         let source = StreamSource {
             body: open.body,
             link: open.link,
@@ -205,10 +201,7 @@
     async fn resume(&mut self) -> bool {
         let admitted = &self.admitted;
         let may_resume = admitted.route.repeat == RepeatRule::Resumable;
-        if !may_resume || Instant::now() >= admitted.deadline {
-            return false;
-        }
-        if !may_run_again(admitted, self.runs) {
+        if !may_resume || !may_run_again(admitted, self.runs) {
             return false;
         }
         loop {
--- a/crates/skylarkgw/src/edge/forward/send.rs
+++ b/crates/skylarkgw/src/edge/forward/send.rs
@@ -26,9 +26,9 @@
 use crate::gateway::state::GatewayState;
 use crate::gateway::wire::{AnswerMark, EngineHeader};
 
-/// Longest answer that is held until it is whole; a longer one is passed on as
-/// it arrives.
-const WHOLE_LIMIT: usize = 256 * 1024;
+/// Longest answer that is no event stream, in bytes: it is held until it is
+/// whole, and a longer one counts as broken.
+const WHOLE_LIMIT: usize = 8 * 1024 * 1024;
 /// Time for a connection to an engine.
 const CONNECT_LIMIT: Duration = Duration::from_millis(400);
 /// Longest idle time of a connection for a request that can be repeated.
@@ -138,14 +138,11 @@
             TryOutcome::NotRun(_) => continue,
             TryOutcome::MayHaveRun(label) => {
                 runs += 1;
-                let passed = Instant::now() >= admitted.deadline;
-                if !passed && may_run_again(&admitted, runs) {
+                if may_run_again(&admitted, runs) {
                     continue;
                 }
-                let reason =
-                    if passed { RefusalReason::AnswerTimeout } else { RefusalReason::NoAnswer };
                 record.reason = label;
-                refusal = RequestRefusal::new(reason);
+                refusal = no_answer(&admitted);
                 break;
             }
             TryOutcome::Answered(open) => *open,
@@ -164,13 +161,10 @@
                 return Ok(whole_answer(parts, body, record));
             }
             WholeOutcome::Broken => {
-                let passed = Instant::now() >= admitted.deadline;
-                if !passed && may_run_again(&admitted, runs) {
+                if may_run_again(&admitted, runs) {
                     continue;
                 }
-                let reason =
-                    if passed { RefusalReason::AnswerTimeout } else { RefusalReason::NoAnswer };
-                refusal = RequestRefusal::new(reason);
+                refusal = no_answer(&admitted);
                 break;
             }
         }
@@ -186,7 +180,16 @@
 
 /// Returns whether the request may run on one engine more than on `runs`.
 pub fn may_run_again(admitted: &AdmittedRequest, runs: u32) -> bool {
-    admitted.route.repeat != RepeatRule::AtMostOnce && runs < admitted.route.attempt_limit
+    let is_repeatable = admitted.route.repeat != RepeatRule::AtMostOnce;
+    let has_time = Instant::now() < admitted.deadline;
+    is_repeatable && has_time && runs < admitted.route.attempt_limit
+}
+
+/// Returns the refusal of a request that may have run without a whole answer.
+fn no_answer(admitted: &AdmittedRequest) -> RequestRefusal {
+    let has_time = Instant::now() < admitted.deadline;
+    let reason = if has_time { RefusalReason::NoAnswer } else { RefusalReason::AnswerTimeout };
+    RequestRefusal::new(reason)
 }
 
 /// Takes a repeat from the budget, or notes the first sending.
@@ -323,6 +326,12 @@
     (rank.min(3) * 2 + if deferrable { 3 } else { 1 }).min(9)
 }
 
+/// Returns whether the engine closes the connection after its answer.
+pub fn closes_connection(headers: &HeaderMap) -> bool {
+    let mut values = headers.get_all(header::CONNECTION).iter();
+    values.any(|value| value.to_str().is_ok_and(|value| value.eq_ignore_ascii_case("close")))
+}
+
 /// Removes headers that concern one connection, those named there included.
 pub fn remove_hop_headers(headers: &mut HeaderMap) {
     let named: Vec<HeaderName> = headers
--- a/crates/skylarkgw/tests/decisions/choice.rs
+++ b/crates/skylarkgw/tests/decisions/choice.rs
@@ -3,14 +3,7 @@
 use skylarkgw::decision::engine_choice::{EngineCandidate, choose_engine};
 
 fn candidate(running: u32) -> EngineCandidate {
-    EngineCandidate {
-        slots: 24,
-        running,
-        is_near: true,
-        has_adapter: true,
-        read_ms: 0.0,
-        failure_share: 0.0,
-    }
+    EngineCandidate { slots: 24, running, is_near: true, failure_share: 0.0 }
 }
 
 #[test]
