--- a/crates/skylarkgw/tests/decisions/quota.rs
+++ b/crates/skylarkgw/tests/decisions/quota.rs
@@ -242,3 +242,18 @@
     // The debt is paid before anything else.
     assert!(!purse.spend(ms(1_500), 100));
 }
+
+#[test]
+fn balance_below_a_request_is_used_up_before_the_bank_is_asked() {
+    let mut fleet = Fleet::new(1);
+    for now in (0..2_000).step_by(100) {
+        fleet.exchange(now);
+        let balance = fleet.purses.values().map(QuotaPurse::balance).sum::<f64>();
+        let tokens = balance as u64 + 500;
+        if fleet.request(now, 0, tokens, true) {
+            let left = fleet.purses.values().map(QuotaPurse::balance).sum::<f64>();
+            assert!(left < 1.0, "{left} of {balance} tokens stay at {now} ms");
+        }
+    }
+    assert!(fleet.spent.len() > 3);
+}
