Count contact only with members that know something of their own

Joining hosts no longer count on either side, a reply says how far its sender's knowledge goes, a host that joins needs members with news all along, and forgotten members mean no contact.

--- a/crates/skylarkgw/src/decision/host.rs
+++ b/crates/skylarkgw/src/decision/host.rs
@@ -259,7 +259,7 @@
         if self.phase == MemberPhase::Joining && self.configuration.revision > 0 {
             let waited = |since: Duration| now.saturating_sub(since) >= JOIN_GRACE;
             let alone = self.members.known().next().is_none();
-            let agreed = self.members.has_heard() && self.members.in_contact(now);
+            let agreed = self.members.is_introduced(now);
             let platform = self.synced && self.listed_at.is_some();
             if agreed || (platform && (alone || self.listed_at.is_some_and(waited))) {
                 self.phase = MemberPhase::Live;
@@ -373,8 +373,8 @@
             PeerMessage::Heartbeat { entries, withdrawn } => {
                 self.heartbeat(now, from, entries, withdrawn);
             }
-            PeerMessage::HeartbeatReply { incarnation, counter, revision, withdrawn } => {
-                let echo = HeartbeatEcho { incarnation, counter, revision, withdrawn };
+            PeerMessage::HeartbeatReply { incarnation, counter, revision, withdrawn, standing } => {
+                let echo = HeartbeatEcho { incarnation, counter, revision, withdrawn, standing };
                 self.heartbeat_reply(&from, echo);
             }
             PeerMessage::Withdrawn { hashes } => self.withdraw(hashes),
--- a/crates/skylarkgw/src/decision/host/knowledge.rs
+++ b/crates/skylarkgw/src/decision/host/knowledge.rs
@@ -7,7 +7,7 @@
 use crate::decision::allowance::AllowanceBucket;
 use crate::decision::host::HostMachine;
 use crate::decision::host::admission::WorkspaceState;
-use crate::decision::membership::{MemberEntry, MemberPhase};
+use crate::decision::membership::{KnowledgeStanding, MemberEntry, MemberPhase};
 use crate::decision::message::PeerMessage;
 use crate::ids::{HostId, Incarnation, KeyHash, Revision};
 
@@ -16,6 +16,7 @@
     pub(super) counter: u64,
     pub(super) revision: Revision,
     pub(super) withdrawn: u64,
+    pub(super) standing: KnowledgeStanding,
 }
 
 impl HostMachine {
@@ -63,6 +64,14 @@
         self.withdrawn.iter().filter(unstored).cloned().collect()
     }
 
+    fn standing(&self) -> KnowledgeStanding {
+        match (self.phase, self.lapse) {
+            (MemberPhase::Joining, _) => KnowledgeStanding::Joining,
+            (_, Some(_)) => KnowledgeStanding::Lapsed,
+            _ => KnowledgeStanding::Current,
+        }
+    }
+
     pub(super) fn heartbeat(
         &mut self,
         now: Duration,
@@ -84,6 +93,7 @@
                 counter: sender.counter,
                 revision: self.configuration.revision,
                 withdrawn: self.withdrawn.fingerprint(),
+                standing: self.standing(),
             };
             self.send(from, reply);
         }
@@ -92,9 +102,9 @@
     /// Counts the sender as in contact if it knows nothing that this host does
     /// not, and otherwise asks for it.
     pub(super) fn heartbeat_reply(&mut self, from: &HostId, echo: HeartbeatEcho) {
-        let HeartbeatEcho { incarnation, counter, revision, withdrawn } = echo;
+        let HeartbeatEcho { incarnation, counter, revision, withdrawn, standing } = echo;
         if self.compare_knowledge(from, revision, withdrawn) {
-            self.members.note_contact(from, incarnation, counter);
+            self.members.note_contact(from, incarnation, counter, standing);
         }
     }
 
--- a/crates/skylarkgw/src/decision/membership.rs
+++ b/crates/skylarkgw/src/decision/membership.rs
@@ -72,6 +72,24 @@
     pub share_key: Arc<str>,
 }
 
+/// How far a host's knowledge of configuration and keys can be relied on.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum KnowledgeStanding {
+    /// It has just started and knows what others told it.
+    Joining,
+    /// It was without news from platform and members, and is not yet back.
+    Lapsed,
+    /// It has had news all along.
+    Current,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct MemberContact {
+    at: Duration,
+    standing: KnowledgeStanding,
+}
+
 /// A known member and when news of it last came.
 #[derive(Clone, Debug)]
 pub struct MemberRecord {
@@ -83,12 +101,22 @@
     pub hinted: bool,
 }
 
+impl MemberRecord {
+    /// Returns whether the member may know what this host does not: it has
+    /// joined and was heard from.
+    fn is_informed(&self) -> bool {
+        !self.hinted && matches!(self.entry.phase, MemberPhase::Live | MemberPhase::Leaving)
+    }
+}
+
 /// The members that one host knows.
 #[derive(Debug)]
 pub struct MemberTable {
     own: MemberEntry,
     others: BTreeMap<HostId, MemberRecord>,
-    contacts: BTreeMap<HostId, Duration>,
+    contacts: BTreeMap<HostId, MemberContact>,
+    /// Whether a member was forgotten that may know what this host does not.
+    forgotten: bool,
     beats: VecDeque<(u64, Duration)>,
     beat_at: Duration,
 }
@@ -109,6 +137,7 @@
             own,
             others: BTreeMap::new(),
             contacts: BTreeMap::new(),
+            forgotten: false,
             beats: VecDeque::new(),
             beat_at: Duration::ZERO,
         }
@@ -170,7 +199,12 @@
         if self.beats.len() > REMEMBERED_BEATS {
             self.beats.pop_front();
         }
-        self.others.retain(|_, record| now.saturating_sub(record.heard_at) < FORGET_AFTER);
+        let silent: Vec<MemberRecord> = self
+            .others
+            .extract_if(.., |_, record| now.saturating_sub(record.heard_at) >= FORGET_AFTER)
+            .map(|(_, record)| record)
+            .collect();
+        self.forgotten |= silent.iter().any(MemberRecord::is_informed);
         self.contacts.retain(|host, _| self.others.contains_key(host));
         let targets = self
             .known()
@@ -193,14 +227,26 @@
 
     /// Takes in that a host answered a heartbeat and knew nothing of
     /// configuration and keys that this host does not.
-    pub fn note_contact(&mut self, from: &HostId, incarnation: Incarnation, echo: u64) {
-        if incarnation != self.own.incarnation {
+    ///
+    /// A host that joins knows nothing of its own, so its answer is no contact.
+    pub fn note_contact(
+        &mut self,
+        from: &HostId,
+        incarnation: Incarnation,
+        echo: u64,
+        standing: KnowledgeStanding,
+    ) {
+        if incarnation != self.own.incarnation || standing == KnowledgeStanding::Joining {
             return;
         }
         let sent = self.beats.iter().find(|(counter, _)| *counter == echo);
         if let Some((_, sent_at)) = sent {
-            let contact = self.contacts.entry(from.clone()).or_insert(*sent_at);
-            *contact = (*contact).max(*sent_at);
+            self.forgotten = false;
+            let contact = MemberContact { at: *sent_at, standing };
+            let known = self.contacts.entry(from.clone()).or_insert(contact);
+            if *sent_at >= known.at {
+                *known = contact;
+            }
         }
     }
 
@@ -221,31 +267,43 @@
             .map(|record| &record.entry)
     }
 
-    /// Returns whether any other member was ever heard from and is not
-    /// forgotten.
-    pub fn has_heard(&self) -> bool {
-        self.known().any(|record| !record.hinted)
-    }
-
     /// Iterates over all other members that are not forgotten or stopped.
     pub fn known(&self) -> impl Iterator<Item = &MemberRecord> {
         self.others.values().filter(|record| record.entry.phase != MemberPhase::Left)
     }
 
-    /// Returns whether at least half of the known members were in contact with
-    /// this host lately.
+    /// Returns whether at least half of the members that have joined were in
+    /// contact with this host lately.
     ///
     /// A host that never heard from another member has nobody to hear from;
     /// members that only the platform's list names do not count.
     pub fn in_contact(&self, now: Duration) -> bool {
-        let (mut known, mut fresh) = (0_usize, 0_usize);
-        for record in self.known().filter(|record| !record.hinted) {
-            known += 1;
+        let (informed, fresh) = self.count_contacts(now, |_| true);
+        if informed == 0 { !self.forgotten } else { fresh * 2 >= informed }
+    }
+
+    /// Returns whether a host that joins has contact with at least half of the
+    /// members that have joined, all of them with news of their own.
+    pub fn is_introduced(&self, now: Duration) -> bool {
+        let is_current = |contact: &MemberContact| contact.standing == KnowledgeStanding::Current;
+        let (informed, fresh) = self.count_contacts(now, is_current);
+        informed > 0 && fresh * 2 >= informed
+    }
+
+    /// Counts the members that have joined, and those in contact lately.
+    fn count_contacts(
+        &self,
+        now: Duration,
+        counts: impl Fn(&MemberContact) -> bool,
+    ) -> (usize, usize) {
+        let is_fresh = |record: &&MemberRecord| {
             let contact = self.contacts.get(&record.entry.host);
-            let is_fresh = |at: &Duration| now.saturating_sub(*at) < CONTACT_WINDOW;
-            fresh += usize::from(contact.is_some_and(is_fresh));
-        }
-        fresh * 2 >= known
+            let contact = contact.filter(|contact| counts(contact));
+            contact.is_some_and(|contact| now.saturating_sub(contact.at) < CONTACT_WINDOW)
+        };
+        let informed: Vec<&MemberRecord> =
+            self.others.values().filter(|record| record.is_informed()).collect();
+        (informed.len(), informed.iter().filter(|record| is_fresh(record)).count())
     }
 
     /// Returns this host's place among all live hosts, by name.
--- a/crates/skylarkgw/src/decision/message.rs
+++ b/crates/skylarkgw/src/decision/message.rs
@@ -7,7 +7,7 @@
 
 use crate::configuration::FleetConfiguration;
 use crate::decision::allowance::LoanPurpose;
-use crate::decision::membership::MemberEntry;
+use crate::decision::membership::{KnowledgeStanding, MemberEntry};
 use crate::ids::{HostId, Incarnation, KeyHash, Revision, ShareParts, Tokens, WorkspaceId};
 
 /// Identifies one loan; extending it keeps the identifier.
@@ -44,6 +44,8 @@
         revision: Revision,
         /// Fingerprint of the withdrawn keys that the sender knows.
         withdrawn: u64,
+        /// How far that can be relied on.
+        standing: KnowledgeStanding,
     },
     /// Keys that were withdrawn.
     Withdrawn {
--- a/crates/standins/tests/machines/withdrawals.rs
+++ b/crates/standins/tests/machines/withdrawals.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use skylarkgw::decision::host::HostInput;
+use skylarkgw::decision::membership::FORGET_AFTER;
 use skylarkgw::ids::KeyHash;
 use standins::network::{NetworkSettings, TestNetwork, run_seeded};
 
@@ -63,6 +64,47 @@
     }
 }
 
+/// Traced in scenario 80000076 of 80 faults.
+#[test]
+fn host_that_has_forgotten_its_members_does_not_count_as_alone() {
+    let mut network = network_with_unstored_withdrawal();
+    network.platform.outage = true;
+    network.run(FORGET_AFTER);
+    network.freeze(0, false);
+    for _ in 0..500 {
+        network.run(Duration::from_millis(20));
+        assert!(!network.is_serving(0), "served at {:?}", network.now);
+    }
+}
+
+/// Traced in scenario 40000080 of 40 faults.
+#[test]
+fn joining_hosts_do_not_vouch_for_what_a_resumed_host_knows() {
+    let mut network = TestNetwork::new(NetworkSettings { hosts: 4, ..NetworkSettings::default() });
+    network.declare_key(&KEY.into());
+    network.run(Duration::from_secs(8));
+    network.freeze(0, true);
+    network.cuts.extend([(0, 1), (0, 2), (0, 3)]);
+    network.step(3, HostInput::Withdraw { hashes: vec![KEY.into()] });
+    network.run(Duration::from_secs(5));
+    network.platform.outage = true;
+    network.freeze(3, true);
+    for host in [1, 2] {
+        network.kill(host);
+        network.start_life(host);
+    }
+    network.cuts.clear();
+    network.freeze(0, false);
+    for _ in 0..500 {
+        network.run(Duration::from_millis(20));
+        let accepting = (0..4).find(|host| network.accepts_key(*host, &KEY.into()));
+        assert_eq!(accepting, None, "at {:?}", network.now);
+    }
+    network.freeze(3, false);
+    network.run(Duration::from_secs(5));
+    assert!((0..4).all(|host| network.is_serving(host)));
+}
+
 /// Seed 90375: the one host that still knew was cut from the accepting host
 /// and from the platform. Seed 90439: every process that knew had ended before
 /// the platform was back.
@@ -74,3 +116,22 @@
         assert!(report.lost_withdrawals > 0, "seed {seed}: {report:?}");
     }
 }
+
+/// Scenarios that once failed, with their number of faults: hosts that joined
+/// vouched for a resumed one (40000080, 40000725), members were forgotten in a
+/// long pause (80000040, 80000076), nobody in reach knew (80000210, 80000362).
+#[test]
+fn scenarios_that_failed_hold() {
+    let seeds = [
+        (40_000_080, 40),
+        (40_000_725, 40),
+        (80_000_040, 80),
+        (80_000_076, 80),
+        (80_000_210, 80),
+        (80_000_362, 80),
+    ];
+    for (seed, faults) in seeds {
+        let report = run_seeded(seed, faults);
+        assert!(report.holds(), "seed {seed}: {report:?}");
+    }
+}
