--- a/crates/skylarkgw/src/edge/forward/record.rs
+++ b/crates/skylarkgw/src/edge/forward/record.rs
@@ -83,6 +83,9 @@
     pub retry_after: Option<Duration>,
     /// Time to the head of the answer or the first event.
     pub first: Option<Duration>,
+    /// Longest time between two passings of events of a stream.
+    longest_pause: Duration,
+    event_at: Option<Instant>,
     /// Revision and age of the declaration that decided.
     pub declaration: (u64, Duration),
 }
@@ -106,6 +109,8 @@
             reason: "",
             retry_after: None,
             first: None,
+            longest_pause: Duration::ZERO,
+            event_at: None,
             declaration: (0, Duration::ZERO),
         }
     }
@@ -120,6 +125,14 @@
         self.first.get_or_insert(self.started.elapsed());
     }
 
+    /// Notes events that are passed on.
+    pub fn note_events(&mut self) {
+        let now = Instant::now();
+        if let Some(last) = self.event_at.replace(now) {
+            self.longest_pause = self.longest_pause.max(now - last);
+        }
+    }
+
     /// Notes how the request ended.
     pub fn finish(&mut self, end: RequestEnd) {
         self.end = end;
@@ -166,10 +179,10 @@
         let retry_after_ms = self.retry_after.map_or(-1, |after| millis(after) as i64);
         let (revision, age_ms) = (self.declaration.0, millis(self.declaration.1));
         let registry_age_ms = millis(self.state.registry_age(boot_time()));
-        let total_ms = millis(total);
+        let (pause_ms, total_ms) = (millis(self.longest_pause), millis(total));
         info!("request ended", kv: {
             request = id, route, workspace, model, end, reason, status, tokens, tries, first_ms,
-            total_ms, retry_after_ms, revision, declaration_age_ms = age_ms, registry_age_ms
+            pause_ms, total_ms, retry_after_ms, revision, declaration_age_ms = age_ms, registry_age_ms
         });
     }
 }
--- a/crates/skylarkgw/src/edge/forward/relay.rs
+++ b/crates/skylarkgw/src/edge/forward/relay.rs
@@ -123,6 +123,7 @@
     /// Learns from the first event how long the prompt was read, unless the
     /// request may have queued.
     fn note_events(&mut self) {
+        self.record.note_events();
         if self.record.first.is_some() {
             return;
         }
