Give models on busy engines a replica on a calm one

The planner now also evens out the requests that hosts report for engines: a replica, or an exchange with one that others can stand in for, where the calmest replica of a model is busy and the gap is worth a load.

Tests: the three hot-spot tests in placement; two fail without the change.

--- a/crates/skylarkgw/src/decision/coordinator.rs
+++ b/crates/skylarkgw/src/decision/coordinator.rs
@@ -18,6 +18,9 @@
 /// Time in which a new holder gathers demand before it moves models.
 const GATHER_TIME: Duration = Duration::from_millis(1_200);
 
+/// Time constant of the average of requests at engines, in seconds.
+const RUNNING_MEMORY_S: f64 = 0.6;
+
 /// What a host reports with each exchange.
 #[derive(Clone, Debug, Default, Deserialize, Serialize)]
 #[serde(rename_all = "kebab-case")]
@@ -108,6 +111,9 @@
     started_at: Duration,
     hosts: HashMap<HostId, HostState>,
     demand: DemandEstimate,
+    /// Requests at each engine, averaged over [`RUNNING_MEMORY_S`].
+    running: HashMap<EndpointId, f64>,
+    running_at: Duration,
     bank: QuotaBank,
     planner: FleetPlanner,
     notice: PlacementNotice,
@@ -127,6 +133,8 @@
             started_at: now,
             hosts: HashMap::new(),
             demand: DemandEstimate::default(),
+            running: HashMap::new(),
+            running_at: now,
             bank: QuotaBank::new(now, quota, is_first),
             planner: FleetPlanner::default(),
             notice: PlacementNotice::default(),
@@ -204,11 +212,30 @@
         if now.saturating_sub(self.started_at) < GATHER_TIME {
             return Vec::new();
         }
-        let calls = self.planner.step(now, token, declaration, &mut self.demand, window);
+        self.follow_running(now);
+        let (demand, running) = (&mut self.demand, &self.running);
+        let calls = self.planner.step(now, token, declaration, demand, running, window);
         self.refresh_notice();
         calls
     }
 
+    /// Averages the requests that all hosts report for each engine.
+    fn follow_running(&mut self, now: Duration) {
+        let elapsed = now.saturating_sub(self.running_at).as_secs_f64();
+        self.running_at = now;
+        let keep = (-elapsed / RUNNING_MEMORY_S).exp();
+        let mut reported: HashMap<&EndpointId, u32> = HashMap::new();
+        for (engine, running) in self.hosts.values().flat_map(|host| &host.running) {
+            *reported.entry(engine).or_default() += running;
+        }
+        self.running.retain(|engine, _| self.registry.contains_key(engine));
+        for engine in self.registry.keys() {
+            let reported = f64::from(reported.get(engine).copied().unwrap_or_default());
+            let running = self.running.entry(engine.clone()).or_insert(reported);
+            *running = *running * keep + reported * (1.0 - keep);
+        }
+    }
+
     /// Notes that the planner's ledgers may have changed.
     pub fn refresh_notice(&mut self) {
         let notice = self.planner.notice();
--- a/crates/skylarkgw/src/decision/fleet_planner.rs
+++ b/crates/skylarkgw/src/decision/fleet_planner.rs
@@ -186,7 +186,7 @@
         self.is_known && !self.has_call && !has_order
     }
 
-    fn planned(&self, rule: &GenerationRule) -> PlannedEngine {
+    fn planned(&self, rule: &GenerationRule, running: f64) -> PlannedEngine {
         let size = |model: &ModelName| {
             let models = rule.models.iter().find(|rule| rule.name == *model);
             models.map_or(rule.weights_mb, |rule| rule.weights_mb)
@@ -211,6 +211,7 @@
             is_idle: self.is_idle(),
             copies: copies.cloned().collect(),
             slots: self.entry.slots,
+            running,
         }
     }
 
@@ -248,14 +249,15 @@
 
     /// Returns what to do now, with the fencing token for orders.
     ///
-    /// `demand` says how many slots each model needs, and
-    /// `window` the time in which loads from the weight store are counted.
+    /// `demand` says how many slots each model needs, `running` how many
+    /// requests each engine has, and `window` the time in which loads from the weight store are counted.
     pub fn step(
         &mut self,
         now: Duration,
         token: u64,
         declaration: &FleetDeclaration,
         demand: &mut DemandEstimate,
+        running: &HashMap<EndpointId, f64>,
         window: Duration,
     ) -> Vec<PlannerCall> {
         let mut calls = self.ask_unknown(now, declaration);
@@ -270,7 +272,7 @@
             let limit = (rule.store_loads_per_s * window.as_secs_f64() * STORE_SHARE) as usize;
             for _ in 0..CHANGES_PER_STEP {
                 let store_loads = limit.saturating_sub(self.store_loads.len()) as u32;
-                let engines = self.planned(&service.name, rule);
+                let engines = self.planned(&service.name, rule, running);
                 let Some(change) = plan_change(rule, &engines, &demand, store_loads) else { break };
                 calls.extend(self.begin(now, token, change));
             }
@@ -280,10 +282,18 @@
         calls
     }
 
-    fn planned(&self, service: &ServiceName, rule: &GenerationRule) -> Vec<PlannedEngine> {
+    fn planned(
+        &self,
+        service: &ServiceName,
+        rule: &GenerationRule,
+        running: &HashMap<EndpointId, f64>,
+    ) -> Vec<PlannedEngine> {
         let ledgers = self.engines.values();
         let ready = ledgers.filter(|ledger| ledger.entry.service == *service && ledger.is_ready());
-        let mut engines: Vec<PlannedEngine> = ready.map(|ledger| ledger.planned(rule)).collect();
+        let running =
+            |ledger: &EngineLedger| running.get(&ledger.entry.id).copied().unwrap_or_default();
+        let mut engines: Vec<PlannedEngine> =
+            ready.map(|ledger| ledger.planned(rule, running(ledger))).collect();
         engines.sort_by(|a, b| a.id.cmp(&b.id));
         engines
     }
--- a/crates/skylarkgw/src/decision/model_plan.rs
+++ b/crates/skylarkgw/src/decision/model_plan.rs
@@ -6,6 +6,8 @@
 //! the two keeps replicas from moving on every small change of demand. This
 //! answers the diurnal shift, in which demand moves to other models.
 
+mod balance;
+
 use std::collections::HashMap;
 
 use crate::gateway::declaration::{GenerationRule, ModelRule};
@@ -41,6 +43,8 @@
     pub copies: Vec<ModelName>,
     /// Requests that it works on at once.
     pub slots: u32,
+    /// Requests that it has, over the last moments.
+    pub running: f64,
 }
 
 /// One change of placement.
@@ -97,7 +101,9 @@
     let mut wanted: Vec<&ModelRule> =
         rule.models.iter().filter(|model| plan.need(&model.name) > slots * ADD_SHARE).collect();
     wanted.sort_by(|a, b| plan.need(&b.name).total_cmp(&plan.need(&a.name)));
-    wanted.into_iter().find_map(|model| plan.place(model, plan.need(&model.name), store_loads))
+    let needed =
+        wanted.into_iter().find_map(|model| plan.place(model, plan.need(&model.name), store_loads));
+    needed.or_else(|| plan.balance(store_loads))
 }
 
 fn count<'a>(models: impl Iterator<Item = &'a ModelName>) -> HashMap<&'a ModelName, u32> {
--- a/crates/skylarkgw/tests/decisions/placement.rs
+++ b/crates/skylarkgw/tests/decisions/placement.rs
@@ -26,9 +26,14 @@
         is_idle: true,
         copies: Vec::new(),
         slots: 10,
+        running: 0.0,
     }
 }
 
+fn busy(engine: PlannedEngine, running: f64) -> PlannedEngine {
+    PlannedEngine { running, ..engine }
+}
+
 fn demand(work: &[(&str, f64)]) -> HashMap<ModelName, f64> {
     work.iter().map(|(model, work)| ((*model).into(), *work)).collect()
 }
@@ -71,6 +76,55 @@
     assert_eq!(plan_change(&rule, &engines, &demand, 9), None);
 }
 
+/// A hot spot: two busy models share an engine beside one with nothing to do.
+#[test]
+fn model_on_a_busy_engine_gets_a_replica_on_a_calm_one() {
+    let rule = generation(&["hot", "warm", "cold"]);
+    let engines = [
+        busy(planned("e1", &["hot", "warm"], 0.0), 5.0),
+        busy(planned("e2", &["cold"], 130_000.0), 0.2),
+        busy(planned("e3", &["cold"], 130_000.0), 1.0),
+    ];
+    let work = demand(&[("hot", 2.9), ("warm", 2.1), ("cold", 1.2)]);
+    let change = plan_change(&rule, &engines, &work, 9);
+    let expected = PlanChange::Load { engine: "e2".into(), model: "hot".into(), from_store: true };
+    assert_eq!(change, Some(expected));
+    // Without the weight store only a copy can be loaded.
+    assert_eq!(plan_change(&rule, &engines, &work, 0), None);
+}
+
+#[test]
+fn hot_spot_takes_the_place_of_a_replica_that_others_can_stand_in_for() {
+    let rule = generation(&["hot", "warm", "cold", "rare"]);
+    let mut engines = [
+        busy(planned("e1", &["hot", "warm"], 0.0), 6.0),
+        busy(planned("e2", &["cold", "rare"], 0.0), 0.1),
+        busy(planned("e3", &["cold"], 0.0), 0.1),
+    ];
+    engines[1].copies = vec!["hot".into()];
+    let work = demand(&[("hot", 2.9), ("warm", 2.9), ("cold", 0.1), ("rare", 0.1)]);
+    let change = plan_change(&rule, &engines, &work, 0);
+    let expected = PlanChange::Close { engine: "e2".into(), model: "cold".into() };
+    assert_eq!(change, Some(expected));
+    // The last replica stays, and so does one whose others are busy themselves.
+    engines[2].running = 6.0;
+    let work = demand(&[("hot", 2.9), ("warm", 2.9), ("cold", 2.9), ("rare", 0.1)]);
+    assert_eq!(plan_change(&rule, &engines, &work, 0), None);
+}
+
+#[test]
+fn engines_that_are_evenly_busy_or_calm_are_left_alone() {
+    let rule = generation(&["a", "b"]);
+    let work = demand(&[("a", 2.9), ("b", 2.9)]);
+    for (one, other) in [(1.5, 0.0), (5.0, 4.5)] {
+        let engines = [
+            busy(planned("e1", &["a"], 130_000.0), one),
+            busy(planned("e2", &["b"], 130_000.0), other),
+        ];
+        assert_eq!(plan_change(&rule, &engines, &work, 9), None, "{one} beside {other}");
+    }
+}
+
 #[test]
 fn small_changes_of_demand_move_nothing() {
     let rule = generation(&["a", "b"]);
@@ -134,7 +188,9 @@
             let seen = ModelUse { arrivals: *arrivals, ..ModelUse::default() };
             demand.take(ms(self.now), MODELS.into(), (*model).into(), &seen);
         }
-        self.planner.step(ms(self.now), TOKEN, &declaration(models), &mut demand, WINDOW)
+        let running = HashMap::new();
+        let declaration = declaration(models);
+        self.planner.step(ms(self.now), TOKEN, &declaration, &mut demand, &running, WINDOW)
     }
 
     fn report(&mut self, id: &str, models: &[&str], order_count: u64, is_busy: bool) {
