Keep the room that a model makes for the one that it gave way for

Ruled out: reports that lag (the ledger was right each time). Test: placement::room_is_kept_for_the_model (fails without).

--- a/crates/skylarkgw/src/decision/fleet_planner.rs
+++ b/crates/skylarkgw/src/decision/fleet_planner.rs
@@ -30,6 +30,9 @@
 const UNLOAD_ASK_PAUSE: Duration = Duration::from_millis(300);
 /// Time that a load may take beyond three times the declared one.
 const LOAD_GRACE: Duration = Duration::from_secs(3);
+/// Time in which room that was made for a model is kept for it: closing, giving
+/// up and the report that shows it.
+const RESERVED_TIME: Duration = Duration::from_millis(2_500);
 /// Changes that begin in one step at most.
 const CHANGES_PER_STEP: usize = 4;
 /// Time for which an adapter that was asked for is kept in mind.
@@ -55,6 +58,7 @@
     loading: Option<(ModelName, Duration)>,
     closing: Option<(ModelName, Duration)>,
     unloading: Option<(ModelName, Duration)>,
+    reserved: Option<(ModelName, Duration)>,
     has_call: bool,
     is_known: bool,
     asked_at: Option<Duration>,
@@ -119,6 +123,7 @@
             loading: None,
             closing: None,
             unloading: None,
+            reserved: None,
             has_call: false,
             // Its registry entry does not say how many orders it has accepted.
             is_known: false,
@@ -207,6 +212,7 @@
             id: self.entry.id.clone(),
             models: models.cloned().collect(),
             loading: loading.cloned(),
+            reserved: self.reserved.as_ref().map(|(model, _)| model.clone()),
             free_mb: rule.weights_mb - adapters_mb - taken,
             is_idle: self.is_idle(),
             copies: copies.cloned().collect(),
@@ -262,6 +268,9 @@
     ) -> Vec<PlannerCall> {
         let mut calls = self.ask_unknown(now, declaration);
         calls.extend(self.give_up_closed(now, token));
+        for ledger in self.engines.values_mut() {
+            ledger.reserved.take_if(|(_, since)| now.saturating_sub(*since) > RESERVED_TIME);
+        }
         while self.store_loads.front().is_some_and(|at| now.saturating_sub(*at) > window) {
             self.store_loads.pop_front();
         }
@@ -313,11 +322,14 @@
                     self.store_loads.push_back(now);
                 }
                 ledger.loading = Some((model.clone(), now));
+                ledger.reserved = None;
                 ledger.has_call = true;
                 Some(PlannerCall::Order(ledger.order(token, OrderKind::Load, &model, None)))
             }
-            PlanChange::Close { engine, model } => {
-                self.engines.get_mut(&engine)?.closing = Some((model, now));
+            PlanChange::Close { engine, model, successor } => {
+                let ledger = self.engines.get_mut(&engine)?;
+                ledger.closing = Some((model, now));
+                ledger.reserved = Some((successor, now));
                 None
             }
         }
--- a/crates/skylarkgw/src/decision/model_plan.rs
+++ b/crates/skylarkgw/src/decision/model_plan.rs
@@ -34,6 +34,8 @@
     pub models: Vec<ModelName>,
     /// Model that it is loading.
     pub loading: Option<ModelName>,
+    /// Model that another one gives way for, until it is loaded.
+    pub reserved: Option<ModelName>,
     /// Memory that is not taken, in megabytes; what it gives up counts as
     /// taken until it is gone.
     pub free_mb: f64,
@@ -65,6 +67,8 @@
         engine: EndpointId,
         /// Model.
         model: ModelName,
+        /// Model that it gives way for.
+        successor: ModelName,
     },
 }
 
@@ -88,7 +92,8 @@
     store_loads: u32,
 ) -> Option<PlanChange> {
     let ready = count(engines.iter().flat_map(|engine| &engine.models));
-    let coming = count(engines.iter().filter_map(|engine| engine.loading.as_ref()));
+    let coming = engines.iter().flat_map(|engine| engine.loading.iter().chain(&engine.reserved));
+    let coming = count(coming);
     let models = rule.models.iter().map(|model| (&model.name, model)).collect();
     let slots = engines.iter().map(|engine| f64::from(engine.slots)).fold(f64::INFINITY, f64::min);
     let plan = ModelPlan { engines, ready, coming, demand, models, slots };
@@ -98,6 +103,10 @@
         return restore;
     }
     let store_loads = store_loads.saturating_sub(RESERVED_LOADS);
+    if let Some(change) = engines.iter().find_map(|engine| plan.take_reserved(engine, store_loads))
+    {
+        return Some(change);
+    }
     let mut wanted: Vec<&ModelRule> =
         rule.models.iter().filter(|model| plan.need(&model.name) > slots * ADD_SHARE).collect();
     wanted.sort_by(|a, b| plan.need(&b.name).total_cmp(&plan.need(&a.name)));
@@ -140,6 +149,18 @@
         self.demand.get(model).copied().unwrap_or_default()
     }
 
+    /// Loads the model that room was made for.
+    fn take_reserved(&self, engine: &PlannedEngine, store_loads: u32) -> Option<PlanChange> {
+        let model = engine.reserved.as_ref().filter(|_| engine.is_idle)?;
+        let size = self.models.get(model)?.weights_mb;
+        let from_store = !engine.copies.contains(model);
+        if engine.free_mb < size || (from_store && store_loads == 0) {
+            return None;
+        }
+        let (engine, model) = (engine.id.clone(), model.clone());
+        Some(PlanChange::Load { engine, model, from_store })
+    }
+
     fn place(&self, model: &ModelRule, need: f64, store_loads: u32) -> Option<PlanChange> {
         let lacks = |engine: &&PlannedEngine| {
             let is_loading = engine.loading.as_ref() == Some(&model.name);
@@ -162,7 +183,10 @@
         engines: &[&PlannedEngine],
         from_store: bool,
     ) -> Option<PlanChange> {
-        let idle = || engines.iter().filter(|engine| engine.is_idle);
+        let is_open = |engine: &PlannedEngine| {
+            engine.is_idle && (engine.reserved.is_none() || need.is_infinite())
+        };
+        let idle = || engines.iter().filter(|engine| is_open(engine));
         let roomy = idle().filter(|engine| engine.free_mb >= model.weights_mb);
         let least_loaded = roomy.min_by(|a, b| self.load(a).total_cmp(&self.load(b)));
         if let Some(engine) = least_loaded {
@@ -181,7 +205,8 @@
         let (engine, victim) = victims
             .min_by(|a, b| self.cost(a.0, a.1).total_cmp(&self.cost(b.0, b.1)))
             .filter(|(_, victim)| self.need_without(victim) * SWAP_FACTOR < need)?;
-        Some(PlanChange::Close { engine: engine.id.clone(), model: victim.clone() })
+        let (engine, victim) = (engine.id.clone(), victim.clone());
+        Some(PlanChange::Close { engine, model: victim, successor: model.name.clone() })
     }
 
     /// Returns what giving a model up on an engine costs: the need of its other
@@ -191,7 +216,7 @@
     }
 
     fn load(&self, engine: &PlannedEngine) -> f64 {
-        let models = engine.models.iter().chain(&engine.loading);
+        let models = engine.models.iter().chain(&engine.loading).chain(&engine.reserved);
         models.map(|model| self.need(model)).sum()
     }
 }
--- a/crates/skylarkgw/src/decision/model_plan/balance.rs
+++ b/crates/skylarkgw/src/decision/model_plan/balance.rs
@@ -43,7 +43,8 @@
             return None;
         }
         let targets = self.engines.iter().filter(|engine| {
-            engine.is_idle && !engine.models.contains(model) && engine.running < calmest
+            let is_open = engine.is_idle && engine.reserved.is_none();
+            is_open && !engine.models.contains(model) && engine.running < calmest
         });
         let steps = targets.filter_map(|engine| {
             let from_store = !engine.copies.contains(model);
@@ -85,7 +86,11 @@
             .map(|victim| (gain - self.loss(victim, engine), victim))
             .max_by(|a, b| a.0.total_cmp(&b.0))?;
         let least = self.slots * self.slots * GAP_SHARE * MOVED_SHARE;
-        let change = PlanChange::Close { engine: engine.id.clone(), model: victim.clone() };
+        let change = PlanChange::Close {
+            engine: engine.id.clone(),
+            model: victim.clone(),
+            successor: model.clone(),
+        };
         (gain > least).then_some(BalanceStep { gain, change })
     }
 
--- a/crates/skylarkgw/tests/decisions/placement.rs
+++ b/crates/skylarkgw/tests/decisions/placement.rs
@@ -22,6 +22,7 @@
         id: id.into(),
         models: models.iter().map(|name| ModelName::from(*name)).collect(),
         loading: None,
+        reserved: None,
         free_mb,
         is_idle: true,
         copies: Vec::new(),
@@ -104,7 +105,8 @@
     engines[1].copies = vec!["hot".into()];
     let work = demand(&[("hot", 2.9), ("warm", 2.9), ("cold", 0.1), ("rare", 0.1)]);
     let change = plan_change(&rule, &engines, &work, 0);
-    let expected = PlanChange::Close { engine: "e2".into(), model: "cold".into() };
+    let expected =
+        PlanChange::Close { engine: "e2".into(), model: "cold".into(), successor: "hot".into() };
     assert_eq!(change, Some(expected));
     // The last replica stays, and so does one whose others are busy themselves.
     engines[2].running = 6.0;
@@ -112,6 +114,37 @@
     assert_eq!(plan_change(&rule, &engines, &work, 0), None);
 }
 
+/// A diurnal shift: the room that one model makes is not taken by another, and
+/// only one model gives way for each replica.
+#[test]
+fn room_is_kept_for_the_model_that_another_gave_way_for() {
+    let rule = generation(&["rising", "steady", "spare"]);
+    let mut engines = [
+        planned("e1", &["rising"], 0.0),
+        planned("e2", &["steady", "spare"], 0.0),
+        planned("e3", &["steady", "spare"], 0.0),
+        planned("e4", &["steady", "spare"], 0.0),
+    ];
+    let work = demand(&[("rising", 18.0), ("steady", 12.0), ("spare", 0.1)]);
+    let Some(PlanChange::Close { engine, model, successor }) =
+        plan_change(&rule, &engines, &work, 9)
+    else {
+        panic!("nothing gives way");
+    };
+    assert_eq!((&*model, &*successor), ("spare", "rising"));
+    let place = engines.iter().position(|known| known.id == engine).expect("it is known");
+    engines[place].models.pop();
+    engines[place].is_idle = false;
+    engines[place].reserved = Some(successor.clone());
+    assert_eq!(plan_change(&rule, &engines, &work, 9), None);
+    engines[place].is_idle = true;
+    engines[place].free_mb = 130_000.0;
+    // The load of another model has risen meanwhile.
+    let work = demand(&[("rising", 18.0), ("steady", 90.0), ("spare", 80.0)]);
+    let expected = PlanChange::Load { engine, model: successor, from_store: true };
+    assert_eq!(plan_change(&rule, &engines, &work, 9), Some(expected));
+}
+
 #[test]
 fn engines_that_are_evenly_busy_or_calm_are_left_alone() {
     let rule = generation(&["a", "b"]);
