--- a/crates/skylarkgw/src/decision/model_plan.rs
+++ b/crates/skylarkgw/src/decision/model_plan.rs
@@ -1,6 +1,7 @@
 //! Which engine holds which model.
 //!
-//! Every declared model keeps one replica. The remaining memory follows demand:
+//! Every declared model keeps one replica; of those that lost theirs, the one
+//! with the most demand comes first. The remaining memory follows demand:
 //! the model with the most demand for each of its replicas gets the next one,
 //! and gives way where another's need is clearly larger. The factor between
 //! the two keeps replicas from moving on every small change of demand. This
@@ -19,6 +20,10 @@
 const ADD_SHARE: f64 = 0.3;
 /// Need below which nothing gives way for a replica, in the same parts.
 const SWAP_SHARE: f64 = 0.5;
+/// Need at which an engine is taken to be full, in the same parts.
+const FULL_SHARE: f64 = 0.8;
+/// Demand above which a model was asked for within the last seconds, in slots.
+const ASKED_DEMAND: f64 = 0.02;
 /// Loads from the weight store that are kept for models that nobody serves.
 const RESERVED_LOADS: u32 = 6;
 /// Need that a load from the weight store must have beyond one from a copy: it
@@ -97,8 +102,11 @@
     let models = rule.models.iter().map(|model| (&model.name, model)).collect();
     let slots = engines.iter().map(|engine| f64::from(engine.slots)).fold(f64::INFINITY, f64::min);
     let plan = ModelPlan { engines, ready, coming, demand, models, slots };
-    let mut missing = rule.models.iter().filter(|model| plan.replicas(&model.name) == 0);
-    let restore = missing.find_map(|model| plan.place(model, f64::INFINITY, store_loads));
+    let mut missing: Vec<&ModelRule> =
+        rule.models.iter().filter(|model| plan.replicas(&model.name) == 0).collect();
+    missing.sort_by(|a, b| plan.demand(&b.name).total_cmp(&plan.demand(&a.name)));
+    let restore =
+        missing.into_iter().find_map(|model| plan.place(model, f64::INFINITY, store_loads));
     if restore.is_some() {
         return restore;
     }
@@ -204,11 +212,21 @@
         });
         let (engine, victim) = victims
             .min_by(|a, b| self.cost(a.0, a.1).total_cmp(&self.cost(b.0, b.1)))
-            .filter(|(_, victim)| self.need_without(victim) * SWAP_FACTOR < need)?;
+            .filter(|(_, victim)| self.may_give_way(victim, &model.name, need))?;
         let (engine, victim) = (engine.id.clone(), victim.clone());
         Some(PlanChange::Close { engine, model: victim, successor: model.name.clone() })
     }
 
+    /// Returns whether one replica of a model may give way for another model.
+    ///
+    /// A model that nobody asks for waits while the other replicas of a busy
+    /// one could not take its work.
+    fn may_give_way(&self, victim: &ModelName, successor: &ModelName, need: f64) -> bool {
+        let left = self.need_without(victim);
+        let is_asked = self.demand(successor) > ASKED_DEMAND;
+        left * SWAP_FACTOR < need && (left < self.slots * FULL_SHARE || is_asked)
+    }
+
     /// Returns what giving a model up on an engine costs: the need of its other
     /// replicas, and the load that the newcomer meets there.
     fn cost(&self, engine: &PlannedEngine, victim: &ModelName) -> f64 {
--- a/crates/skylarkgw/tests/decisions/placement.rs
+++ b/crates/skylarkgw/tests/decisions/placement.rs
@@ -114,6 +114,24 @@
     assert_eq!(plan_change(&rule, &engines, &work, 0), None);
 }
 
+/// Crashed engines under load: the model that callers wait for comes back
+/// first, and a full one does not give way for one that nobody asks for.
+#[test]
+fn lost_models_come_back_in_the_order_of_their_demand() {
+    let rule = generation(&["idle", "hot", "rare"]);
+    let engines = [planned("e1", &["rare"], 130_000.0)];
+    let work = demand(&[("hot", 20.0), ("rare", 0.5)]);
+    let change = plan_change(&rule, &engines, &work, 9);
+    assert!(matches!(change, Some(PlanChange::Load { ref model, .. }) if &**model == "hot"));
+
+    let engines = [planned("e1", &["hot"], 0.0), planned("e2", &["hot", "rare"], 0.0)];
+    assert_eq!(plan_change(&rule, &engines, &work, 9), None);
+    let asked = demand(&[("hot", 20.0), ("rare", 0.5), ("idle", 0.1)]);
+    assert!(matches!(plan_change(&rule, &engines, &asked, 9), Some(PlanChange::Close { .. })));
+    let calm = demand(&[("hot", 5.0)]);
+    assert!(matches!(plan_change(&rule, &engines, &calm, 9), Some(PlanChange::Close { .. })));
+}
+
 /// A diurnal shift: the room that one model makes is not taken by another, and
 /// only one model gives way for each replica.
 #[test]
