Get a newer declaration from the coordinator before asking the store

The exchange now fetches the declaration when the coordinator's is newer; a host asks the store only if that fails. control.rs is split at its knowledge.

--- a/crates/skylarkgw/src/gateway/control.rs
+++ b/crates/skylarkgw/src/gateway/control.rs
@@ -1,5 +1,7 @@
 //! The control thread: knowledge of the fleet, the lease, the exchange.
 
+mod knowledge;
+
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -9,20 +11,17 @@
 use tokio::time::{sleep, timeout};
 
 use crate::decision::coordinator::{
-    Coordinator, CoordinatorReply, HostReport, KnowledgeAge, QuotaAnswer, RegistryDelta,
+    Coordinator, CoordinatorReply, HostReport, KnowledgeAge, QuotaAnswer,
 };
 use crate::decision::coordinator_lease::{CoordinatorLease, LeaseStep};
 use crate::decision::directory::EngineDirectory;
 use crate::decision::fleet_planner::{AdapterStep, PlannerCall};
-use crate::decision::freshness::{asks_itself, exchange_interval};
+use crate::decision::freshness::exchange_interval;
 use crate::decision::quota_bank::QuotaPurse;
-use crate::decision::route_table::RouteTable;
 use crate::gateway::clock::boot_time;
-use crate::gateway::declaration::{FleetDeclaration, ServiceName};
+use crate::gateway::declaration::ServiceName;
 use crate::gateway::peers::CoordinatorClient;
-use crate::gateway::ports::{
-    EngineCall, EngineOrder, LeaseAnswer, LeaseCall, OrderAnswer, StoreUpdate,
-};
+use crate::gateway::ports::{EngineCall, EngineOrder, LeaseAnswer, LeaseCall, OrderAnswer};
 use crate::gateway::registry::EngineEntry;
 use crate::gateway::state::{CoordinatorAsk, FleetSnapshot, FleetView, GatewayState};
 use crate::ids::{EndpointId, HostId, ModelName, Tokens, WorkspaceId};
@@ -44,6 +43,8 @@
 /// Time that an adapter waits for a place.
 const ADAPTER_PATIENCE: Duration = Duration::from_millis(150);
 
+pub use knowledge::{follow_declarations, follow_engines};
+
 /// State of the control thread; no lock is held while it waits.
 pub struct ControlContext {
     state: Arc<GatewayState>,
@@ -247,52 +248,6 @@
     }
 }
 
-/// Takes in declarations until the adapter ends.
-pub async fn follow_declarations(
-    control: Arc<ControlContext>,
-    mut updates: mpsc::Receiver<StoreUpdate<Arc<FleetDeclaration>>>,
-) {
-    while let Some(update) = updates.recv().await {
-        let StoreUpdate::Current { value: declaration, as_of } = update else { continue };
-        let known = control.state.snapshot.load().declaration.clone();
-        let known_revision = known.as_ref().map_or(0, |known| known.revision);
-        // An accepted declaration never reverts, whatever a read brings.
-        if declaration.revision > known_revision || known.is_none() {
-            let table = Arc::new(RouteTable::new(&declaration));
-            let (revision, routes) = (declaration.revision, declaration.routes.len());
-            let engines = declaration.services.len();
-            info!("declaration in force", kv: { revision, routes, services = engines });
-            control.with_coordinator(|now, coordinator| coordinator.declare(now, &declaration));
-            control.set_snapshot(|snapshot| {
-                snapshot.declaration = Some(declaration);
-                snapshot.table = table;
-            });
-        }
-        control.state.note_declared(as_of);
-    }
-}
-
-/// Takes in the registry until the adapter ends.
-pub async fn follow_engines(
-    control: Arc<ControlContext>,
-    mut updates: mpsc::Receiver<StoreUpdate<Vec<EngineEntry>>>,
-) {
-    loop {
-        tokio::select! {
-            update = updates.recv() => match update {
-                Some(StoreUpdate::Current { value, as_of }) => {
-                    lock(&control.directory).update(boot_time(), value);
-                    control.state.note_listed(as_of);
-                }
-                Some(StoreUpdate::Failed) => lock(&control.directory).note_failure(boot_time()),
-                None => return,
-            },
-            () = sleep(DIRECTORY_INTERVAL) => {}
-        }
-        control.publish_engines();
-    }
-}
-
 /// Holds or watches the lease until the task is ended.
 pub async fn keep_lease(control: Arc<ControlContext>) {
     loop {
@@ -413,53 +368,6 @@
         self.set_snapshot(|snapshot| snapshot.view = Arc::new(view));
     }
 
-    /// Takes in the coordinator's knowledge, so that this host need not watch
-    /// the store itself. Ages count from the sending of the report.
-    fn take_knowledge(
-        &self,
-        sent_at: Duration,
-        age: &KnowledgeAge,
-        registry: Option<RegistryDelta>,
-    ) {
-        let declaration = self.state.snapshot.load().declaration.clone();
-        let revision = declaration.map_or(0, |declaration| declaration.revision);
-        if revision >= age.revision && revision > 0 {
-            self.state.note_declared(sent_at.saturating_sub(age.declaration));
-        }
-        self.state.note_listed(sent_at.saturating_sub(age.registry));
-        let is_coordinator = lock(&self.lease).token(boot_time()).is_some();
-        let is_behind = revision < age.revision;
-        let asks_declaration = asks_itself(is_coordinator, is_behind, age.declaration);
-        set_flag(&self.watch_declarations, asks_declaration);
-        set_flag(&self.watch_engines, asks_itself(is_coordinator, false, age.registry));
-        if is_coordinator {
-            return;
-        }
-        let Some(delta) = registry else {
-            lock(&self.directory).note_unchanged(boot_time());
-            return;
-        };
-        let engines = {
-            let mut contact = lock(&self.contact);
-            contact.registry_version = delta.version;
-            contact.engines.retain(|id, _| delta.engines.contains(id));
-            contact
-                .engines
-                .extend(delta.changed.into_iter().map(|entry| (entry.id.clone(), entry)));
-            contact.engines.values().cloned().collect()
-        };
-        lock(&self.directory).update(boot_time(), engines);
-        self.publish_engines();
-    }
-
-    /// Watches the store again unless the coordinator is heard from.
-    fn watch_without_contact(&self, now: Duration) {
-        if !self.has_contact(now) {
-            set_flag(&self.watch_declarations, true);
-            set_flag(&self.watch_engines, true);
-        }
-    }
-
     async fn client(&self) -> Option<CoordinatorClient> {
         let (holder, address) = lock(&self.lease).coordinator()?;
         if holder == self.state.settings.host {
@@ -487,7 +395,10 @@
         let Some(client) = self.client().await else { return };
         let report = self.report(now);
         match client.exchange(report).await {
-            Some(Some(reply)) => self.take_reply(now, reply),
+            Some(Some(reply)) => {
+                self.catch_up(&client, reply.age.revision).await;
+                self.take_reply(now, reply);
+            }
             Some(None) => lock(&self.contact).heard_at = None,
             None => {
                 let mut contact = lock(&self.contact);
--- a/crates/skylarkgw/src/gateway/peers.rs
+++ b/crates/skylarkgw/src/gateway/peers.rs
@@ -14,12 +14,14 @@
 
 use crate::decision::coordinator::{CoordinatorReply, HostReport, QuotaAnswer};
 use crate::gateway::control::ControlContext;
-use crate::gateway::declaration::ServiceName;
+use crate::gateway::declaration::{FleetDeclaration, ServiceName};
 use crate::ids::{EndpointId, HostId, ModelName, Tokens, WorkspaceId};
 
 const CONNECT_LIMIT: Duration = Duration::from_millis(300);
 /// Time for an exchange; a frozen coordinator does not answer.
 const EXCHANGE_LIMIT: Duration = Duration::from_millis(300);
+/// Time for a whole declaration; after it the store is asked.
+const DECLARATION_LIMIT: Duration = Duration::from_millis(400);
 /// Time that a request may wait for tokens of the bank.
 const QUOTA_LIMIT: Duration = Duration::from_millis(120);
 /// Time that a request may wait for an adapter.
@@ -34,6 +36,8 @@
 pub trait CoordinationService {
     /// Takes a report and gives counts, tokens and placement.
     async fn exchange(report: HostReport) -> Option<CoordinatorReply>;
+    /// Returns the declaration in force.
+    async fn declaration() -> Option<Arc<FleetDeclaration>>;
     /// Draws tokens for one request.
     async fn draw(host: HostId, workspace: WorkspaceId, tokens: Tokens) -> Option<QuotaAnswer>;
     /// Finds or makes a place for an adapter.
@@ -54,6 +58,10 @@
         self.control.exchange(report)
     }
 
+    async fn declaration(self, _: context::Context) -> Option<Arc<FleetDeclaration>> {
+        self.control.coordinated_declaration()
+    }
+
     async fn draw(
         self,
         _: context::Context,
@@ -120,6 +128,11 @@
         self.client.exchange(within(EXCHANGE_LIMIT), report).await.ok()
     }
 
+    /// Returns the coordinator's declaration; `None` if it did not come.
+    pub async fn declaration(&self) -> Option<Arc<FleetDeclaration>> {
+        self.client.declaration(within(DECLARATION_LIMIT)).await.ok()?
+    }
+
     /// Draws tokens; `None` says that nothing is known.
     pub async fn draw(
         &self,
