Let a lost model take its room with the loads kept for lost models

Found on reading the diff: a lost model for which another gave way waited for a load beyond those that are kept for lost models, and up to 2.5 s where there was none. What a host that has ended reported last also no longer counts as running. Ruled out by reading only: other users of the reservation. Test: placement::lost_model_that_waits (fails without).

--- a/crates/skylarkgw/src/decision/coordinator.rs
+++ b/crates/skylarkgw/src/decision/coordinator.rs
@@ -225,7 +225,10 @@
         self.running_at = now;
         let keep = (-elapsed / RUNNING_MEMORY_S).exp();
         let mut reported: HashMap<&EndpointId, u32> = HashMap::new();
-        for (engine, running) in self.hosts.values().flat_map(|host| &host.running) {
+        // What a host that has ended said last is not running any more.
+        let heard = |host: &&HostState| now.saturating_sub(host.heard_at) < SILENT_AFTER;
+        let hosts = self.hosts.values().filter(heard);
+        for (engine, running) in hosts.flat_map(|host| &host.running) {
             *reported.entry(engine).or_default() += running;
         }
         self.running.retain(|engine, _| self.registry.contains_key(engine));
--- a/crates/skylarkgw/src/decision/fleet_planner.rs
+++ b/crates/skylarkgw/src/decision/fleet_planner.rs
@@ -256,7 +256,8 @@
     /// Returns what to do now, with the fencing token for orders.
     ///
     /// `demand` says how many slots each model needs, `running` how many
-    /// requests each engine has, and `window` the time in which loads from the weight store are counted.
+    /// requests each engine has, and `window` the time in which loads from the
+    /// weight store are counted.
     pub fn step(
         &mut self,
         now: Duration,
--- a/crates/skylarkgw/src/decision/model_plan.rs
+++ b/crates/skylarkgw/src/decision/model_plan.rs
@@ -110,11 +110,11 @@
     if restore.is_some() {
         return restore;
     }
-    let store_loads = store_loads.saturating_sub(RESERVED_LOADS);
-    if let Some(change) = engines.iter().find_map(|engine| plan.take_reserved(engine, store_loads))
-    {
-        return Some(change);
+    let taken = engines.iter().find_map(|engine| plan.take_reserved(engine, store_loads));
+    if taken.is_some() {
+        return taken;
     }
+    let store_loads = store_loads.saturating_sub(RESERVED_LOADS);
     let mut wanted: Vec<&ModelRule> =
         rule.models.iter().filter(|model| plan.need(&model.name) > slots * ADD_SHARE).collect();
     wanted.sort_by(|a, b| plan.need(&b.name).total_cmp(&plan.need(&a.name)));
@@ -157,12 +157,14 @@
         self.demand.get(model).copied().unwrap_or_default()
     }
 
-    /// Loads the model that room was made for.
+    /// Loads the model that room was made for. One that nobody serves may use
+    /// the loads that are kept for such.
     fn take_reserved(&self, engine: &PlannedEngine, store_loads: u32) -> Option<PlanChange> {
         let model = engine.reserved.as_ref().filter(|_| engine.is_idle)?;
         let size = self.models.get(model)?.weights_mb;
         let from_store = !engine.copies.contains(model);
-        if engine.free_mb < size || (from_store && store_loads == 0) {
+        let kept = if self.ready(model) == 0 { 0 } else { RESERVED_LOADS };
+        if engine.free_mb < size || (from_store && store_loads <= kept) {
             return None;
         }
         let (engine, model) = (engine.id.clone(), model.clone());
--- a/crates/skylarkgw/tests/decisions/placement.rs
+++ b/crates/skylarkgw/tests/decisions/placement.rs
@@ -163,6 +163,19 @@
     assert_eq!(plan_change(&rule, &engines, &work, 9), Some(expected));
 }
 
+#[test]
+fn lost_model_that_waits_for_its_room_may_use_the_loads_kept_for_such() {
+    let rule = generation(&["lost", "busy", "spare"]);
+    let mut engines = [planned("e1", &["busy"], 130_000.0), planned("e2", &["spare"], 0.0)];
+    engines[0].reserved = Some("lost".into());
+    let work = demand(&[("busy", 8.0), ("lost", 1.0)]);
+    let expected = PlanChange::Load { engine: "e1".into(), model: "lost".into(), from_store: true };
+    assert_eq!(plan_change(&rule, &engines, &work, 1), Some(expected));
+    // A further replica leaves them alone.
+    engines[1].models.push("lost".into());
+    assert_eq!(plan_change(&rule, &engines, &work, 1), None);
+}
+
 #[test]
 fn engines_that_are_evenly_busy_or_calm_are_left_alone() {
     let rule = generation(&["a", "b"]);
