--- a/crates/standins/tests/fleet/changes.rs
+++ b/crates/standins/tests/fleet/changes.rs
@@ -63,16 +63,7 @@
             next.models.clear();
         })
         .await;
-    let settings = json!({
-        "platform": format!("http://{}", fleet.platform.address),
-        "hosts": [fleet.hosts[0].operators, fleet.hosts[1].operators],
-        "author": "test",
-        "key_secret_file": fleet.folder.join("key-secret"),
-        "wait_ms": 300,
-    });
-    let path = fleet.folder.join("ctl.jsonc");
-    std::fs::write(&path, settings.to_string()).expect("the settings can be written");
-    let path = path.to_str().expect("text").to_owned();
+    let path = fleet.write_client_settings(2, 300);
     let statement = format!("wait for revision {revision}");
     let mut client =
         crate::harness::TestProcess::start("skylarkctl", &["--settings", &path, &statement]);
--- a/crates/standins/tests/fleet/harness.rs
+++ b/crates/standins/tests/fleet/harness.rs
@@ -202,6 +202,23 @@
 }
 
 impl TestFleet {
+    /// Writes settings of `skylarkctl` that name the first hosts, and returns
+    /// their path; `wait_ms` is how long it waits for them.
+    pub fn write_client_settings(&self, hosts: usize, wait_ms: u64) -> String {
+        let hosts: Vec<&String> =
+            self.hosts.iter().take(hosts).map(|host| &host.operators).collect();
+        let settings = json!({
+            "platform": format!("http://{}", self.platform.address),
+            "hosts": hosts,
+            "author": "test",
+            "key_secret_file": self.folder.join("key-secret"),
+            "wait_ms": wait_ms,
+        });
+        let path = self.folder.join("ctl.jsonc");
+        std::fs::write(&path, settings.to_string()).expect("the settings can be written");
+        path.to_str().expect("text").to_owned()
+    }
+
     /// Starts a fleet, accepts its configuration and waits until it serves.
     pub async fn start(shape: FleetShape) -> TestFleet {
         let fleet = TestFleet::start_unserved(shape).await;
--- a/crates/standins/tests/fleet/keys.rs
+++ b/crates/standins/tests/fleet/keys.rs
@@ -58,16 +58,7 @@
     let fleet = TestFleet::start(FleetShape::default()).await;
     let hash = key_hash(&fleet);
     fleet.platform.set_faults(json!({"refuse": true})).await;
-    let settings = json!({
-        "platform": format!("http://{}", fleet.platform.address),
-        "hosts": [fleet.hosts[0].operators],
-        "author": "test",
-        "key_secret_file": fleet.folder.join("key-secret"),
-        "wait_ms": 300,
-    });
-    let path = fleet.folder.join("ctl.jsonc");
-    std::fs::write(&path, settings.to_string()).expect("the settings can be written");
-    let path = path.to_str().expect("text").to_owned();
+    let path = fleet.write_client_settings(1, 300);
     let statement = format!("withdraw key {hash}");
     let mut client = TestProcess::start("skylarkctl", &["--settings", &path, &statement]);
     let status = client.wait_exit().await;
--- a/crates/standins/tests/fleet/placement.rs
+++ b/crates/standins/tests/fleet/placement.rs
@@ -38,20 +38,6 @@
     holding
 }
 
-async fn write_client_settings(fleet: &TestFleet) -> String {
-    let hosts: Vec<&String> = fleet.hosts.iter().map(|host| &host.operators).collect();
-    let settings = json!({
-        "platform": format!("http://{}", fleet.platform.address),
-        "hosts": hosts,
-        "author": "test",
-        "key_secret_file": fleet.folder.join("key-secret"),
-        "wait_ms": 60_000,
-    });
-    let path = fleet.folder.join("ctl.jsonc");
-    std::fs::write(&path, settings.to_string()).expect("the settings can be written");
-    path.to_str().expect("text").to_owned()
-}
-
 #[tokio::test]
 async fn model_is_loaded_again_when_its_only_engine_dies() {
     // The fleet starts with empty engines and serves once the model is loaded.
@@ -67,7 +53,7 @@
 #[tokio::test]
 async fn rollout_switches_whole_and_survives_the_holder() {
     let fleet = TestFleet::start(empty_engines(false)).await;
-    let settings = write_client_settings(&fleet).await;
+    let settings = fleet.write_client_settings(fleet.hosts.len(), 60_000);
     // Whichever host holds the lease, one of the three is frozen in the middle.
     let client =
         TestProcess::start("skylarkctl", &["--settings", &settings, "rollout model sage to 2"]);
