--- a/crates/standins/tests/fleet/placement.rs
+++ b/crates/standins/tests/fleet/placement.rs
@@ -1,6 +1,6 @@
 //! Placement with real engines: loads, deaths, rollouts, and a frozen holder.
 
-use serde_json::{Value, json};
+use serde_json::Value;
 
 use crate::harness::{FleetShape, TestFleet, TestProcess, wait_until};
 
