--- a/crates/standins/src/network/withdrawal.rs
+++ b/crates/standins/src/network/withdrawal.rs
@@ -46,6 +46,15 @@
     }
 }
 
+impl KeyWithdrawal {
+    fn note_tellable(&mut self, host: usize, now: Duration) {
+        let fresh = TellableSpan { first: now, last: now };
+        let span = self.tellable.entry(host).or_insert(fresh);
+        let has_gap = now.saturating_sub(span.last) > WITHDRAWAL_LIMIT;
+        *span = if has_gap { fresh } else { TellableSpan { last: now, ..*span } };
+    }
+}
+
 impl WithdrawalJudge {
     /// Adds a withdrawal that a host has taken.
     pub(super) fn add(&mut self, now: Duration, hash: KeyHash) {
@@ -64,12 +73,7 @@
         for withdrawal in &mut self.withdrawals {
             for host in hosts.clone() {
                 if network.can_hear_of(host, &withdrawal.hash) {
-                    let fresh = TellableSpan { first: now, last: now };
-                    let span = withdrawal.tellable.entry(host).or_insert(fresh);
-                    if now.saturating_sub(span.last) > WITHDRAWAL_LIMIT {
-                        *span = fresh;
-                    }
-                    span.last = now;
+                    withdrawal.note_tellable(host, now);
                 }
             }
             if now < withdrawal.at + WITHDRAWAL_LIMIT {
@@ -111,11 +115,9 @@
     /// this one, knows of a withdrawal.
     fn can_hear_of(&self, host: usize, hash: &KeyHash) -> bool {
         let knows = |other: usize| {
-            let machine = self.hosts[other].as_ref().map(|found| &found.machine);
-            self.is_running(other)
-                && machine.is_some_and(|machine| {
-                    machine.snapshot(Duration::ZERO).withdrawn.contains(hash)
-                })
+            let found = self.hosts[other].as_ref().filter(|found| !found.frozen);
+            let snapshot = found.map(|found| found.machine.snapshot(Duration::ZERO));
+            snapshot.is_some_and(|snapshot| snapshot.withdrawn.contains(hash))
         };
         let stored = self.reaches_platform(host) && self.platform.withdrawn.contains(hash);
         let tells = |other: usize| other != host && !self.is_cut(host, other) && knows(other);
