Log and count the work of the coordinator and the origin of registry copies

Counters now tell store calls by call and kind, exchanges and quota draws by outcome, entries of replies by part, time by kind of work, connections to engines by origin, and registry copies by source and age. Each request logs the revision and source of the registry it used. No decision changes.

--- a/crates/skylarkgw/src/decision/coordinator.rs
+++ b/crates/skylarkgw/src/decision/coordinator.rs
@@ -83,6 +83,8 @@
     pub declaration: Duration,
     /// Time since the registry was last confirmed to be current.
     pub registry: Duration,
+    /// Revision of the store up to which the registry contains all changes.
+    pub registry_revision: ObjectVersion,
 }
 
 /// Reply of the coordinator to a [`HostReport`].
--- a/crates/skylarkgw/src/edge/forward/record.rs
+++ b/crates/skylarkgw/src/edge/forward/record.rs
@@ -182,10 +182,13 @@
         let retry_after_ms = self.retry_after.map_or(-1, |after| to_millis(after) as i64);
         let (revision, age_ms) = (self.declaration.0, to_millis(self.declaration.1));
         let registry_age_ms = to_millis(self.state.registry_age(time_since_boot()));
+        let registry = self.state.snapshot.load().registry;
+        let (registry_revision, registry_source) = (registry.revision, registry.source.label());
         let (pause_ms, total_ms) = (to_millis(self.longest_pause), to_millis(total));
         info!("request ended", kv: {
             request = id, route, workspace, model, end, reason, status, tokens, tries, first_ms,
-            pause_ms, total_ms, retry_after_ms, revision, declaration_age_ms = age_ms, registry_age_ms
+            pause_ms, total_ms, retry_after_ms, revision, declaration_age_ms = age_ms, registry_age_ms,
+            registry_revision, registry_source
         });
     }
 }
--- a/crates/skylarkgw/src/edge/forward/send.rs
+++ b/crates/skylarkgw/src/edge/forward/send.rs
@@ -273,7 +273,10 @@
     let time_left = admitted.deadline.saturating_duration_since(Instant::now());
     let mut connection =
         match state.pool.acquire(address, max_idle, CONNECT_TIMEOUT.min(time_left)).await {
-            Ok(connection) => connection,
+            Ok((connection, is_reused)) => {
+                state.metrics.fleet.count_connection(is_reused);
+                connection
+            }
             Err(error) => return AttemptOutcome::NotRun(error.label()),
         };
     let request = build_engine_request(admitted, &engine.entry, resume_after);
--- a/crates/skylarkgw/src/endpoint/pool.rs
+++ b/crates/skylarkgw/src/endpoint/pool.rs
@@ -34,7 +34,8 @@
     /// Takes an idle connection out of the pool, or opens a new one.
     ///
     /// `max_idle` is the longest time for which a pooled connection may have
-    /// been idle; it is shorter for requests that must not be repeated.
+    /// been idle; it is shorter for requests that must not be repeated. The
+    /// connection is returned with whether it was pooled.
     ///
     /// # Errors
     ///
@@ -45,10 +46,10 @@
         address: SocketAddr,
         max_idle: Duration,
         connect_timeout: Duration,
-    ) -> Result<HttpConnection, ConnectionError> {
+    ) -> Result<(HttpConnection, bool), ConnectionError> {
         match self.acquire_idle(address, max_idle) {
-            Some(connection) => Ok(connection),
-            None => HttpConnection::connect(address, connect_timeout).await,
+            Some(connection) => Ok((connection, true)),
+            None => Ok((HttpConnection::connect(address, connect_timeout).await?, false)),
         }
     }
 
--- a/crates/skylarkgw/src/gateway.rs
+++ b/crates/skylarkgw/src/gateway.rs
@@ -92,7 +92,7 @@
 pub fn run_gateway(
     settings: GatewaySettings,
     codec: HeaderCodec,
-    open_ports: fn(&GatewaySettings) -> GatewayPorts,
+    open_ports: fn(&GatewaySettings, &Arc<Metrics>) -> GatewayPorts,
 ) -> Result<(), GatewayError> {
     let metrics = Arc::new(Metrics::new()?);
     let (request_sender, coordinator_requests) = mpsc::channel(REQUEST_QUEUE_CAPACITY);
@@ -137,7 +137,7 @@
 async fn run_control(
     state: Arc<GatewayState>,
     coordinator_requests: mpsc::Receiver<CoordinatorRequest>,
-    open_ports: fn(&GatewaySettings) -> GatewayPorts,
+    open_ports: fn(&GatewaySettings, &Arc<Metrics>) -> GatewayPorts,
     close: watch::Sender<bool>,
     mut traffic_end: oneshot::Receiver<()>,
 ) -> Result<(), GatewayError> {
@@ -146,7 +146,7 @@
     let peer_listener = bind_async_listener(state.settings.peers).await?;
     let readiness_listener = bind_async_listener(state.settings.readiness).await?;
     let metrics_listener = bind_async_listener(state.settings.metrics).await?;
-    let ports = open_ports(&state.settings);
+    let ports = open_ports(&state.settings, &state.metrics);
     let control_ports = ControlPorts {
         lease_calls: ports.lease_calls,
         engine_calls: ports.engine_calls,
@@ -167,6 +167,8 @@
     tasks.supervise("exchange", move || control::run_exchange(task.clone()));
     let task = context.clone();
     tasks.supervise("placement", move || control::run_placement(task.clone()));
+    let task = context.clone();
+    tasks.supervise("load", move || control::log_coordinator_load(task.clone()));
     let task = state.clone();
     tasks.supervise("pool", move || sweep_pool(task.clone()));
     loop {
--- a/crates/skylarkgw/src/gateway/control.rs
+++ b/crates/skylarkgw/src/gateway/control.rs
@@ -5,6 +5,7 @@
 //! coordinator, plan the placement of models.
 
 mod knowledge;
+mod load;
 
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -29,6 +30,7 @@
 use crate::gateway::registry::EngineEntry;
 use crate::gateway::state::{CoordinatorRequest, FleetSnapshot, FleetView, GatewayState};
 use crate::ids::{EndpointId, HostId, ModelName, Tokens, WorkspaceId};
+use crate::telemetry::CoordinatorWork;
 
 /// Interval at which the lease state is checked.
 const LEASE_POLL_INTERVAL: Duration = Duration::from_millis(60);
@@ -51,6 +53,7 @@
 const ADAPTER_TIMEOUT: Duration = Duration::from_millis(150);
 
 pub use knowledge::{follow_declarations, follow_engines};
+pub use load::log_coordinator_load;
 
 /// State shared by the tasks of the control thread.
 ///
@@ -137,11 +140,13 @@
             revision: declaration.map_or(0, |declaration| declaration.revision),
             declaration: self.state.declaration_age(now),
             registry: self.state.registry_age(now),
+            registry_revision: self.state.snapshot.load().registry.revision,
         };
-        self.with_coordinator(|now, coordinator| {
-            let reply = coordinator.exchange(now, report);
-            CoordinatorReply { age, lease, ..reply }
-        })
+        let reply = self.with_coordinator(|now, coordinator| {
+            self.measure_work(CoordinatorWork::Exchange, || coordinator.exchange(now, report))
+        })?;
+        self.count_reply(&reply);
+        Some(CoordinatorReply { age, lease, ..reply })
     }
 
     /// Draws quota tokens for one client request, or returns `None` if this host
@@ -152,7 +157,11 @@
         workspace: &str,
         tokens: Tokens,
     ) -> Option<QuotaAnswer> {
-        self.with_coordinator(|now, coordinator| coordinator.draw(now, host, workspace, tokens))
+        self.with_coordinator(|now, coordinator| {
+            self.measure_work(CoordinatorWork::Draw, || {
+                coordinator.draw(now, host, workspace, tokens)
+            })
+        })
     }
 
     /// Returns an engine that holds an adapter, after ordering an engine to load
@@ -248,6 +257,7 @@
             declaration: current.declaration.clone(),
             route_table: current.route_table.clone(),
             engines: current.engines.clone(),
+            registry: current.registry,
             view: current.view.clone(),
         };
         change(&mut snapshot);
@@ -269,7 +279,9 @@
         if by_service != self.state.snapshot.load().engines {
             self.update_snapshot(|snapshot| snapshot.engines = by_service);
         }
-        self.with_coordinator(|_, coordinator| coordinator.update_registry(&engines));
+        self.with_coordinator(|_, coordinator| {
+            self.measure_work(CoordinatorWork::Registry, || coordinator.update_registry(&engines));
+        });
     }
 
     /// Returns whether the coordinator has replied within [`COORDINATOR_TIMEOUT`].
@@ -446,9 +458,18 @@
             }
             return;
         }
-        let Some(client) = self.connect_coordinator().await else { return };
+        let Some(client) = self.connect_coordinator().await else {
+            self.state.metrics.fleet.count_exchange("no-connection");
+            return;
+        };
         let report = self.build_report(now);
-        match client.exchange(report).await {
+        let answer = client.exchange(report).await;
+        self.state.metrics.fleet.count_exchange(match &answer {
+            Some(Some(_)) => "replied",
+            Some(None) => "not-coordinator",
+            None => "no-reply",
+        });
+        match answer {
             Some(Some(reply)) => {
                 self.fetch_declaration(&client, reply.age.revision).await;
                 self.apply_reply(now, reply);
@@ -501,7 +522,13 @@
                 let host = self.state.settings.host.clone();
                 let answer =
                     timeout(QUOTA_TIMEOUT, self.draw_tokens_with_retry(host, workspace, tokens));
-                if let Ok(answer) = answer.await {
+                let answer = answer.await;
+                self.state.metrics.fleet.count_quota_draw(match &answer {
+                    Ok(QuotaAnswer::Granted) => "granted",
+                    Ok(QuotaAnswer::Refused { .. }) => "refused",
+                    Err(_) => "no-reply",
+                });
+                if let Ok(answer) = answer {
                     // If the client request has been abandoned, the tokens are not
                     // returned to the bucket.
                     let _ = reply.send(answer);
@@ -554,7 +581,9 @@
         let order_token = lock(&control.lease).order_token(time_since_boot());
         let window = control.state.settings.bounds.load_window;
         let calls = control.with_coordinator(|now, coordinator| {
-            coordinator.plan(now, order_token, &declaration, window)
+            control.measure_work(CoordinatorWork::Placement, || {
+                coordinator.plan(now, order_token, &declaration, window)
+            })
         });
         for call in calls.unwrap_or_default() {
             let control = control.clone();
--- a/crates/skylarkgw/src/gateway/control/knowledge.rs
+++ b/crates/skylarkgw/src/gateway/control/knowledge.rs
@@ -17,6 +17,7 @@
 use crate::gateway::peers::CoordinatorClient;
 use crate::gateway::ports::StoreUpdate;
 use crate::gateway::registry::EngineEntry;
+use crate::gateway::state::{RegistryOrigin, RegistrySource};
 use crate::ids::Revision;
 
 impl ControlContext {
@@ -86,9 +87,21 @@
             contact.engines.values().cloned().collect()
         };
         lock(&self.directory).update(time_since_boot(), engines);
+        self.record_registry_origin(RegistryOrigin {
+            revision: age.registry_revision,
+            source: RegistrySource::Coordinator,
+        });
         self.publish_engines();
     }
 
+    /// Records where the engines of the directory came from.
+    fn record_registry_origin(&self, origin: RegistryOrigin) {
+        let current = self.state.snapshot.load().registry;
+        let is_older = origin.revision < current.revision;
+        self.state.metrics.fleet.count_registry_copy(origin.source.label(), is_older);
+        self.update_snapshot(|snapshot| snapshot.registry = origin);
+    }
+
     /// Enables the watches of the store if the coordinator no longer replies.
     pub(super) fn watch_store_without_contact(&self, now: Duration) {
         if !self.has_contact(now) {
@@ -119,7 +132,7 @@
     mut updates: mpsc::Receiver<StoreUpdate<Arc<FleetDeclaration>>>,
 ) {
     while let Some(update) = updates.recv().await {
-        let StoreUpdate::Current { value: declaration, as_of } = update else { continue };
+        let StoreUpdate::Current { value: declaration, as_of, .. } = update else { continue };
         control.apply_declaration(declaration);
         control.state.record_declaration_time(as_of);
     }
@@ -136,8 +149,10 @@
     loop {
         tokio::select! {
             update = updates.recv() => match update {
-                Some(StoreUpdate::Current { value, as_of }) => {
+                Some(StoreUpdate::Current { value, revision, as_of }) => {
                     lock(&control.directory).update(time_since_boot(), value);
+                    let source = RegistrySource::Store;
+                    control.record_registry_origin(RegistryOrigin { revision, source });
                     control.state.record_registry_time(as_of);
                 }
                 Some(StoreUpdate::Failed) => lock(&control.directory).record_failure(time_since_boot()),
--- a/crates/skylarkgw/src/gateway/ports.rs
+++ b/crates/skylarkgw/src/gateway/ports.rs
@@ -21,6 +21,8 @@
     Current {
         /// The value.
         value: T,
+        /// Revision of the store up to which the value contains all changes.
+        revision: ObjectVersion,
         /// Time since boot at which the value was current.
         as_of: Duration,
     },
--- a/crates/skylarkgw/src/gateway/state.rs
+++ b/crates/skylarkgw/src/gateway/state.rs
@@ -17,7 +17,7 @@
 use crate::gateway::registry::EngineEntry;
 use crate::gateway::settings::GatewaySettings;
 use crate::gateway::wire::HeaderCodec;
-use crate::ids::{EndpointId, ModelName, Tokens, WorkspaceId};
+use crate::ids::{EndpointId, ModelName, ObjectVersion, Tokens, WorkspaceId};
 use crate::telemetry::Metrics;
 
 /// An immutable view of the fleet from which requests are routed.
@@ -31,10 +31,41 @@
     pub route_table: Arc<RouteTable>,
     /// Engines of each service, sorted by identifier.
     pub engines: HashMap<ServiceName, Vec<Arc<EngineEntry>>>,
+    /// Origin of the engines.
+    pub registry: RegistryOrigin,
     /// State from the last reply of the coordinator.
     pub view: Arc<FleetView>,
 }
 
+/// Origin of a copy of the engine registry.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct RegistryOrigin {
+    /// Revision of the store up to which the copy contains all changes.
+    pub revision: ObjectVersion,
+    /// Where the copy came from.
+    pub source: RegistrySource,
+}
+
+/// Where a host got its copy of the engine registry.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum RegistrySource {
+    /// Read by the host itself.
+    #[default]
+    Store,
+    /// Received from the coordinator.
+    Coordinator,
+}
+
+impl RegistrySource {
+    /// Returns the short name of the source in logs and metrics.
+    pub fn label(self) -> &'static str {
+        match self {
+            RegistrySource::Store => "store",
+            RegistrySource::Coordinator => "coordinator",
+        }
+    }
+}
+
 /// Fleet-wide state that the coordinator sends to every host.
 #[derive(Clone, Debug, Default)]
 pub struct FleetView {
--- a/crates/skylarkgw/src/telemetry.rs
+++ b/crates/skylarkgw/src/telemetry.rs
@@ -1,6 +1,7 @@
 //! Logs in JSON lines, and metrics.
 
 mod bounded;
+mod fleet_metrics;
 mod metrics;
 
 use std::sync::Arc;
@@ -10,6 +11,7 @@
 use spdlog::{Logger, info, warn};
 
 pub use bounded::{allow_request_log, init_bounded_logger};
+pub use fleet_metrics::{CoordinatorWork, FleetMetrics};
 pub use metrics::{Metrics, RequestClass, RequestOutcome};
 
 /// An error in setting up the log.
--- /dev/null
+++ b/crates/skylarkgw/src/telemetry/fleet_metrics.rs
@@ -0,0 +1,138 @@
+//! Metrics of a gateway host's calls to the store, to the coordinator and to
+//! engines.
+
+use std::time::Duration;
+
+use prometheus::{CounterVec, IntCounterVec, Opts, Registry};
+
+/// The part of a coordinator's work on which time is spent.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum CoordinatorWork {
+    /// Reports of hosts and their replies.
+    Exchange,
+    /// Draws of quota tokens for single requests.
+    Draw,
+    /// Placement of models and adapters.
+    Placement,
+    /// Updates of the engine registry.
+    Registry,
+}
+
+impl CoordinatorWork {
+    fn label(self) -> &'static str {
+        match self {
+            CoordinatorWork::Exchange => "exchange",
+            CoordinatorWork::Draw => "draw",
+            CoordinatorWork::Placement => "placement",
+            CoordinatorWork::Registry => "registry",
+        }
+    }
+}
+
+/// Counters of the calls by which a host follows the fleet.
+#[derive(Debug)]
+pub struct FleetMetrics {
+    store_calls: IntCounterVec,
+    exchanges: IntCounterVec,
+    quota_draws: IntCounterVec,
+    reply_items: IntCounterVec,
+    work: CounterVec,
+    connections: IntCounterVec,
+    registry_copies: IntCounterVec,
+}
+
+impl FleetMetrics {
+    /// Creates the counters and registers them.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`prometheus::Error`] if a name is already registered, which is a
+    /// defect.
+    pub fn new(registry: &Registry) -> Result<FleetMetrics, prometheus::Error> {
+        let counter = |name: &str, help: &str, labels: &[&str]| {
+            let vector = IntCounterVec::new(Opts::new(name, help), labels)?;
+            registry.register(Box::new(vector.clone()))?;
+            Ok::<_, prometheus::Error>(vector)
+        };
+        let work = CounterVec::new(
+            Opts::new("skylark_coordinator_work_seconds", "Time spent as coordinator"),
+            &["work"],
+        )?;
+        registry.register(Box::new(work.clone()))?;
+        Ok(FleetMetrics {
+            store_calls: counter(
+                "skylark_store_calls_total",
+                "Calls to the store by call, kind of object and outcome",
+                &["call", "kind", "outcome"],
+            )?,
+            exchanges: counter(
+                "skylark_exchanges_total",
+                "Reports sent to the coordinator by outcome",
+                &["outcome"],
+            )?,
+            quota_draws: counter(
+                "skylark_quota_draws_total",
+                "Draws of quota tokens for single requests by outcome",
+                &["outcome"],
+            )?,
+            reply_items: counter(
+                "skylark_coordinator_reply_items_total",
+                "Entries in replies of this host as coordinator by part of the reply",
+                &["part"],
+            )?,
+            work,
+            connections: counter(
+                "skylark_engine_connections_total",
+                "Connections taken for requests to engines by origin",
+                &["origin"],
+            )?,
+            registry_copies: counter(
+                "skylark_registry_copies_total",
+                "Copies of the engine registry by source, and whether they are older than the one in use",
+                &["source", "age"],
+            )?,
+        })
+    }
+
+    /// Counts a call to the store.
+    pub fn count_store_call(&self, call: &str, kind: &str, outcome: &str) {
+        self.store_calls.with_label_values(&[call, kind, outcome]).inc();
+    }
+
+    /// Counts a report to the coordinator.
+    pub fn count_exchange(&self, outcome: &str) {
+        self.exchanges.with_label_values(&[outcome]).inc();
+    }
+
+    /// Counts a draw of quota tokens for one request.
+    pub fn count_quota_draw(&self, outcome: &str) {
+        self.quota_draws.with_label_values(&[outcome]).inc();
+    }
+
+    /// Counts entries in a part of a reply.
+    pub fn count_reply_items(&self, part: &str, items: usize) {
+        self.reply_items.with_label_values(&[part]).inc_by(items as u64);
+    }
+
+    /// Adds time that this host spent as coordinator.
+    pub fn add_coordinator_work(&self, work: CoordinatorWork, time: Duration) {
+        self.work.with_label_values(&[work.label()]).inc_by(time.as_secs_f64());
+    }
+
+    /// Returns the time that this host has spent on a part of the coordinator's
+    /// work, in seconds.
+    pub fn coordinator_work_s(&self, work: CoordinatorWork) -> f64 {
+        self.work.with_label_values(&[work.label()]).get()
+    }
+
+    /// Counts a connection taken for a request to an engine.
+    pub fn count_connection(&self, is_reused: bool) {
+        self.connections.with_label_values(&[if is_reused { "reused" } else { "opened" }]).inc();
+    }
+
+    /// Counts a copy of the engine registry that arrived.
+    pub fn count_registry_copy(&self, source: &str, is_older: bool) {
+        let age = if is_older { "older" } else { "current" };
+        self.registry_copies.with_label_values(&[source, age]).inc();
+    }
+}
--- a/crates/skylarkgw/src/telemetry/metrics.rs
+++ b/crates/skylarkgw/src/telemetry/metrics.rs
@@ -6,6 +6,7 @@
 
 use crate::decision::invariant::Invariant;
 use crate::telemetry::bounded::dropped_lines;
+use crate::telemetry::fleet_metrics::FleetMetrics;
 
 /// Upper bounds of the buckets for the time to the first token and to the end of a
 /// response.
@@ -87,6 +88,8 @@
     pub serving: IntGauge,
     /// Number of live members, without this host.
     pub members: IntGauge,
+    /// Calls to the store, the coordinator and engines.
+    pub fleet: FleetMetrics,
 }
 
 impl Metrics {
@@ -175,6 +178,7 @@
             revision: gauge("skylark_revision_in_force", "Configuration in force")?,
             serving: gauge("skylark_serving", "Whether this host takes requests")?,
             members: gauge("skylark_members", "Other hosts that are heard from")?,
+            fleet: FleetMetrics::new(&registry)?,
             registry,
         })
     }
