Keep a newer copy of the engine registry when an older one arrives

Cause: a host gets the registry from the store and from the coordinator and used whatever arrived last. edge-sohar-19 had revision 802 from the store, found a coordinator, and went back to revision 800, while the recorded age remained that of the newer copy.

A copy now carries the store's revision, which orders copies of any source, and the directory ignores an older one. When the coordinator reports no changes but the host uses its own older copy, the coordinator's entries are used.

The exchange moved to a file of its own.

--- a/crates/skylarkgw/src/decision/directory.rs
+++ b/crates/skylarkgw/src/decision/directory.rs
@@ -36,8 +36,18 @@
 impl EngineDirectory {
     /// Replaces the registered entries by a list that arrived at `now`.
     ///
-    /// The list contains all changes up to `revision` of the store.
-    pub fn update(&mut self, now: Duration, revision: ObjectVersion, listed: Vec<EngineEntry>) {
+    /// The list contains all changes up to `revision` of the store. Lists come from
+    /// the store and from the coordinator, in any order; an older one than the
+    /// entries is ignored. Returns whether the list was used.
+    pub fn update(
+        &mut self,
+        now: Duration,
+        revision: ObjectVersion,
+        listed: Vec<EngineEntry>,
+    ) -> bool {
+        if revision < self.revision {
+            return false;
+        }
         self.revision = revision;
         let gap = self.answered_at.map(|answered_at| now.saturating_sub(answered_at));
         if gap.is_some_and(|gap| gap > OUTAGE_THRESHOLD) {
@@ -54,11 +64,14 @@
         }
         self.missing.retain(|id, _| may_have_expired && !listed.contains_key(id));
         self.entries = listed;
+        true
     }
 
-    /// Records that the store confirmed the registry to be unchanged.
-    pub fn record_unchanged(&mut self, now: Duration) {
+    /// Records that the registry was confirmed to be unchanged up to `revision` of
+    /// the store.
+    pub fn record_unchanged(&mut self, now: Duration, revision: ObjectVersion) {
         self.answered_at = Some(now);
+        self.revision = self.revision.max(revision);
     }
 
     /// Records that the store could not be reached.
--- /dev/null
+++ b/crates/skylarkgw/src/gateway/control/exchange.rs
@@ -0,0 +1,180 @@
+//! Exchanges reports with the coordinator.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use spdlog::{info, warn};
+use tokio::time::sleep;
+
+use crate::decision::coordinator::{CoordinatorReply, HostReport, RegistryDelta};
+use crate::decision::freshness::exchange_interval;
+use crate::decision::quota_pool::LocalQuota;
+use crate::gateway::clock::time_since_boot;
+use crate::gateway::control::{ControlContext, lock};
+use crate::gateway::peers::CoordinatorClient;
+use crate::gateway::registry::EngineEntry;
+use crate::gateway::state::FleetView;
+use crate::ids::EndpointId;
+
+/// Time without a completed exchange after which the coordinator counts as lost.
+const COORDINATOR_TIMEOUT: Duration = Duration::from_millis(600);
+
+/// The latest state received from the coordinator, and the connection to it.
+#[derive(Default)]
+pub(super) struct CoordinatorContact {
+    client: Option<CoordinatorClient>,
+    /// Time since boot at which the last reply arrived; `None` if there is no
+    /// contact.
+    last_reply_at: Option<Duration>,
+    notice_version: u64,
+    registry_version: u64,
+    /// Engines as the coordinator sent them.
+    pub(super) engines: HashMap<EndpointId, EngineEntry>,
+}
+
+impl CoordinatorContact {
+    /// Applies changes of the registry that the coordinator sent.
+    pub(super) fn apply_delta(&mut self, delta: RegistryDelta) {
+        self.registry_version = delta.version;
+        self.engines.retain(|id, _| delta.engines.contains(id));
+        self.engines.extend(delta.changed.into_iter().map(|entry| (entry.id.clone(), entry)));
+    }
+}
+
+impl ControlContext {
+    /// Returns whether the coordinator has replied within [`COORDINATOR_TIMEOUT`].
+    pub(super) fn has_contact(&self, now: Duration) -> bool {
+        let last_reply_at = lock(&self.contact).last_reply_at;
+        last_reply_at
+            .is_some_and(|last_reply_at| now.saturating_sub(last_reply_at) < COORDINATOR_TIMEOUT)
+    }
+
+    /// Builds the next report to the coordinator.
+    ///
+    /// Usage counts cover the time since the previous report and are reset.
+    fn build_report(&self, now: Duration) -> HostReport {
+        let (notice_version, registry_version) = {
+            let contact = lock(&self.contact);
+            (contact.notice_version, contact.registry_version)
+        };
+        let mut traffic = self.state.lock_traffic();
+        let mut local_quotas = self.state.lock_local_quotas();
+        HostReport {
+            host: self.state.settings.host.clone(),
+            running: traffic.all_running_requests(),
+            uses: traffic.take_model_uses(),
+            adapter_uses: traffic.take_adapter_uses(),
+            wanted: local_quotas
+                .iter_mut()
+                .map(|(workspace, quota)| (workspace.clone(), quota.tokens_to_request(now)))
+                .collect(),
+            notice_version,
+            registry_version,
+        }
+    }
+
+    /// Applies the coordinator's reply to a report that was sent at `sent_at`.
+    fn apply_reply(&self, sent_at: Duration, reply: CoordinatorReply) {
+        let now = time_since_boot();
+        if let Some((version, remaining)) = reply.lease {
+            lock(&self.lease).record_remaining(now, version, remaining);
+        }
+        self.apply_fleet_state(sent_at, &reply.age, reply.registry);
+        {
+            let mut local_quotas = self.state.lock_local_quotas();
+            for (workspace, tokens, fallback_per_s) in reply.grants {
+                let quota = local_quotas.entry(workspace).or_insert_with(|| LocalQuota::new(now));
+                quota.add_grant(now, tokens, fallback_per_s);
+            }
+        }
+        let view = &self.state.snapshot.load().view;
+        let mut view = FleetView {
+            hosts: reply.hosts,
+            running_elsewhere: reply.running_elsewhere.into_iter().collect(),
+            closing: view.closing.clone(),
+            adapters: view.adapters.clone(),
+        };
+        let mut contact = lock(&self.contact);
+        if contact.last_reply_at.is_none() {
+            let hosts = reply.hosts;
+            info!("coordinator found", kv: { hosts });
+        }
+        contact.last_reply_at = Some(now);
+        if let Some((version, notice)) = reply.notice {
+            contact.notice_version = version;
+            view.closing = notice.closing.into_iter().collect();
+            view.adapters = notice.adapters.into_iter().collect();
+        }
+        self.state.metrics.members.set(i64::from(view.hosts));
+        self.update_snapshot(|snapshot| snapshot.view = Arc::new(view));
+    }
+
+    /// Returns a connection to the coordinator, opening one if necessary.
+    ///
+    /// Returns `None` if the last seen lease record names no coordinator, if the
+    /// coordinator is this host, or if the connection cannot be opened.
+    pub(super) async fn connect_coordinator(&self) -> Option<CoordinatorClient> {
+        let (holder, address) = lock(&self.lease).coordinator()?;
+        if holder == self.state.settings.host {
+            return None;
+        }
+        let client = lock(&self.contact).client.clone();
+        if let Some(client) = client.filter(|client| client.address == address) {
+            return Some(client);
+        }
+        let client = CoordinatorClient::open(address).await?;
+        lock(&self.contact).client = Some(client.clone());
+        Some(client)
+    }
+
+    /// Sends one report to the coordinator and applies its reply.
+    async fn exchange_once(&self) {
+        let now = time_since_boot();
+        self.watch_store_without_contact(now);
+        if lock(&self.lease).token(now).is_some() {
+            let report = self.build_report(now);
+            if let Some(reply) = self.handle_report(report) {
+                self.apply_reply(now, reply);
+            }
+            return;
+        }
+        let Some(client) = self.connect_coordinator().await else {
+            self.state.metrics.fleet.count_exchange("no-connection");
+            return;
+        };
+        let report = self.build_report(now);
+        let answer = client.exchange(report).await;
+        self.state.metrics.fleet.count_exchange(match &answer {
+            Some(Some(_)) => "replied",
+            Some(None) => "not-coordinator",
+            None => "no-reply",
+        });
+        match answer {
+            Some(Some(reply)) => {
+                self.fetch_declaration(&client, reply.age.revision).await;
+                self.apply_reply(now, reply);
+            }
+            Some(None) => lock(&self.contact).last_reply_at = None,
+            None => {
+                let mut contact = lock(&self.contact);
+                contact.client = None;
+                if contact
+                    .last_reply_at
+                    .is_none_or(|at| now.saturating_sub(at) >= COORDINATOR_TIMEOUT)
+                    && contact.last_reply_at.take().is_some()
+                {
+                    warn!("coordinator lost");
+                }
+            }
+        }
+    }
+}
+
+/// Exchanges reports with the coordinator until the task is cancelled.
+pub async fn run_exchange(control: Arc<ControlContext>) {
+    loop {
+        control.exchange_once().await;
+        sleep(exchange_interval(control.state.host_count())).await;
+    }
+}
--- a/crates/skylarkgw/src/gateway/control/knowledge.rs
+++ b/crates/skylarkgw/src/gateway/control/knowledge.rs
@@ -73,33 +73,32 @@
         if is_coordinator {
             return;
         }
-        let Some(delta) = registry else {
-            lock(&self.directory).record_unchanged(time_since_boot());
-            return;
-        };
+        let has_delta = registry.is_some();
         let engines = {
             let mut contact = lock(&self.contact);
-            contact.registry_version = delta.version;
-            contact.engines.retain(|id, _| delta.engines.contains(id));
-            contact
-                .engines
-                .extend(delta.changed.into_iter().map(|entry| (entry.id.clone(), entry)));
+            if let Some(delta) = registry {
+                contact.apply_delta(delta);
+            }
+            let in_use = self.state.snapshot.load().registry;
+            if !has_delta && in_use.source == RegistrySource::Coordinator {
+                lock(&self.directory).record_unchanged(time_since_boot(), age.registry_revision);
+                return;
+            }
             contact.engines.values().cloned().collect()
         };
-        lock(&self.directory).update(time_since_boot(), age.registry_revision, engines);
-        self.record_registry_origin(RegistryOrigin {
-            revision: age.registry_revision,
-            source: RegistrySource::Coordinator,
-        });
+        let source = RegistrySource::Coordinator;
+        self.update_directory(RegistryOrigin { revision: age.registry_revision, source }, engines);
         self.publish_engines();
     }
 
-    /// Records where the engines of the directory came from.
-    fn record_registry_origin(&self, origin: RegistryOrigin) {
-        let current = self.state.snapshot.load().registry;
-        let is_older = origin.revision < current.revision;
-        self.state.metrics.fleet.count_registry_copy(origin.source.label(), is_older);
-        self.update_snapshot(|snapshot| snapshot.registry = origin);
+    /// Updates the directory by a copy of the registry, unless that is older than
+    /// the entries in use.
+    fn update_directory(&self, origin: RegistryOrigin, engines: Vec<EngineEntry>) {
+        let is_used = lock(&self.directory).update(time_since_boot(), origin.revision, engines);
+        self.state.metrics.fleet.count_registry_copy(origin.source.label(), !is_used);
+        if is_used {
+            self.update_snapshot(|snapshot| snapshot.registry = origin);
+        }
     }
 
     /// Enables the watches of the store if the coordinator no longer replies.
@@ -150,9 +149,8 @@
         tokio::select! {
             update = updates.recv() => match update {
                 Some(StoreUpdate::Current { value, revision, as_of }) => {
-                    lock(&control.directory).update(time_since_boot(), revision, value);
                     let source = RegistrySource::Store;
-                    control.record_registry_origin(RegistryOrigin { revision, source });
+                    control.update_directory(RegistryOrigin { revision, source }, value);
                     control.state.record_registry_time(as_of);
                 }
                 Some(StoreUpdate::Failed) => lock(&control.directory).record_failure(time_since_boot()),
--- a/crates/skylarkgw/tests/decisions/directory.rs
+++ b/crates/skylarkgw/tests/decisions/directory.rs
@@ -41,8 +41,8 @@
 fn unchanged_registry_is_not_an_outage() {
     let mut directory = EngineDirectory::default();
     directory.update(ms(0), 6, entries(&["e1", "e2"]));
-    directory.record_unchanged(ms(900));
-    directory.record_unchanged(ms(1_800));
+    directory.record_unchanged(ms(900), 1);
+    directory.record_unchanged(ms(1_800), 1);
     directory.update(ms(2_000), 7, entries(&["e1"]));
     assert_eq!(engine_ids(&directory, 2_000), ["e1"]);
 }
--- a/crates/skylarkgw/tests/gateway/standin.rs
+++ b/crates/skylarkgw/tests/gateway/standin.rs
@@ -19,7 +19,6 @@
 /// A host's control state and the test's ends of its channels.
 pub struct ControlHarness {
     pub control: Arc<ControlContext>,
-    pub state: Arc<GatewayState>,
     pub registry: mpsc::Sender<StoreUpdate<Vec<EngineEntry>>>,
     lease_calls: mpsc::Receiver<LeaseCall>,
     record: Option<LeaseRecord>,
@@ -91,13 +90,12 @@
             watch_declarations,
             watch_engines,
         };
-        let control = Arc::new(ControlContext::new(state.clone(), ports));
+        let control = Arc::new(ControlContext::new(state, ports));
         let (registry, updates) = mpsc::channel(8);
         tokio::spawn(follow_engines(control.clone(), updates));
         tokio::spawn(maintain_lease(control.clone()));
         ControlHarness {
             control,
-            state,
             registry,
             lease_calls,
             record: None,
