Send the age and revision of the registry that a reply carries

Cause: the coordinator's renewal was answered after its lease had lapsed, which gives the lease back under the same token. An update of the registry in between was not applied to the coordinator's state, as that requires the lease, while age and revision were those of the host's own copy.

The state is now updated whether or not the lease has lapsed, and the reply takes age and revision from the state that holds the entries. Workspaces of a declaration had the same gap and are updated in the same way.

--- a/crates/skylarkgw/src/decision/coordinator.rs
+++ b/crates/skylarkgw/src/decision/coordinator.rs
@@ -134,6 +134,16 @@
     /// Entries, each with the registry version in which it last changed.
     registry: HashMap<EndpointId, (u64, Arc<EngineEntry>)>,
     registry_version: u64,
+    registry_stamp: RegistryStamp,
+}
+
+/// Up to when a copy of the registry contains all changes.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct RegistryStamp {
+    /// Revision of the store.
+    pub revision: ObjectVersion,
+    /// Time at which the copy was last confirmed to be current.
+    pub as_of: Duration,
 }
 
 impl Coordinator {
@@ -163,6 +173,7 @@
             notice_version: token << 32,
             registry: HashMap::new(),
             registry_version: token << 32,
+            registry_stamp: RegistryStamp::default(),
         }
     }
 
@@ -176,8 +187,14 @@
         self.quota_pool.set_workspaces(now, &declaration.workspaces);
     }
 
+    /// Returns up to when the registry in replies contains all changes.
+    pub fn registry_stamp(&self) -> RegistryStamp {
+        self.registry_stamp
+    }
+
     /// Updates the registry with the complete list of engines.
-    pub fn update_registry(&mut self, engines: &[Arc<EngineEntry>]) {
+    pub fn update_registry(&mut self, stamp: RegistryStamp, engines: &[Arc<EngineEntry>]) {
+        self.registry_stamp = stamp;
         let ids: HashSet<&EndpointId> = engines.iter().map(|entry| &entry.id).collect();
         for host in self.hosts.values_mut() {
             host.running.retain(|engine, _| ids.contains(engine));
--- a/crates/skylarkgw/src/gateway/control.rs
+++ b/crates/skylarkgw/src/gateway/control.rs
@@ -17,7 +17,7 @@
 use tokio::time::{sleep, timeout};
 
 use crate::decision::coordinator::{
-    Coordinator, CoordinatorReply, HostReport, KnowledgeAge, QuotaAnswer,
+    Coordinator, CoordinatorReply, HostReport, KnowledgeAge, QuotaAnswer, RegistryStamp,
 };
 use crate::decision::coordinator_lease::{CoordinatorLease, LeaseAction};
 use crate::decision::directory::EngineDirectory;
@@ -122,15 +122,17 @@
         let now = time_since_boot();
         let lease = lock(&self.lease).remaining(now);
         let declaration = self.state.snapshot.load().declaration.clone();
+        let (reply, stamp) = self.with_coordinator(|now, coordinator| {
+            let reply =
+                self.measure_work(CoordinatorWork::Exchange, || coordinator.exchange(now, report));
+            (reply, coordinator.registry_stamp())
+        })?;
         let age = KnowledgeAge {
             revision: declaration.map_or(0, |declaration| declaration.revision),
             declaration: self.state.declaration_age(now),
-            registry: self.state.registry_age(now),
-            registry_revision: self.state.snapshot.load().registry.revision,
+            registry: now.saturating_sub(stamp.as_of),
+            registry_revision: stamp.revision,
         };
-        let reply = self.with_coordinator(|now, coordinator| {
-            self.measure_work(CoordinatorWork::Exchange, || coordinator.exchange(now, report))
-        })?;
         self.count_reply(&reply);
         Some(CoordinatorReply { age, lease, ..reply })
     }
@@ -265,9 +267,20 @@
         if by_service != self.state.snapshot.load().engines {
             self.update_snapshot(|snapshot| snapshot.engines = by_service);
         }
-        self.with_coordinator(|_, coordinator| {
-            self.measure_work(CoordinatorWork::Registry, || coordinator.update_registry(&engines));
-        });
+        // The state outlives a short lapse of the lease, so it must not miss updates
+        // that arrive meanwhile.
+        if let Some(coordinator) = lock(&self.coordinator).as_mut() {
+            let stamp = self.registry_stamp(now);
+            self.measure_work(CoordinatorWork::Registry, || {
+                coordinator.update_registry(stamp, &engines);
+            });
+        }
+    }
+
+    /// Returns up to when the directory contains all changes of the registry.
+    fn registry_stamp(&self, now: Duration) -> RegistryStamp {
+        let as_of = now.saturating_sub(self.state.registry_age(now));
+        RegistryStamp { revision: lock(&self.directory).revision(), as_of }
     }
 
     /// Starts the release of the lease and waits until it is released, for at most
@@ -336,7 +349,7 @@
                     coordinator.apply_declaration(now, declaration);
                 }
                 let engines: Vec<_> = lock(&self.directory).engines(now).cloned().collect();
-                coordinator.update_registry(&engines);
+                coordinator.update_registry(self.registry_stamp(now), &engines);
                 *lock(&self.coordinator) = Some(coordinator);
                 info!("coordinator lease taken", kv: { token });
             }
--- a/crates/skylarkgw/src/gateway/control/knowledge.rs
+++ b/crates/skylarkgw/src/gateway/control/knowledge.rs
@@ -35,7 +35,10 @@
         let (revision, routes) = (declaration.revision, declaration.routes.len());
         let services = declaration.services.len();
         info!("declaration in force", kv: { revision, routes, services });
-        self.with_coordinator(|now, coordinator| coordinator.apply_declaration(now, &declaration));
+        // As for the registry, a lapse of the lease must not lose the update.
+        if let Some(coordinator) = lock(&self.coordinator).as_mut() {
+            coordinator.apply_declaration(time_since_boot(), &declaration);
+        }
         self.update_snapshot(|snapshot| {
             snapshot.declaration = Some(declaration);
             snapshot.route_table = route_table;
--- a/crates/skylarkgw/tests/decisions/coordinator.rs
+++ b/crates/skylarkgw/tests/decisions/coordinator.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use bincode::Options;
-use skylarkgw::decision::coordinator::{Coordinator, HostReport};
+use skylarkgw::decision::coordinator::{Coordinator, HostReport, RegistryStamp};
 use skylarkgw::decision::freshness::exchange_interval;
 use skylarkgw::decision::quota_pool::QuotaTolerance;
 use skylarkgw::gateway::declaration::FleetDeclaration;
@@ -69,7 +69,7 @@
         let declaration = FleetDeclaration { workspaces, ..declaration(&["sage"]) };
         coordinator.apply_declaration(ms(0), &declaration);
         let engines: Vec<_> = (0..ENGINES).map(|number| full_engine(number, 0)).collect();
-        coordinator.update_registry(&engines);
+        coordinator.update_registry(RegistryStamp::default(), &engines);
         let report = |number: usize| HostReport {
             host: format!("edge-muscat-a-{number}").into(),
             running: (0..ENGINES).map(|engine| (engine_name(engine), 3)).collect(),
@@ -117,7 +117,7 @@
         self.coordinator.refresh_notice();
         let mut engines: Vec<_> = (0..ENGINES).map(|number| full_engine(number, 0)).collect();
         engines[number] = entry;
-        self.coordinator.update_registry(&engines);
+        self.coordinator.update_registry(RegistryStamp::default(), &engines);
     }
 }
 
