Keep the cost of an exchange independent of the number of hosts

Cause: for each exchange the coordinator advanced all token buckets once for each workspace, over all hosts, and added up the counts of all hosts; 332 exchanges a second used 1.4 to 1.7 s of 2 s on a host that gets 1.0. A change of one adapter sent all adapters of all engines to all hosts, and registry entries went out with each change of an adapter or a cached model: 3.3 MB a round on links that carry 0.5. Draws, reports and the renewal of the lease timed out behind that, hosts turned to the store, and the next coordinator inherited the same work.

Buckets are refilled at most every 20 ms, totals are kept as reports arrive, and registry and placement are maps that are sent as changes by engine. Hosts get entries without adapters and cached weights, which only the coordinator uses.

--- a/crates/skylarkgw/src/decision.rs
+++ b/crates/skylarkgw/src/decision.rs
@@ -28,6 +28,7 @@
 pub mod retry_budget;
 pub mod route_table;
 pub mod routing;
+pub mod shared_map;
 pub mod shares;
 pub mod traffic;
 
--- a/crates/skylarkgw/src/decision/coordinator.rs
+++ b/crates/skylarkgw/src/decision/coordinator.rs
@@ -4,15 +4,16 @@
 //! workspaces' quotas and plans the placement of models. All its state is soft:
 //! a new holder of the lease rebuilds it from the reports of hosts and engines.
 
-use std::collections::{HashMap, HashSet};
+use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 
-use crate::decision::fleet_planner::{FleetPlanner, PlacementNotice, PlannerCall};
+use crate::decision::fleet_planner::{EngineNotice, FleetPlanner, PlannerCall};
 use crate::decision::model_demand::{DemandEstimate, ModelUse};
 use crate::decision::quota_pool::{CONTACT_TIMEOUT, QuotaPool, QuotaTolerance};
+use crate::decision::shared_map::{MapDelta, SharedMap};
 use crate::gateway::declaration::{FleetDeclaration, ServiceName};
 use crate::gateway::registry::EngineEntry;
 use crate::ids::{EndpointId, HostId, ModelName, ObjectVersion, Revision, Tokens, WorkspaceId};
@@ -60,18 +61,6 @@
     },
 }
 
-/// Changes of the engine registry since a version.
-#[derive(Clone, Debug, Default, Deserialize, Serialize)]
-#[serde(rename_all = "kebab-case")]
-pub struct RegistryDelta {
-    /// Version of the registry after the changes.
-    pub version: u64,
-    /// Entries that were added or changed.
-    pub changed: Vec<EngineEntry>,
-    /// Names of all engines. Engines that are not listed were removed.
-    pub engines: Vec<EndpointId>,
-}
-
 /// Revision of the coordinator's declaration, and the ages of its declaration
 /// and registry.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
@@ -99,10 +88,10 @@
     /// For each workspace, the number of granted tokens and the rate, in tokens
     /// per second, at which the host may spend while it has no coordinator.
     pub grants: Vec<(WorkspaceId, Tokens, f64)>,
-    /// Placement notice with its version, if the host has a different version.
-    pub notice: Option<(u64, PlacementNotice)>,
+    /// Changes of the placement notices, if the host has a different version.
+    pub notices: Option<MapDelta<EngineNotice>>,
     /// Changes of the registry, if the host has a different version.
-    pub registry: Option<RegistryDelta>,
+    pub registry: Option<MapDelta<EngineEntry>>,
     /// Revision and ages of the coordinator's declaration and registry.
     pub age: KnowledgeAge,
     /// Version of the lease record and the remaining time of the lease, if the
@@ -112,8 +101,11 @@
 
 #[derive(Debug)]
 struct HostState {
-    running: HashMap<EndpointId, u32>,
+    running: Vec<(EndpointId, u32)>,
     reported_at: Duration,
+    /// Whether `running` is part of the totals. A host that no longer reports may
+    /// have stopped, and its requests with it.
+    is_counted: bool,
 }
 
 /// State of the coordinator during one term of its lease.
@@ -123,17 +115,16 @@
     started_at: Duration,
     hosts: HashMap<HostId, HostState>,
     demand: DemandEstimate,
+    /// Number of requests that run at each engine, over all hosts that report.
+    total_running: HashMap<EndpointId, u32>,
     /// Moving average of the requests running at each engine, with the time
     /// constant [`RUNNING_TIME_CONSTANT_S`].
     running: HashMap<EndpointId, f64>,
     averaged_at: Duration,
     quota_pool: QuotaPool,
     planner: FleetPlanner,
-    notice: PlacementNotice,
-    notice_version: u64,
-    /// Entries, each with the registry version in which it last changed.
-    registry: HashMap<EndpointId, (u64, Arc<EngineEntry>)>,
-    registry_version: u64,
+    notices: SharedMap<EngineNotice>,
+    registry: SharedMap<EngineEntry>,
     registry_stamp: RegistryStamp,
 }
 
@@ -163,16 +154,13 @@
             started_at: now,
             hosts: HashMap::new(),
             demand: DemandEstimate::default(),
+            total_running: HashMap::new(),
             running: HashMap::new(),
             averaged_at: now,
             quota_pool: QuotaPool::new(now, tolerance, is_first),
             planner: FleetPlanner::default(),
-            notice: PlacementNotice::default(),
-            // The fencing token in the upper bits keeps the versions of different
-            // holders distinct.
-            notice_version: token << 32,
-            registry: HashMap::new(),
-            registry_version: token << 32,
+            notices: SharedMap::new(token),
+            registry: SharedMap::new(token),
             registry_stamp: RegistryStamp::default(),
         }
     }
@@ -195,50 +183,21 @@
     /// Updates the registry with the complete list of engines.
     pub fn update_registry(&mut self, stamp: RegistryStamp, engines: &[Arc<EngineEntry>]) {
         self.registry_stamp = stamp;
-        let ids: HashSet<&EndpointId> = engines.iter().map(|entry| &entry.id).collect();
-        for host in self.hosts.values_mut() {
-            host.running.retain(|engine, _| ids.contains(engine));
-        }
-        let next_version = self.registry_version + 1;
-        let has_changed = |entry: &Arc<EngineEntry>| {
-            self.registry.get(&entry.id).is_none_or(|(_, known)| known != entry)
-        };
-        let changed: Vec<Arc<EngineEntry>> =
-            engines.iter().filter(|entry| has_changed(entry)).cloned().collect();
-        let previous_count = self.registry.len();
-        self.registry.retain(|id, _| ids.contains(id));
-        if !changed.is_empty() || self.registry.len() != previous_count {
-            self.registry_version = next_version;
-        }
-        for entry in changed {
-            self.registry.insert(entry.id.clone(), (next_version, entry));
+        let entries = engines.iter().map(|entry| (entry.id.clone(), entry.without_inventory()));
+        for engine in self.registry.replace(entries.collect()) {
+            self.total_running.remove(&engine);
+            for host in self.hosts.values_mut() {
+                host.running.retain(|(name, _)| *name != engine);
+            }
         }
         self.planner.update_registry(engines);
-        self.refresh_notice();
-    }
-
-    /// Returns the changes since `version`, or `None` if it is the current one.
-    fn registry_delta_since(&self, version: u64) -> Option<RegistryDelta> {
-        let current = self.registry_version;
-        // Versions issued by another holder cannot be compared: all entries are
-        // sent then.
-        let is_own = version >> 32 == current >> 32;
-        if is_own && version == current {
-            return None;
-        }
-        let entries = self.registry.values();
-        let changed = entries.filter(|(changed_at, _)| !is_own || *changed_at > version);
-        Some(RegistryDelta {
-            version: current,
-            changed: changed.map(|(_, entry)| (**entry).clone()).collect(),
-            engines: self.registry.keys().cloned().collect(),
-        })
+        self.refresh_notices();
     }
 
     /// Returns a mutable reference to the planner.
     ///
     /// After a change of the planner, the caller must call
-    /// [`Coordinator::refresh_notice`].
+    /// [`Coordinator::refresh_notices`].
     pub fn planner_mut(&mut self) -> &mut FleetPlanner {
         &mut self.planner
     }
@@ -263,7 +222,7 @@
         self.update_running_average(now);
         let (demand, running) = (&mut self.demand, &self.running);
         let calls = self.planner.plan_calls(now, token, declaration, demand, running, window);
-        self.refresh_notice();
+        self.refresh_notices();
         calls
     }
 
@@ -273,31 +232,53 @@
         let elapsed = now.saturating_sub(self.averaged_at).as_secs_f64();
         self.averaged_at = now;
         let decay = (-elapsed / RUNNING_TIME_CONSTANT_S).exp();
-        let mut reported: HashMap<&EndpointId, u32> = HashMap::new();
-        // A host that no longer reports may have stopped, and the requests in its
-        // last report with it.
-        let is_reporting =
-            |host: &&HostState| now.saturating_sub(host.reported_at) < CONTACT_TIMEOUT;
-        let hosts = self.hosts.values().filter(is_reporting);
-        for (engine, running) in hosts.flat_map(|host| &host.running) {
-            *reported.entry(engine).or_default() += running;
-        }
-        self.running.retain(|engine, _| self.registry.contains_key(engine));
-        for engine in self.registry.keys() {
-            let reported = f64::from(reported.get(engine).copied().unwrap_or_default());
+        self.remove_silent_hosts(now);
+        self.running.retain(|engine, _| self.registry.contains(engine));
+        for engine in self.registry.engines() {
+            let reported = self.total_running.get(engine).copied().unwrap_or_default();
+            let reported = f64::from(reported);
             let running = self.running.entry(engine.clone()).or_insert(reported);
             *running = *running * decay + reported * (1.0 - decay);
         }
     }
 
-    /// Rebuilds the placement notice after a possible change of the planner, and
-    /// increments its version if it differs.
-    pub fn refresh_notice(&mut self) {
-        let notice = self.planner.build_notice();
-        if notice != self.notice {
-            self.notice = notice;
-            self.notice_version += 1;
+    /// Rebuilds the placement notices after a possible change of the planner.
+    pub fn refresh_notices(&mut self) {
+        self.notices.replace(self.planner.build_notices());
+    }
+
+    /// Removes the requests of hosts that no longer report from the totals, and
+    /// evicts hosts after [`HOST_EVICTION_TIMEOUT`].
+    fn remove_silent_hosts(&mut self, now: Duration) {
+        for host in self.hosts.values_mut() {
+            let is_silent = now.saturating_sub(host.reported_at) >= CONTACT_TIMEOUT;
+            if host.is_counted && is_silent {
+                host.is_counted = false;
+                subtract_counts(&mut self.total_running, &host.running);
+            }
+        }
+        self.hosts.retain(|_, host| now.saturating_sub(host.reported_at) < HOST_EVICTION_TIMEOUT);
+    }
+
+    /// Replaces the requests that a host runs, and returns those of all other hosts.
+    fn record_running(
+        &mut self,
+        now: Duration,
+        host: &HostId,
+        running: Vec<(EndpointId, u32)>,
+    ) -> Vec<(EndpointId, u32)> {
+        self.remove_silent_hosts(now);
+        if let Some(previous) = self.hosts.remove(host).filter(|previous| previous.is_counted) {
+            subtract_counts(&mut self.total_running, &previous.running);
+        }
+        let counts = self.total_running.iter();
+        let elsewhere = counts.map(|(engine, count)| (engine.clone(), *count)).collect();
+        for (engine, count) in &running {
+            *self.total_running.entry(engine.clone()).or_default() += count;
         }
+        let state = HostState { running, reported_at: now, is_counted: true };
+        self.hosts.insert(host.clone(), state);
+        elsewhere
     }
 
     /// Processes the report of a host and returns the reply.
@@ -312,32 +293,19 @@
         for (engine, model, adapter) in &report.adapter_uses {
             self.planner.record_adapter_use(now, engine, model, adapter);
         }
-        let running = report.running.into_iter().collect();
-        self.hosts.insert(report.host.clone(), HostState { running, reported_at: now });
-        self.hosts.retain(|_, host| now.saturating_sub(host.reported_at) < HOST_EVICTION_TIMEOUT);
-        let mut elsewhere: HashMap<&EndpointId, u32> = HashMap::new();
-        let others = self.hosts.iter().filter(|(host, state)| {
-            **host != report.host && now.saturating_sub(state.reported_at) < CONTACT_TIMEOUT
-        });
-        for (engine, running) in others.flat_map(|(_, state)| &state.running) {
-            *elsewhere.entry(engine).or_default() += running;
-        }
-        let elsewhere = elsewhere.into_iter();
-        let running_elsewhere = elsewhere.map(|(engine, count)| (engine.clone(), count)).collect();
+        let running_elsewhere = self.record_running(now, &report.host, report.running);
         let wanted = report.wanted.into_iter();
         let grants = wanted.filter_map(|(workspace, wanted)| {
             let grant = self.quota_pool.draw(now, &report.host, &workspace, wanted, 0)?;
             Some((workspace, grant.tokens, grant.fallback_per_s))
         });
         let grants = grants.collect();
-        let is_known = report.notice_version == self.notice_version;
-        let notice = (!is_known).then(|| (self.notice_version, self.notice.clone()));
         CoordinatorReply {
             hosts: self.hosts.len() as u32,
             running_elsewhere,
             grants,
-            notice,
-            registry: self.registry_delta_since(report.registry_version),
+            notices: self.notices.delta_since(report.notice_version),
+            registry: self.registry.delta_since(report.registry_version),
             age: KnowledgeAge::default(),
             lease: None,
         }
@@ -360,3 +328,15 @@
         }
     }
 }
+
+/// Subtracts counts from totals, and removes totals that become zero.
+fn subtract_counts(totals: &mut HashMap<EndpointId, u32>, counts: &[(EndpointId, u32)]) {
+    for (engine, count) in counts {
+        if let Some(total) = totals.get_mut(engine) {
+            *total = total.saturating_sub(*count);
+            if *total == 0 {
+                totals.remove(engine);
+            }
+        }
+    }
+}
--- a/crates/skylarkgw/src/decision/fleet_planner.rs
+++ b/crates/skylarkgw/src/decision/fleet_planner.rs
@@ -117,16 +117,23 @@
     NoEngine,
 }
 
-/// Placement information that the coordinator sends to hosts in addition to the
+/// Placement on one engine that the coordinator sends to hosts in addition to the
 /// registry.
 #[derive(Clone, Debug, Default, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
 #[serde(rename_all = "kebab-case")]
-pub struct PlacementNotice {
-    /// Models that are draining or unloading on an engine and get no new requests
-    /// there.
-    pub closing: Vec<(EndpointId, ModelName)>,
-    /// Adapters that each engine holds.
-    pub adapters: Vec<(EndpointId, ModelName, Arc<str>)>,
+pub struct EngineNotice {
+    /// Models that are draining or unloading and get no new requests.
+    pub closing: Vec<ModelName>,
+    /// Adapters that the engine holds, by model.
+    pub adapters: Vec<(ModelName, Vec<Arc<str>>)>,
+}
+
+impl EngineNotice {
+    /// Returns whether the engine holds an adapter.
+    pub fn holds_adapter(&self, model: &ModelName, adapter: &Arc<str>) -> bool {
+        let held = self.adapters.iter().find(|(name, _)| name == model);
+        held.is_some_and(|(_, adapters)| adapters.contains(adapter))
+    }
 }
 
 /// Plans orders to engines from a ledger of each of them.
@@ -187,6 +194,11 @@
             return;
         }
         self.entry = entry.clone();
+        if !self.is_confirmed {
+            for held in &entry.models {
+                self.add_adapters(Duration::ZERO, &held.name, &held.adapters);
+            }
+        }
         // The entry may be older than the last order, so it can confirm a
         // load but never removes a model.
         let listed = entry.models.iter().map(|held| &held.name);
@@ -646,26 +658,30 @@
         }
     }
 
-    /// Returns the placement information for hosts.
-    pub fn build_notice(&self) -> PlacementNotice {
-        let mut notice = PlacementNotice::default();
-        for (id, ledger) in &self.engines {
-            let removals = [&ledger.draining, &ledger.unloading];
-            let removals =
-                removals.into_iter().flatten().map(|(model, _)| (id.clone(), model.clone()));
-            notice.closing.extend(removals);
-            let adapters = ledger.adapters.iter();
-            let adapters =
-                adapters.map(|held| (id.clone(), held.model.clone(), held.adapter.clone()));
-            notice.adapters.extend(adapters);
-        }
-        notice.closing.sort();
-        notice.adapters.sort();
-        notice
+    /// Returns the placement information for hosts, by engine.
+    pub fn build_notices(&self) -> Vec<(EndpointId, EngineNotice)> {
+        let ledgers = self.engines.iter();
+        ledgers.map(|(engine, ledger)| (engine.clone(), ledger.build_notice())).collect()
     }
 }
 
 impl EngineLedger {
+    /// Returns the placement information for hosts.
+    fn build_notice(&self) -> EngineNotice {
+        let removals = [&self.draining, &self.unloading].into_iter().flatten();
+        let mut adapters: Vec<(ModelName, Vec<Arc<str>>)> = Vec::new();
+        for held in &self.adapters {
+            match adapters.iter_mut().find(|(model, _)| *model == held.model) {
+                Some((_, names)) => names.push(held.adapter.clone()),
+                None => adapters.push((held.model.clone(), vec![held.adapter.clone()])),
+            }
+        }
+        // The order of the ledger changes with every report.
+        adapters.iter_mut().for_each(|(_, names)| names.sort());
+        adapters.sort();
+        EngineNotice { closing: removals.map(|(model, _)| model.clone()).collect(), adapters }
+    }
+
     /// Returns whether a model is draining or unloading.
     fn is_being_removed(&self, model: &ModelName) -> bool {
         [&self.draining, &self.unloading].into_iter().flatten().any(|(name, _)| name == model)
--- a/crates/skylarkgw/src/decision/quota_pool.rs
+++ b/crates/skylarkgw/src/decision/quota_pool.rs
@@ -39,6 +39,10 @@
 /// fallback rate.
 const FALLBACK_LIMIT_S: f64 = 1.0;
 
+/// Least time between two refills of the buckets, so that their cost does not grow
+/// with the number of draws.
+const REFILL_INTERVAL: Duration = Duration::from_millis(20);
+
 /// Share of the burst that is refilled within a window, beyond the rate.
 const BURST_REFILL_SHARE: f64 = 0.75;
 /// Number of intervals that the log of a window is divided into.
@@ -64,6 +68,8 @@
     granted: VecDeque<(Duration, f64)>,
     /// Moving average of the tokens that each host draws per second.
     drawn_per_s: HashMap<HostId, f64>,
+    /// Sum of `drawn_per_s`.
+    total_drawn_per_s: f64,
 }
 
 impl WorkspaceBucket {
@@ -165,6 +171,7 @@
                 backlog: 0.0,
                 granted: VecDeque::new(),
                 drawn_per_s: HashMap::new(),
+                total_drawn_per_s: 0.0,
             });
             bucket.rate = rate;
             bucket.burst = burst;
@@ -209,9 +216,9 @@
         bucket.record_grant(now, self.tolerance.window, granted);
         let drawn = bucket.drawn_per_s.entry(host.clone()).or_default();
         *drawn += granted / DEMAND_TIME_CONSTANT_S;
-        let total: f64 = bucket.drawn_per_s.values().sum();
-        let drawn = bucket.drawn_per_s.get(host).copied().unwrap_or_default();
-        let fallback_per_s = drawn.min(bucket.rate * drawn / total.max(1.0));
+        let drawn = *drawn;
+        bucket.total_drawn_per_s += granted / DEMAND_TIME_CONSTANT_S;
+        let fallback_per_s = drawn.min(bucket.rate * drawn / bucket.total_drawn_per_s.max(1.0));
         let mut retry_after = Duration::ZERO;
         if granted < min_tokens as f64 {
             // Requests refused earlier are expected to be retried before this one.
@@ -230,7 +237,11 @@
     }
 
     fn advance(&mut self, now: Duration) {
-        let elapsed = now.saturating_sub(self.advanced_at).as_secs_f64();
+        let elapsed = now.saturating_sub(self.advanced_at);
+        if elapsed < REFILL_INTERVAL {
+            return;
+        }
+        let elapsed = elapsed.as_secs_f64();
         self.advanced_at = now;
         self.reported_at
             .retain(|_, reported_at| now.saturating_sub(*reported_at) < FALLBACK_DURATION);
@@ -265,6 +276,7 @@
                 }
                 reported_at.contains_key(host) && *drawn > 0.5
             });
+            bucket.total_drawn_per_s = bucket.drawn_per_s.values().sum();
         }
     }
 }
--- /dev/null
+++ b/crates/skylarkgw/src/decision/shared_map.rs
@@ -0,0 +1,125 @@
+//! A map that the coordinator shares with all hosts by sending changes.
+//!
+//! Every change increases the version of the map. A host reports the version that
+//! it has and receives what changed since. A host whose version was issued by
+//! another holder of the lease, or precedes the recorded removals, receives the
+//! complete map.
+
+use std::collections::{HashMap, VecDeque};
+
+use serde::{Deserialize, Serialize};
+
+use crate::ids::EndpointId;
+
+/// Maximum number of removals that are recorded.
+const MAX_REMOVALS: usize = 256;
+
+/// Changes of a shared map since a version.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct MapDelta<T> {
+    /// Version of the map after the changes.
+    pub version: u64,
+    /// Whether `changed` is the complete map.
+    pub is_complete: bool,
+    /// Entries that were added or changed.
+    pub changed: Vec<(EndpointId, T)>,
+    /// Entries that were removed.
+    pub removed: Vec<EndpointId>,
+}
+
+impl<T> MapDelta<T> {
+    /// Applies the changes to a copy of the map.
+    pub fn apply_to(self, copy: &mut HashMap<EndpointId, T>) {
+        if self.is_complete {
+            copy.clear();
+        }
+        for engine in &self.removed {
+            copy.remove(engine);
+        }
+        copy.extend(self.changed);
+    }
+}
+
+/// The coordinator's side of a shared map, with one entry for each engine.
+#[derive(Debug)]
+pub struct SharedMap<T> {
+    /// Entries, each with the version in which it last changed.
+    entries: HashMap<EndpointId, (u64, T)>,
+    version: u64,
+    /// Removed entries with the version of their removal, oldest first.
+    removals: VecDeque<(u64, EndpointId)>,
+    /// Version from which on all removals are recorded.
+    recorded_from: u64,
+}
+
+impl<T: Clone + PartialEq> SharedMap<T> {
+    /// Creates an empty map of the holder with the given fencing token.
+    pub fn new(token: u64) -> SharedMap<T> {
+        // The token in the upper bits keeps versions of different holders distinct.
+        let version = token << 32;
+        SharedMap {
+            entries: HashMap::new(),
+            version,
+            removals: VecDeque::new(),
+            recorded_from: version,
+        }
+    }
+
+    /// Replaces all entries, and returns the keys that were removed.
+    ///
+    /// The version increases if anything changes.
+    pub fn replace(&mut self, entries: Vec<(EndpointId, T)>) -> Vec<EndpointId> {
+        let next_version = self.version + 1;
+        let mut removed: HashMap<EndpointId, (u64, T)> = std::mem::take(&mut self.entries);
+        for (engine, entry) in entries {
+            let previous = removed.remove(&engine);
+            let value = match previous {
+                Some((changed_at, known)) if known == entry => (changed_at, known),
+                _ => {
+                    self.version = next_version;
+                    (next_version, entry)
+                }
+            };
+            self.entries.insert(engine, value);
+        }
+        let removed: Vec<EndpointId> = removed.into_keys().collect();
+        if !removed.is_empty() {
+            self.version = next_version;
+        }
+        self.removals.extend(removed.iter().map(|engine| (next_version, engine.clone())));
+        while self.removals.len() > MAX_REMOVALS {
+            self.recorded_from = self.removals.pop_front().map_or(self.version, |(at, _)| at);
+        }
+        removed
+    }
+
+    /// Returns the keys of the map.
+    pub fn engines(&self) -> impl Iterator<Item = &EndpointId> {
+        self.entries.keys()
+    }
+
+    /// Returns whether the map has an entry for an engine.
+    pub fn contains(&self, engine: &EndpointId) -> bool {
+        self.entries.contains_key(engine)
+    }
+
+    /// Returns the changes since `version`, or `None` if it is the current one.
+    pub fn delta_since(&self, version: u64) -> Option<MapDelta<T>> {
+        if version == self.version {
+            return None;
+        }
+        let is_recorded = (self.recorded_from..self.version).contains(&version);
+        let is_sent = |changed_at: u64| !is_recorded || changed_at > version;
+        let entries = self.entries.iter().filter(|(_, (changed_at, _))| is_sent(*changed_at));
+        let removals = self.removals.iter().filter(|(at, engine)| {
+            is_recorded && *at > version && !self.entries.contains_key(engine)
+        });
+        Some(MapDelta {
+            version: self.version,
+            is_complete: !is_recorded,
+            changed: entries.map(|(engine, (_, entry))| (engine.clone(), entry.clone())).collect(),
+            removed: removals.map(|(_, engine)| engine.clone()).collect(),
+        })
+    }
+}
--- a/crates/skylarkgw/src/edge/forward/select.rs
+++ b/crates/skylarkgw/src/edge/forward/select.rs
@@ -96,8 +96,8 @@
     let serves_model = |entry: &EngineEntry| {
         target.is_none_or(|target| {
             let is_held = entry.models.iter().any(|held| held.name == target.model);
-            let assignment = (entry.id.clone(), target.model.clone());
-            is_held && !snapshot.view.closing.contains(&assignment)
+            let notice = snapshot.view.placement.get(&entry.id);
+            is_held && !notice.is_some_and(|notice| notice.closing.contains(&target.model))
         })
     };
     let is_available = |entry: &EngineEntry| {
@@ -110,8 +110,8 @@
 fn has_adapter(snapshot: &FleetSnapshot, admitted: &AdmittedRequest, entry: &EngineEntry) -> bool {
     let Some(target) = &admitted.header.target else { return true };
     let Some(adapter) = &target.adapter else { return true };
-    let assignment = (entry.id.clone(), target.model.clone(), adapter.clone());
-    snapshot.view.adapters.contains(&assignment)
+    let notice = snapshot.view.placement.get(&entry.id);
+    notice.is_some_and(|notice| notice.holds_adapter(&target.model, adapter))
 }
 
 /// Builds the selection candidate for an engine.
--- a/crates/skylarkgw/src/gateway/control.rs
+++ b/crates/skylarkgw/src/gateway/control.rs
@@ -218,7 +218,7 @@
         info!("order given", kv: { engine, kind, model, adapter, token, expected, answer = answer_label });
         let recorded = self.with_coordinator(|now, coordinator| {
             coordinator.planner_mut().record_answer(now, &order, answer);
-            coordinator.refresh_notice();
+            coordinator.refresh_notices();
         });
         if recorded.is_none() {
             warn!("order answered after the coordinator lease was lost", kv: { token });
@@ -234,7 +234,7 @@
         let Ok(report) = report.await else { return };
         self.with_coordinator(|now, coordinator| {
             coordinator.planner_mut().record_report(now, &engine, report);
-            coordinator.refresh_notice();
+            coordinator.refresh_notices();
         });
     }
 
--- a/crates/skylarkgw/src/gateway/control/exchange.rs
+++ b/crates/skylarkgw/src/gateway/control/exchange.rs
@@ -7,7 +7,7 @@
 use spdlog::{info, warn};
 use tokio::time::sleep;
 
-use crate::decision::coordinator::{CoordinatorReply, HostReport, RegistryDelta};
+use crate::decision::coordinator::{CoordinatorReply, HostReport};
 use crate::decision::freshness::exchange_interval;
 use crate::decision::quota_pool::LocalQuota;
 use crate::gateway::clock::time_since_boot;
@@ -28,20 +28,11 @@
     /// contact.
     last_reply_at: Option<Duration>,
     notice_version: u64,
-    registry_version: u64,
+    pub(super) registry_version: u64,
     /// Engines as the coordinator sent them.
     pub(super) engines: HashMap<EndpointId, EngineEntry>,
 }
 
-impl CoordinatorContact {
-    /// Applies changes of the registry that the coordinator sent.
-    pub(super) fn apply_delta(&mut self, delta: RegistryDelta) {
-        self.registry_version = delta.version;
-        self.engines.retain(|id, _| delta.engines.contains(id));
-        self.engines.extend(delta.changed.into_iter().map(|entry| (entry.id.clone(), entry)));
-    }
-}
-
 impl ControlContext {
     /// Returns whether the coordinator has replied within [`COORDINATOR_TIMEOUT`].
     pub(super) fn has_contact(&self, now: Duration) -> bool {
@@ -92,8 +83,7 @@
         let mut view = FleetView {
             hosts: reply.hosts,
             running_elsewhere: reply.running_elsewhere.into_iter().collect(),
-            closing: view.closing.clone(),
-            adapters: view.adapters.clone(),
+            placement: view.placement.clone(),
         };
         let mut contact = lock(&self.contact);
         if contact.last_reply_at.is_none() {
@@ -101,10 +91,9 @@
             info!("coordinator found", kv: { hosts });
         }
         contact.last_reply_at = Some(now);
-        if let Some((version, notice)) = reply.notice {
-            contact.notice_version = version;
-            view.closing = notice.closing.into_iter().collect();
-            view.adapters = notice.adapters.into_iter().collect();
+        if let Some(delta) = reply.notices {
+            contact.notice_version = delta.version;
+            delta.apply_to(&mut view.placement);
         }
         self.state.metrics.members.set(i64::from(view.hosts));
         self.update_snapshot(|snapshot| snapshot.view = Arc::new(view));
--- a/crates/skylarkgw/src/gateway/control/knowledge.rs
+++ b/crates/skylarkgw/src/gateway/control/knowledge.rs
@@ -8,9 +8,10 @@
 use tokio::sync::mpsc;
 use tokio::time::sleep;
 
-use crate::decision::coordinator::{KnowledgeAge, RegistryDelta};
+use crate::decision::coordinator::KnowledgeAge;
 use crate::decision::freshness::needs_store_read;
 use crate::decision::route_table::RouteTable;
+use crate::decision::shared_map::MapDelta;
 use crate::gateway::clock::time_since_boot;
 use crate::gateway::control::{ControlContext, DIRECTORY_REFRESH_INTERVAL, lock, set_flag};
 use crate::gateway::declaration::FleetDeclaration;
@@ -60,7 +61,7 @@
         &self,
         sent_at: Duration,
         age: &KnowledgeAge,
-        registry: Option<RegistryDelta>,
+        registry: Option<MapDelta<EngineEntry>>,
     ) {
         let declaration = self.state.snapshot.load().declaration.clone();
         let revision = declaration.map_or(0, |declaration| declaration.revision);
@@ -80,7 +81,8 @@
         let engines = {
             let mut contact = lock(&self.contact);
             if let Some(delta) = registry {
-                contact.apply_delta(delta);
+                contact.registry_version = delta.version;
+                delta.apply_to(&mut contact.engines);
             }
             let in_use = self.state.snapshot.load().registry;
             if !has_delta && in_use.source == RegistrySource::Coordinator {
--- a/crates/skylarkgw/src/gateway/control/load.rs
+++ b/crates/skylarkgw/src/gateway/control/load.rs
@@ -28,8 +28,8 @@
         let count = |part, items| self.state.metrics.fleet.count_reply_items(part, items);
         count("counts", reply.running_elsewhere.len());
         count("grants", reply.grants.len());
-        if let Some((_, notice)) = &reply.notice {
-            count("notice", notice.closing.len() + notice.adapters.len());
+        if let Some(delta) = &reply.notices {
+            count("notices", delta.changed.len());
         }
         if let Some(delta) = &reply.registry {
             count("registry", delta.changed.len());
--- a/crates/skylarkgw/src/gateway/registry.rs
+++ b/crates/skylarkgw/src/gateway/registry.rs
@@ -56,3 +56,21 @@
     /// Models whose weights are cached on the engine's disk.
     pub copies_on_disk: Vec<ModelName>,
 }
+
+impl EngineEntry {
+    /// Returns the entry without its adapters and cached weights.
+    ///
+    /// Hosts forward requests without them, and they change much more often than
+    /// the rest. Only the coordinator uses them, which reads the store itself.
+    pub fn without_inventory(&self) -> EngineEntry {
+        let held = self.models.iter();
+        let models =
+            held.map(|held| HeldModel { name: held.name.clone(), adapters: Vec::new() }).collect();
+        EngineEntry {
+            models,
+            copies_in_memory: Vec::new(),
+            copies_on_disk: Vec::new(),
+            ..self.clone()
+        }
+    }
+}
--- a/crates/skylarkgw/src/gateway/state.rs
+++ b/crates/skylarkgw/src/gateway/state.rs
@@ -1,6 +1,6 @@
 //! State shared by the control thread and the traffic thread.
 
-use std::collections::{HashMap, HashSet};
+use std::collections::HashMap;
 use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -9,6 +9,7 @@
 use tokio::sync::{mpsc, oneshot};
 
 use crate::decision::coordinator::QuotaAnswer;
+use crate::decision::fleet_planner::EngineNotice;
 use crate::decision::quota_pool::LocalQuota;
 use crate::decision::route_table::RouteTable;
 use crate::decision::traffic::TrafficStats;
@@ -73,11 +74,8 @@
     pub hosts: u32,
     /// Number of requests of other hosts that run at each engine.
     pub running_elsewhere: HashMap<EndpointId, u32>,
-    /// Models that receive no new requests on an engine because they are about to
-    /// be unloaded.
-    pub closing: HashSet<(EndpointId, ModelName)>,
-    /// Adapters that are loaded on engines.
-    pub adapters: HashSet<(EndpointId, ModelName, Arc<str>)>,
+    /// Placement on each engine.
+    pub placement: HashMap<EndpointId, EngineNotice>,
 }
 
 /// A request of the traffic thread that only the coordinator can answer.
--- a/crates/skylarkgw/tests/decisions/coordinator.rs
+++ b/crates/skylarkgw/tests/decisions/coordinator.rs
@@ -93,8 +93,8 @@
             let reply =
                 self.coordinator.exchange(ms(now + number as u64 * 100 / hosts), host.clone());
             bytes += bincode::options().serialized_size(&reply).expect("a reply has a size");
-            if let Some((version, _)) = &reply.notice {
-                host.notice_version = *version;
+            if let Some(delta) = &reply.notices {
+                host.notice_version = delta.version;
             }
             if let Some(delta) = &reply.registry {
                 host.registry_version = delta.version;
@@ -114,7 +114,7 @@
             ..EngineReport::default()
         };
         self.coordinator.planner_mut().record_report(ms(self.now), &entry.id, report);
-        self.coordinator.refresh_notice();
+        self.coordinator.refresh_notices();
         let mut engines: Vec<_> = (0..ENGINES).map(|number| full_engine(number, 0)).collect();
         engines[number] = entry;
         self.coordinator.update_registry(RegistryStamp::default(), &engines);
--- a/crates/skylarkgw/tests/decisions/main.rs
+++ b/crates/skylarkgw/tests/decisions/main.rs
@@ -11,3 +11,4 @@
 mod retries;
 mod routes;
 mod samples;
+mod shared_map;
--- /dev/null
+++ b/crates/skylarkgw/tests/decisions/shared_map.rs
@@ -0,0 +1,76 @@
+//! Copies of a shared map follow it by changes, however far they are behind.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use skylarkgw::decision::shared_map::SharedMap;
+
+type Copy = (u64, HashMap<Arc<str>, u32>);
+
+fn entries(values: &HashMap<Arc<str>, u32>) -> Vec<(Arc<str>, u32)> {
+    values.iter().map(|(engine, value)| (engine.clone(), *value)).collect()
+}
+
+fn update_copy(map: &SharedMap<u32>, copy: &mut Copy) {
+    if let Some(delta) = map.delta_since(copy.0) {
+        copy.0 = delta.version;
+        delta.apply_to(&mut copy.1);
+    }
+}
+
+#[test]
+fn unchanged_map_sends_nothing_and_a_change_sends_one_entry() {
+    let mut map = SharedMap::new(1);
+    let mut values: HashMap<Arc<str>, u32> =
+        (0..90).map(|number| (format!("e{number}").into(), 0)).collect();
+    map.replace(entries(&values));
+    let mut copy = Copy::default();
+    update_copy(&map, &mut copy);
+    map.replace(entries(&values));
+    assert_eq!(map.delta_since(copy.0), None);
+    values.insert("e7".into(), 1);
+    values.remove("e8");
+    map.replace(entries(&values));
+    let delta = map.delta_since(copy.0).expect("the map has changed");
+    assert!(!delta.is_complete);
+    assert_eq!((delta.changed, delta.removed), (vec![("e7".into(), 1)], vec!["e8".into()]));
+}
+
+#[test]
+fn copy_of_another_holder_is_replaced() {
+    let (mut first, mut second) = (SharedMap::new(1), SharedMap::new(2));
+    first.replace(vec![("e1".into(), 1), ("e2".into(), 1)]);
+    second.replace(vec![("e1".into(), 2)]);
+    let mut copy = Copy::default();
+    update_copy(&first, &mut copy);
+    update_copy(&second, &mut copy);
+    assert_eq!(copy.1, HashMap::from([("e1".into(), 2)]));
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { rng_seed: RngSeed::Fixed(21), ..ProptestConfig::default() })]
+
+    #[test]
+    fn every_copy_equals_the_map_after_an_update(
+        steps in prop::collection::vec((0_u32..40, 0_u32..3, 0_usize..3), 1..400),
+    ) {
+        let mut map = SharedMap::new(3);
+        let mut values: HashMap<Arc<str>, u32> = HashMap::new();
+        let mut copies: [Copy; 2] = Default::default();
+        for (engine, value, updated) in steps {
+            let engine: Arc<str> = format!("e{engine}").into();
+            if value == 0 {
+                values.remove(&engine);
+            } else {
+                values.insert(engine, value);
+            }
+            map.replace(entries(&values));
+            if let Some(copy) = copies.get_mut(updated) {
+                update_copy(&map, copy);
+                prop_assert_eq!(&copy.1, &values);
+            }
+        }
+    }
+}
