Keep entries of the registry only after an outage of the store

Cause: the directory keeps removed entries for 2.4 s if no answer came for a second. A host that had followed the coordinator and then asked the store, or a coordinator short of processor time, took that for an outage. Hosts then kept entries once more that the coordinator had already kept.

An outage now requires a failed call besides a gap of 1 s, or a gap of 3 s, counted between the times at which the store confirmed the copies and not between replies of a coordinator. Lists of the coordinator are used as they are.

gap_without_a_failed_call_is_not_an_outage failed before and passes. The earlier tests of outages are unchanged but for the stamp that a copy now carries.

--- a/crates/skylarkgw/src/decision/coordinator.rs
+++ b/crates/skylarkgw/src/decision/coordinator.rs
@@ -10,6 +10,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::decision::directory::RegistryStamp;
 use crate::decision::fleet_planner::{EngineNotice, FleetPlanner, PlannerCall};
 use crate::decision::model_demand::{DemandEstimate, ModelUse};
 use crate::decision::quota_pool::{CONTACT_TIMEOUT, QuotaPool, QuotaTolerance};
@@ -128,15 +129,6 @@
     registry_stamp: RegistryStamp,
 }
 
-/// Up to when a copy of the registry contains all changes.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
-pub struct RegistryStamp {
-    /// Revision of the store.
-    pub revision: ObjectVersion,
-    /// Time at which the copy was last confirmed to be current.
-    pub as_of: Duration,
-}
-
 impl Coordinator {
     /// Creates the state of a new lease holder with the given fencing token.
     ///
--- a/crates/skylarkgw/src/decision/directory.rs
+++ b/crates/skylarkgw/src/decision/directory.rs
@@ -12,81 +12,114 @@
 use crate::gateway::registry::EngineEntry;
 use crate::ids::{EndpointId, ObjectVersion};
 
-/// Time without an answer from the store after which entries may have expired.
+/// Time without an answer from the store, with failed calls, after which entries may
+/// have expired.
 pub const OUTAGE_THRESHOLD: Duration = Duration::from_millis(1_000);
+/// Time without an answer from the store after which entries may have expired
+/// although no call failed. A host that follows the coordinator makes none.
+pub const UNSEEN_OUTAGE_THRESHOLD: Duration = Duration::from_millis(3_000);
 /// Time allowed for running engines to register again after an outage. Engines
 /// are guaranteed to do so within about two seconds; the rest covers the delay of
 /// a watch.
 pub const REREGISTRATION_TIME: Duration = Duration::from_millis(2_400);
 
+/// Up to when a copy of the registry contains all changes.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct RegistryStamp {
+    /// Revision of the store.
+    pub revision: ObjectVersion,
+    /// Time at which the copy was last confirmed to be current.
+    pub as_of: Duration,
+}
+
 /// The engines that may receive requests and orders.
+///
+/// Copies of the registry come from the store and from the coordinator, in any
+/// order. One that is older than the entries is ignored.
 #[derive(Debug, Default)]
 pub struct EngineDirectory {
     entries: HashMap<EndpointId, Arc<EngineEntry>>,
-    /// Revision of the store up to which the entries contain all changes.
-    revision: ObjectVersion,
+    stamp: RegistryStamp,
     /// Entries that were known before an outage and are not registered now.
     missing: HashMap<EndpointId, Arc<EngineEntry>>,
-    /// Time of the last answer from the store.
-    answered_at: Option<Duration>,
-    /// Time of the last failure, or of the first answer after an outage.
+    /// Whether a call to the store has failed since its last answer.
+    has_failed: bool,
+    /// Time of the first answer after an outage.
     settling_since: Option<Duration>,
 }
 
 impl EngineDirectory {
-    /// Replaces the registered entries by a list that arrived at `now`.
-    ///
-    /// The list contains all changes up to `revision` of the store. Lists come from
-    /// the store and from the coordinator, in any order; an older one than the
-    /// entries is ignored. Returns whether the list was used.
-    pub fn update(
+    /// Replaces the entries by a list that this host read from the store, received
+    /// at `now`, and returns whether it was used.
+    pub fn update_from_store(
         &mut self,
         now: Duration,
-        revision: ObjectVersion,
+        stamp: RegistryStamp,
         listed: Vec<EngineEntry>,
     ) -> bool {
-        if revision < self.revision {
+        if stamp.revision < self.stamp.revision {
             return false;
         }
-        self.revision = revision;
-        let gap = self.answered_at.map(|answered_at| now.saturating_sub(answered_at));
-        if gap.is_some_and(|gap| gap > OUTAGE_THRESHOLD) {
+        let gap = stamp.as_of.saturating_sub(self.stamp.as_of);
+        let limit = if self.has_failed { OUTAGE_THRESHOLD } else { UNSEEN_OUTAGE_THRESHOLD };
+        let is_first = self.stamp == RegistryStamp::default();
+        if !is_first && gap > limit {
             self.settling_since = Some(now);
         }
-        self.answered_at = Some(now);
-        let listed: HashMap<EndpointId, Arc<EngineEntry>> =
-            listed.into_iter().map(|entry| (entry.id.clone(), Arc::new(entry))).collect();
         let may_have_expired = self.is_settling(now);
-        for (id, entry) in std::mem::take(&mut self.entries) {
-            if may_have_expired && !listed.contains_key(&id) {
-                self.missing.insert(id, entry);
-            }
+        let previous = self.replace(stamp, listed);
+        if may_have_expired {
+            self.missing.extend(previous);
+        }
+        let registered = &self.entries;
+        self.missing.retain(|id, _| may_have_expired && !registered.contains_key(id));
+        true
+    }
+
+    /// Replaces the entries by a list of the coordinator and returns whether it was
+    /// used.
+    ///
+    /// The list includes entries that the coordinator kept because of an outage.
+    pub fn update_from_coordinator(
+        &mut self,
+        stamp: RegistryStamp,
+        listed: Vec<EngineEntry>,
+    ) -> bool {
+        if stamp.revision < self.stamp.revision {
+            return false;
         }
-        self.missing.retain(|id, _| may_have_expired && !listed.contains_key(id));
-        self.entries = listed;
+        self.replace(stamp, listed);
+        self.missing.clear();
+        self.settling_since = None;
         true
     }
 
-    /// Records that the registry was confirmed to be unchanged up to `revision` of
-    /// the store.
-    pub fn record_unchanged(&mut self, now: Duration, revision: ObjectVersion) {
-        self.answered_at = Some(now);
-        self.revision = self.revision.max(revision);
+    /// Replaces the entries and returns the previous ones.
+    fn replace(
+        &mut self,
+        stamp: RegistryStamp,
+        listed: Vec<EngineEntry>,
+    ) -> HashMap<EndpointId, Arc<EngineEntry>> {
+        self.record_unchanged(stamp);
+        let listed = listed.into_iter().map(|entry| (entry.id.clone(), Arc::new(entry)));
+        std::mem::replace(&mut self.entries, listed.collect())
+    }
+
+    /// Records that the entries were confirmed to be current up to `stamp`.
+    pub fn record_unchanged(&mut self, stamp: RegistryStamp) {
+        self.stamp.revision = self.stamp.revision.max(stamp.revision);
+        self.stamp.as_of = self.stamp.as_of.max(stamp.as_of);
+        self.has_failed = false;
     }
 
     /// Records that the store could not be reached.
-    pub fn record_failure(&mut self, now: Duration) {
-        // The next answer may follow before OUTAGE_THRESHOLD has passed and lack
-        // entries that expired meanwhile.
-        if self.answered_at.is_some() {
-            self.settling_since = Some(now);
-        }
+    pub fn record_failure(&mut self) {
+        self.has_failed = true;
     }
 
-    /// Returns the revision of the store up to which the entries contain all
-    /// changes.
-    pub fn revision(&self) -> ObjectVersion {
-        self.revision
+    /// Returns up to when the entries contain all changes.
+    pub fn stamp(&self) -> RegistryStamp {
+        self.stamp
     }
 
     /// Iterates over the registered engines and, shortly after an outage, those
--- a/crates/skylarkgw/src/gateway/control.rs
+++ b/crates/skylarkgw/src/gateway/control.rs
@@ -17,7 +17,7 @@
 use tokio::time::{sleep, timeout};
 
 use crate::decision::coordinator::{
-    Coordinator, CoordinatorReply, HostReport, KnowledgeAge, QuotaAnswer, RegistryStamp,
+    Coordinator, CoordinatorReply, HostReport, KnowledgeAge, QuotaAnswer,
 };
 use crate::decision::coordinator_lease::{CoordinatorLease, LeaseAction};
 use crate::decision::directory::EngineDirectory;
@@ -270,19 +270,13 @@
         // The state outlives a short lapse of the lease, so it must not miss updates
         // that arrive meanwhile.
         if let Some(coordinator) = lock(&self.coordinator).as_mut() {
-            let stamp = self.registry_stamp(now);
+            let stamp = lock(&self.directory).stamp();
             self.measure_work(CoordinatorWork::Registry, || {
                 coordinator.update_registry(stamp, &engines);
             });
         }
     }
 
-    /// Returns up to when the directory contains all changes of the registry.
-    fn registry_stamp(&self, now: Duration) -> RegistryStamp {
-        let as_of = now.saturating_sub(self.state.registry_age(now));
-        RegistryStamp { revision: lock(&self.directory).revision(), as_of }
-    }
-
     /// Starts the release of the lease and waits until it is released, for at most
     /// `timeout`.
     pub async fn release_lease(&self, timeout: Duration) {
@@ -349,7 +343,7 @@
                     coordinator.apply_declaration(now, declaration);
                 }
                 let engines: Vec<_> = lock(&self.directory).engines(now).cloned().collect();
-                coordinator.update_registry(self.registry_stamp(now), &engines);
+                coordinator.update_registry(lock(&self.directory).stamp(), &engines);
                 *lock(&self.coordinator) = Some(coordinator);
                 info!("coordinator lease taken", kv: { token });
             }
--- a/crates/skylarkgw/src/gateway/control/knowledge.rs
+++ b/crates/skylarkgw/src/gateway/control/knowledge.rs
@@ -9,6 +9,7 @@
 use tokio::time::sleep;
 
 use crate::decision::coordinator::KnowledgeAge;
+use crate::decision::directory::RegistryStamp;
 use crate::decision::freshness::needs_store_read;
 use crate::decision::route_table::RouteTable;
 use crate::decision::shared_map::MapDelta;
@@ -68,7 +69,9 @@
         if revision >= age.revision && revision > 0 {
             self.state.record_declaration_time(sent_at.saturating_sub(age.declaration));
         }
-        self.state.record_registry_time(sent_at.saturating_sub(age.registry));
+        let as_of = sent_at.saturating_sub(age.registry);
+        let stamp = RegistryStamp { revision: age.registry_revision, as_of };
+        self.state.record_registry_time(as_of);
         let is_coordinator = lock(&self.lease).token(time_since_boot()).is_some();
         let is_behind = revision < age.revision;
         let watches_declaration = needs_store_read(is_coordinator, is_behind, age.declaration);
@@ -86,22 +89,21 @@
             }
             let in_use = self.state.snapshot.load().registry;
             if !has_delta && in_use.source == RegistrySource::Coordinator {
-                lock(&self.directory).record_unchanged(time_since_boot(), age.registry_revision);
+                lock(&self.directory).record_unchanged(stamp);
                 return;
             }
             contact.engines.values().cloned().collect()
         };
-        let source = RegistrySource::Coordinator;
-        self.update_directory(RegistryOrigin { revision: age.registry_revision, source }, engines);
+        let is_used = lock(&self.directory).update_from_coordinator(stamp, engines);
+        self.record_registry_copy(RegistrySource::Coordinator, stamp, is_used);
         self.publish_engines();
     }
 
-    /// Updates the directory by a copy of the registry, unless that is older than
-    /// the entries in use.
-    fn update_directory(&self, origin: RegistryOrigin, engines: Vec<EngineEntry>) {
-        let is_used = lock(&self.directory).update(time_since_boot(), origin.revision, engines);
-        self.state.metrics.fleet.count_registry_copy(origin.source.label(), !is_used);
+    /// Records where the entries of the directory came from.
+    fn record_registry_copy(&self, source: RegistrySource, stamp: RegistryStamp, is_used: bool) {
+        self.state.metrics.fleet.count_registry_copy(source.label(), !is_used);
         if is_used {
+            let origin = RegistryOrigin { revision: stamp.revision, source };
             self.update_snapshot(|snapshot| snapshot.registry = origin);
         }
     }
@@ -154,11 +156,13 @@
         tokio::select! {
             update = updates.recv() => match update {
                 Some(StoreUpdate::Current { value, revision, as_of }) => {
-                    let source = RegistrySource::Store;
-                    control.update_directory(RegistryOrigin { revision, source }, value);
+                    let stamp = RegistryStamp { revision, as_of };
+                    let now = time_since_boot();
+                    let is_used = lock(&control.directory).update_from_store(now, stamp, value);
+                    control.record_registry_copy(RegistrySource::Store, stamp, is_used);
                     control.state.record_registry_time(as_of);
                 }
-                Some(StoreUpdate::Failed) => lock(&control.directory).record_failure(time_since_boot()),
+                Some(StoreUpdate::Failed) => lock(&control.directory).record_failure(),
                 None => return,
             },
             () = sleep(DIRECTORY_REFRESH_INTERVAL) => {}
--- a/crates/skylarkgw/tests/decisions/coordinator.rs
+++ b/crates/skylarkgw/tests/decisions/coordinator.rs
@@ -4,7 +4,8 @@
 use std::time::{Duration, Instant};
 
 use bincode::Options;
-use skylarkgw::decision::coordinator::{Coordinator, HostReport, RegistryStamp};
+use skylarkgw::decision::coordinator::{Coordinator, HostReport};
+use skylarkgw::decision::directory::RegistryStamp;
 use skylarkgw::decision::freshness::exchange_interval;
 use skylarkgw::decision::quota_pool::QuotaTolerance;
 use skylarkgw::gateway::declaration::FleetDeclaration;
--- a/crates/skylarkgw/tests/decisions/directory.rs
+++ b/crates/skylarkgw/tests/decisions/directory.rs
@@ -1,7 +1,7 @@
 //! Tests of the engine directory when many registry leases expire during an
 //! outage of the store.
 
-use skylarkgw::decision::directory::{EngineDirectory, REREGISTRATION_TIME};
+use skylarkgw::decision::directory::{EngineDirectory, REREGISTRATION_TIME, RegistryStamp};
 use skylarkgw::gateway::registry::EnginePhase;
 
 use crate::samples::{engine, ms};
@@ -17,21 +17,25 @@
     names.iter().map(|name| (*engine(name, &[])).clone()).collect()
 }
 
+fn stamp(revision: u64, as_of: u64) -> RegistryStamp {
+    RegistryStamp { revision, as_of: ms(as_of) }
+}
+
 #[test]
 fn entry_removed_without_an_outage_disappears_at_once() {
     let mut directory = EngineDirectory::default();
-    directory.update(ms(0), 1, entries(&["e1", "e2"]));
-    directory.update(ms(500), 2, entries(&["e1"]));
+    directory.update_from_store(ms(0), stamp(1, 0), entries(&["e1", "e2"]));
+    directory.update_from_store(ms(500), stamp(2, 500), entries(&["e1"]));
     assert_eq!(engine_ids(&directory, 500), ["e1"]);
 }
 
 #[test]
 fn entries_expired_in_an_outage_stay_until_engines_had_time_to_register_again() {
     let mut directory = EngineDirectory::default();
-    directory.update(ms(0), 3, entries(&["e1", "e2"]));
-    directory.update(ms(5_000), 4, entries(&[]));
+    directory.update_from_store(ms(0), stamp(3, 0), entries(&["e1", "e2"]));
+    directory.update_from_store(ms(5_000), stamp(4, 5_000), entries(&[]));
     assert_eq!(engine_ids(&directory, 5_000), ["e1", "e2"]);
-    directory.update(ms(6_000), 5, entries(&["e1"]));
+    directory.update_from_store(ms(6_000), stamp(5, 6_000), entries(&["e1"]));
     assert_eq!(engine_ids(&directory, 6_000), ["e1", "e2"]);
     let settled = 5_000 + REREGISTRATION_TIME.as_millis() as u64;
     assert_eq!(engine_ids(&directory, settled), ["e1"]);
@@ -40,10 +44,10 @@
 #[test]
 fn unchanged_registry_is_not_an_outage() {
     let mut directory = EngineDirectory::default();
-    directory.update(ms(0), 6, entries(&["e1", "e2"]));
-    directory.record_unchanged(ms(900), 1);
-    directory.record_unchanged(ms(1_800), 1);
-    directory.update(ms(2_000), 7, entries(&["e1"]));
+    directory.update_from_store(ms(0), stamp(6, 0), entries(&["e1", "e2"]));
+    directory.record_unchanged(stamp(1, 900));
+    directory.record_unchanged(stamp(1, 1_800));
+    directory.update_from_store(ms(2_000), stamp(7, 2_000), entries(&["e1"]));
     assert_eq!(engine_ids(&directory, 2_000), ["e1"]);
 }
 
@@ -54,11 +58,45 @@
     let mut directory = EngineDirectory::default();
     let mut draining = entries(&["e1"]);
     draining[0].phase = EnginePhase::Draining;
-    directory.update(ms(0), 802, draining);
-    directory.update(ms(100), 800, entries(&["e1", "e2"]));
+    directory.update_from_store(ms(0), stamp(802, 0), draining);
+    directory.update_from_store(ms(100), stamp(800, 100), entries(&["e1", "e2"]));
     let phases: Vec<_> = directory.engines(ms(100)).map(|entry| entry.phase).collect();
-    assert_eq!((phases, directory.revision()), (vec![EnginePhase::Draining], 802));
-    directory.update(ms(200), 803, entries(&["e1"]));
+    assert_eq!((phases, directory.stamp().revision), (vec![EnginePhase::Draining], 802));
+    directory.update_from_store(ms(200), stamp(803, 200), entries(&["e1"]));
     let phases: Vec<_> = directory.engines(ms(200)).map(|entry| entry.phase).collect();
-    assert_eq!((phases, directory.revision()), (vec![EnginePhase::Ready], 803));
+    assert_eq!((phases, directory.stamp().revision), (vec![EnginePhase::Ready], 803));
+}
+
+/// Guards against requests to an engine that has left: a host that had not asked the
+/// store for a while took the gap for an outage and kept the engine.
+#[test]
+fn gap_without_a_failed_call_is_not_an_outage() {
+    let mut directory = EngineDirectory::default();
+    directory.update_from_store(ms(0), stamp(1, 0), entries(&["e1", "e2"]));
+    directory.update_from_store(ms(1_500), stamp(2, 1_500), entries(&["e1"]));
+    assert_eq!(engine_ids(&directory, 1_500), ["e1"]);
+}
+
+/// Guards against requests to an engine that has left: a host kept it once more after
+/// the coordinator had kept it.
+#[test]
+fn entry_that_the_coordinator_drops_is_not_kept() {
+    let mut directory = EngineDirectory::default();
+    directory.update_from_store(ms(0), stamp(1, 0), entries(&["e1", "e2"]));
+    directory.record_failure();
+    directory.update_from_coordinator(stamp(2, 5_000), entries(&["e1"]));
+    assert_eq!(engine_ids(&directory, 5_000), ["e1"]);
+}
+
+/// Guards against requests without an engine after an outage that a host noticed
+/// only by the age of the coordinator's copy.
+#[test]
+fn outage_behind_a_coordinator_that_still_replies_is_noticed() {
+    let mut directory = EngineDirectory::default();
+    directory.update_from_coordinator(stamp(1, 0), entries(&["e1", "e2"]));
+    // The coordinator confirms the same copy without an answer of the store.
+    directory.record_unchanged(stamp(1, 0));
+    directory.record_failure();
+    directory.update_from_store(ms(4_500), stamp(2, 4_500), entries(&["e1"]));
+    assert_eq!(engine_ids(&directory, 4_500), ["e1", "e2"]);
 }
