--- a/crates/skylarkgw/src/gateway/control.rs
+++ b/crates/skylarkgw/src/gateway/control.rs
@@ -81,11 +81,6 @@
     pub watch_engines: watch::Sender<bool>,
 }
 
-/// Sets a watched flag and notifies its receivers only if the value changes.
-fn set_flag(flag: &watch::Sender<bool>, value: bool) {
-    flag.send_if_modified(|current| std::mem::replace(current, value) != value);
-}
-
 /// Locks a mutex, including one that is poisoned.
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     // No holder leaves a partial update behind, so the value of a poisoned lock
--- a/crates/skylarkgw/src/gateway/control/knowledge.rs
+++ b/crates/skylarkgw/src/gateway/control/knowledge.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use spdlog::{info, warn};
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
 use tokio::time::sleep;
 
 use crate::decision::coordinator::KnowledgeAge;
@@ -14,7 +14,7 @@
 use crate::decision::route_table::RouteTable;
 use crate::decision::shared_map::MapDelta;
 use crate::gateway::clock::time_since_boot;
-use crate::gateway::control::{ControlContext, DIRECTORY_REFRESH_INTERVAL, lock, set_flag};
+use crate::gateway::control::{ControlContext, DIRECTORY_REFRESH_INTERVAL, lock};
 use crate::gateway::declaration::FleetDeclaration;
 use crate::gateway::peers::CoordinatorClient;
 use crate::gateway::ports::StoreUpdate;
@@ -74,9 +74,11 @@
         self.state.record_registry_time(as_of);
         let is_coordinator = lock(&self.lease).token(time_since_boot()).is_some();
         let is_behind = revision < age.revision;
-        let watches_declaration = needs_store_read(is_coordinator, is_behind, age.declaration);
-        set_flag(&self.watch_declarations, watches_declaration);
-        set_flag(&self.watch_engines, needs_store_read(is_coordinator, false, age.registry));
+        self.set_watches(
+            needs_store_read(is_coordinator, is_behind, age.declaration),
+            needs_store_read(is_coordinator, false, age.registry),
+            Some(age),
+        );
         if is_coordinator {
             return;
         }
@@ -111,8 +113,29 @@
     /// Enables the watches of the store if the coordinator no longer replies.
     pub(super) fn watch_store_without_contact(&self, now: Duration) {
         if !self.has_contact(now) {
-            set_flag(&self.watch_declarations, true);
-            set_flag(&self.watch_engines, true);
+            self.set_watches(true, true, None);
+        }
+    }
+
+    /// Starts or stops the watches of the store.
+    ///
+    /// `age` is the age of the coordinator's copies, or `None` if there is no
+    /// contact with it.
+    fn set_watches(&self, declaration: bool, engines: bool, age: Option<&KnowledgeAge>) {
+        let set_flag = |flag: &watch::Sender<bool>, value: bool| {
+            flag.send_if_modified(|current| std::mem::replace(current, value) != value)
+        };
+        let has_changed = [
+            set_flag(&self.watch_declarations, declaration),
+            set_flag(&self.watch_engines, engines),
+        ];
+        if has_changed.contains(&true) {
+            let age_ms = |age: Duration| age.as_millis() as i64;
+            let declaration_age_ms = age.map_or(-1, |age| age_ms(age.declaration));
+            let registry_age_ms = age.map_or(-1, |age| age_ms(age.registry));
+            info!("store watches changed", kv: {
+                declaration, engines, declaration_age_ms, registry_age_ms
+            });
         }
     }
 
