Confirm a change soon, and watch in larger batches without a coordinator

Cause: an answer with changes proves that the copy was current when the watch was sent, up to 0.7 s before, and the next watch waited 0.7 s again, so the copy was 1.46 s old where hosts read the store from 1.05 s on.

The wait of a watch is now shortened by the age of the copy, and a host that is not the coordinator waits 250 ms between two answers with changes.

change_does_not_make_hosts_read_the_store fails with a constant wait of 0.7 s.

--- a/crates/skylarkgw/src/decision/freshness.rs
+++ b/crates/skylarkgw/src/decision/freshness.rs
@@ -12,6 +12,14 @@
 /// Time for which a watch waits for a change. Its answer proves that the state
 /// is current, so the state reaches this age when nothing changes.
 pub const WATCH_WAIT: Duration = Duration::from_millis(700);
+/// Shortest wait of a watch.
+const MIN_WATCH_WAIT: Duration = Duration::from_millis(100);
+/// Delay between an answer with changes and the next watch of the coordinator, so
+/// that the next answer contains all changes of that time.
+pub const COORDINATOR_BATCH_DELAY: Duration = Duration::from_millis(60);
+/// The same delay on any other host. All of them watch while there is no
+/// coordinator.
+pub const HOST_BATCH_DELAY: Duration = Duration::from_millis(250);
 /// Age of the coordinator's state above which a host reads the store itself. It
 /// exceeds [`WATCH_WAIT`] plus the time of an exchange.
 pub const STORE_READ_AGE: Duration = Duration::from_millis(1_050);
@@ -50,3 +58,16 @@
 pub fn exchange_interval(hosts: u32) -> Duration {
     EXCHANGE_INTERVAL.max(EXCHANGE_TIME_PER_HOST * hosts)
 }
+
+/// Returns the time for which a watch waits for a change if the state is `age` old.
+///
+/// An answer with changes proves only that the state was current when the watch was
+/// sent, so the next watch must end sooner.
+pub fn watch_wait(age: Duration) -> Duration {
+    WATCH_WAIT.saturating_sub(age).max(MIN_WATCH_WAIT)
+}
+
+/// Returns the delay between an answer with changes and the next watch.
+pub fn batch_delay(is_coordinator: bool) -> Duration {
+    if is_coordinator { COORDINATOR_BATCH_DELAY } else { HOST_BATCH_DELAY }
+}
--- a/crates/skylarkgw/src/gateway/control.rs
+++ b/crates/skylarkgw/src/gateway/control.rs
@@ -25,7 +25,9 @@
 use crate::gateway::clock::time_since_boot;
 use crate::gateway::control::exchange::CoordinatorContact;
 use crate::gateway::declaration::ServiceName;
-use crate::gateway::ports::{EngineCall, EngineOrder, LeaseAnswer, LeaseCall, OrderAnswer};
+use crate::gateway::ports::{
+    EngineCall, EngineOrder, LeaseAnswer, LeaseCall, OrderAnswer, WatchMode,
+};
 use crate::gateway::registry::EngineEntry;
 use crate::gateway::state::{CoordinatorRequest, FleetSnapshot, GatewayState};
 use crate::ids::{EndpointId, HostId, ModelName, Tokens, WorkspaceId};
@@ -64,8 +66,8 @@
     contact: Mutex<CoordinatorContact>,
     lease_calls: mpsc::Sender<LeaseCall>,
     engine_calls: mpsc::Sender<EngineCall>,
-    watch_declarations: watch::Sender<bool>,
-    watch_engines: watch::Sender<bool>,
+    watch_declarations: watch::Sender<WatchMode>,
+    watch_engines: watch::Sender<WatchMode>,
 }
 
 /// Sending halves of the adapter's channels that the control thread uses.
@@ -75,10 +77,10 @@
     pub lease_calls: mpsc::Sender<LeaseCall>,
     /// Orders to engines and requests for their reports.
     pub engine_calls: mpsc::Sender<EngineCall>,
-    /// Whether the adapter watches the declaration.
-    pub watch_declarations: watch::Sender<bool>,
-    /// Whether the adapter watches the engine registry.
-    pub watch_engines: watch::Sender<bool>,
+    /// Whether and how the adapter watches the declaration.
+    pub watch_declarations: watch::Sender<WatchMode>,
+    /// Whether and how the adapter watches the engine registry.
+    pub watch_engines: watch::Sender<WatchMode>,
 }
 
 /// Locks a mutex, including one that is poisoned.
--- a/crates/skylarkgw/src/gateway/control/knowledge.rs
+++ b/crates/skylarkgw/src/gateway/control/knowledge.rs
@@ -10,14 +10,14 @@
 
 use crate::decision::coordinator::KnowledgeAge;
 use crate::decision::directory::RegistryStamp;
-use crate::decision::freshness::needs_store_read;
+use crate::decision::freshness::{batch_delay, needs_store_read};
 use crate::decision::route_table::RouteTable;
 use crate::decision::shared_map::MapDelta;
 use crate::gateway::clock::time_since_boot;
 use crate::gateway::control::{ControlContext, DIRECTORY_REFRESH_INTERVAL, lock};
 use crate::gateway::declaration::FleetDeclaration;
 use crate::gateway::peers::CoordinatorClient;
-use crate::gateway::ports::StoreUpdate;
+use crate::gateway::ports::{StoreUpdate, WatchMode};
 use crate::gateway::registry::EngineEntry;
 use crate::gateway::state::{RegistryOrigin, RegistrySource};
 use crate::ids::Revision;
@@ -122,12 +122,15 @@
     /// `age` is the age of the coordinator's copies, or `None` if there is no
     /// contact with it.
     fn set_watches(&self, declaration: bool, engines: bool, age: Option<&KnowledgeAge>) {
-        let set_flag = |flag: &watch::Sender<bool>, value: bool| {
-            flag.send_if_modified(|current| std::mem::replace(current, value) != value)
+        let is_coordinator = lock(&self.lease).token(time_since_boot()).is_some();
+        let set_mode = |mode: &watch::Sender<WatchMode>, is_on: bool| {
+            let batch_delay = batch_delay(is_coordinator);
+            let value = if is_on { WatchMode::On { batch_delay } } else { WatchMode::Off };
+            mode.send_if_modified(|current| std::mem::replace(current, value) != value)
         };
         let has_changed = [
-            set_flag(&self.watch_declarations, declaration),
-            set_flag(&self.watch_engines, engines),
+            set_mode(&self.watch_declarations, declaration),
+            set_mode(&self.watch_engines, engines),
         ];
         if has_changed.contains(&true) {
             let age_ms = |age: Duration| age.as_millis() as i64;
--- a/crates/skylarkgw/src/gateway/ports.rs
+++ b/crates/skylarkgw/src/gateway/ports.rs
@@ -30,6 +30,18 @@
     Failed,
 }
 
+/// Whether and how the adapter watches a kind of object.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum WatchMode {
+    /// It makes no calls.
+    Off,
+    /// It watches.
+    On {
+        /// Delay between an answer with changes and the next watch.
+        batch_delay: Duration,
+    },
+}
+
 /// The lease record in the store, which names the coordinator.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(rename_all = "kebab-case")]
@@ -176,12 +188,10 @@
     pub declarations: mpsc::Receiver<StoreUpdate<Arc<FleetDeclaration>>>,
     /// Updates of the engine registry.
     pub engines: mpsc::Receiver<StoreUpdate<Vec<EngineEntry>>>,
-    /// Whether the adapter watches the declaration. While this is false, it makes
-    /// no calls for it.
-    pub watch_declarations: watch::Sender<bool>,
-    /// Whether the adapter watches the engine registry. While this is false, it
-    /// makes no calls for it.
-    pub watch_engines: watch::Sender<bool>,
+    /// Whether and how the adapter watches the declaration.
+    pub watch_declarations: watch::Sender<WatchMode>,
+    /// Whether and how the adapter watches the engine registry.
+    pub watch_engines: watch::Sender<WatchMode>,
     /// Reads and writes of the lease record.
     pub lease_calls: mpsc::Sender<LeaseCall>,
     /// Orders to engines and requests for their reports.
--- a/crates/skylarkgw/tests/decisions/freshness.rs
+++ b/crates/skylarkgw/tests/decisions/freshness.rs
@@ -3,7 +3,8 @@
 use std::time::Duration;
 
 use skylarkgw::decision::freshness::{
-    EXCHANGE_INTERVAL, WATCH_WAIT, can_check_keys, needs_store_read,
+    COORDINATOR_BATCH_DELAY, EXCHANGE_INTERVAL, WATCH_WAIT, can_check_keys, needs_store_read,
+    watch_wait,
 };
 
 use crate::samples::ms;
@@ -47,3 +48,18 @@
     assert!(!can_check_keys(revocation, ms(4_200)));
     assert!(!can_check_keys(ms(500), ms(1)));
 }
+
+/// Guards against store calls of all hosts after every change: the next watch of the
+/// coordinator waited so long that its copy seemed outdated to them.
+#[test]
+fn change_does_not_make_hosts_read_the_store() {
+    for event_at in (0..=WATCH_WAIT.as_millis() as u64).step_by(10) {
+        // The watch with the event confirms the state only of the time it was sent.
+        let age = ms(event_at) + COORDINATOR_BATCH_DELAY;
+        let confirmed_at = age + watch_wait(age) + EXCHANGE_INTERVAL;
+        assert!(
+            !needs_store_read(false, false, confirmed_at),
+            "event {event_at} ms into a watch, copy {confirmed_at:?} old"
+        );
+    }
+}
--- a/crates/skylarkgw/tests/gateway/standin.rs
+++ b/crates/skylarkgw/tests/gateway/standin.rs
@@ -5,7 +5,9 @@
 
 use skylarkgw::decision::quota_pool::QuotaTolerance;
 use skylarkgw::gateway::control::{ControlContext, ControlPorts, follow_engines, maintain_lease};
-use skylarkgw::gateway::ports::{EngineCall, LeaseAnswer, LeaseCall, LeaseRecord, StoreUpdate};
+use skylarkgw::gateway::ports::{
+    EngineCall, LeaseAnswer, LeaseCall, LeaseRecord, StoreUpdate, WatchMode,
+};
 use skylarkgw::gateway::registry::{EngineEntry, EnginePhase};
 use skylarkgw::gateway::settings::{GatewayBounds, GatewaySettings};
 use skylarkgw::gateway::state::GatewayState;
@@ -24,7 +26,7 @@
     record: Option<LeaseRecord>,
     version: u64,
     _engine_calls: mpsc::Receiver<EngineCall>,
-    _watches: (watch::Receiver<bool>, watch::Receiver<bool>),
+    _watches: (watch::Receiver<WatchMode>, watch::Receiver<WatchMode>),
 }
 
 fn settings() -> GatewaySettings {
@@ -82,8 +84,8 @@
         let state = Arc::new(GatewayState::new(settings(), codec, 1, metrics, requests));
         let (lease_sender, lease_calls) = mpsc::channel(1);
         let (engine_sender, engine_calls) = mpsc::channel(1);
-        let (watch_declarations, declarations) = watch::channel(true);
-        let (watch_engines, engines) = watch::channel(true);
+        let (watch_declarations, declarations) = watch::channel(WatchMode::Off);
+        let (watch_engines, engines) = watch::channel(WatchMode::Off);
         let ports = ControlPorts {
             lease_calls: lease_sender,
             engine_calls: engine_sender,
