Let one exchange fail, and let hosts with more capacity take the lease first

After a restart of all hosts the lease went to a random host, nearly always one of 0.084 cores and 10 Mbit/s, though eight had 0.5 cores and 200 Mbit/s. And with 133 hosts an exchange every 0.4 s left no time for a second attempt within the 0.6 s after which a host gives up its coordinator and reads the store.

A host now leaves a free lease for up to 0.6 s to hosts with more capacity, by its share of cores and its link in relation to the largest known host. A host of the largest size waits for nobody. The contact timeout covers one failed exchange, which is repeated after 80 ms; it stays at 0.6 s for small fleets and below 1 s.

larger_host_takes_over_before_smaller_ones fails without the delay, one_late_exchange_does_not_lose_the_coordinator with the constant timeout.

--- a/crates/skylarkgw/src/decision/coordinator.rs
+++ b/crates/skylarkgw/src/decision/coordinator.rs
@@ -43,7 +43,9 @@
     pub wanted: Vec<(WorkspaceId, Tokens)>,
     /// Adapters used since the last report.
     pub adapter_uses: Vec<(EndpointId, ModelName, Arc<str>)>,
-    /// Version of the placement notice that the host has.
+    /// Capacity of the host to coordinate the fleet, from 0 to 1.
+    pub capacity: f64,
+    /// Version of the placement notices that the host has.
     pub notice_version: u64,
     /// Version of the registry that the host has.
     pub registry_version: u64,
@@ -84,6 +86,8 @@
     /// Number of hosts that the coordinator has not evicted, including the one
     /// that receives this reply.
     pub hosts: u32,
+    /// Largest capacity of any of these hosts to coordinate the fleet.
+    pub largest_capacity: f64,
     /// Number of requests of other hosts that run at each engine.
     pub running_elsewhere: Vec<(EndpointId, u32)>,
     /// For each workspace, the number of granted tokens and the rate, in tokens
@@ -104,6 +108,7 @@
 struct HostState {
     running: Vec<(EndpointId, u32)>,
     reported_at: Duration,
+    capacity: f64,
     /// Whether `running` is part of the totals. A host that no longer reports may
     /// have stopped, and its requests with it.
     is_counted: bool,
@@ -257,6 +262,7 @@
         &mut self,
         now: Duration,
         host: &HostId,
+        capacity: f64,
         running: Vec<(EndpointId, u32)>,
     ) -> Vec<(EndpointId, u32)> {
         self.remove_silent_hosts(now);
@@ -268,7 +274,7 @@
         for (engine, count) in &running {
             *self.total_running.entry(engine.clone()).or_default() += count;
         }
-        let state = HostState { running, reported_at: now, is_counted: true };
+        let state = HostState { running, reported_at: now, capacity, is_counted: true };
         self.hosts.insert(host.clone(), state);
         elsewhere
     }
@@ -285,7 +291,8 @@
         for (engine, model, adapter) in &report.adapter_uses {
             self.planner.record_adapter_use(now, engine, model, adapter);
         }
-        let running_elsewhere = self.record_running(now, &report.host, report.running);
+        let running_elsewhere =
+            self.record_running(now, &report.host, report.capacity, report.running);
         let wanted = report.wanted.into_iter();
         let grants = wanted.filter_map(|(workspace, wanted)| {
             let grant = self.quota_pool.draw(now, &report.host, &workspace, wanted, 0)?;
@@ -294,6 +301,7 @@
         let grants = grants.collect();
         CoordinatorReply {
             hosts: self.hosts.len() as u32,
+            largest_capacity: self.hosts.values().map(|host| host.capacity).fold(0.0, f64::max),
             running_elsewhere,
             grants,
             notices: self.notices.delta_since(report.notice_version),
--- a/crates/skylarkgw/src/decision/coordinator_lease.rs
+++ b/crates/skylarkgw/src/decision/coordinator_lease.rs
@@ -27,6 +27,27 @@
 /// this one, so the margin brings its first order forward by the same time.
 const ORDER_MARGIN: Duration = Duration::from_millis(900);
 
+/// Longest time for which a host with little capacity leaves the lease to others.
+const MAX_TAKEOVER_DELAY: Duration = Duration::from_millis(600);
+/// Processor share, in cores, and link with which a host can coordinate a fleet of
+/// any supported size.
+const FULL_CAPACITY: (f64, f64) = (0.25, 100.0);
+
+/// Returns the capacity of a host to coordinate a fleet, from 0 to 1.
+///
+/// `cores` is its share of processor cores and `link_mbps` its link, in Mbit/s.
+pub fn compute_capacity(cores: f64, link_mbps: f64) -> f64 {
+    (cores / FULL_CAPACITY.0).min(link_mbps / FULL_CAPACITY.1).clamp(0.0, 1.0)
+}
+
+/// Returns the time for which a host leaves a free lease to hosts with more capacity.
+///
+/// `largest` is the largest capacity of any host of the fleet, if it is known.
+pub fn takeover_delay(capacity: f64, largest: Option<f64>) -> Duration {
+    let largest = largest.unwrap_or(1.0).max(capacity).max(f64::MIN_POSITIVE);
+    MAX_TAKEOVER_DELAY.mul_f64(1.0 - capacity / largest)
+}
+
 /// Next call to the store.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum LeaseAction {
@@ -50,6 +71,8 @@
     record: Option<LeaseRecord>,
     /// Upper bound of the time at which the holder stops.
     expires_by: Duration,
+    /// Time at which this version was first seen.
+    seen_at: Duration,
 }
 
 #[derive(Clone, Debug)]
@@ -72,8 +95,10 @@
     /// The record as the store last returned it. `None` before that, if the record
     /// does not exist, or after the lease of this host has expired.
     seen: Option<SeenRecord>,
-    /// Whether the store last answered that the record does not exist.
-    is_missing: bool,
+    /// Time since which the store has answered that the record does not exist.
+    missing_since: Option<Duration>,
+    /// Time for which this host leaves a free lease to others.
+    takeover_delay: Duration,
     /// Version of the record and the end of its lease, as the holder announced it.
     announced_expiry: Option<(ObjectVersion, Duration)>,
     held: Option<HeldLease>,
@@ -95,7 +120,8 @@
             address,
             lease_duration,
             seen: None,
-            is_missing: false,
+            missing_since: None,
+            takeover_delay: Duration::ZERO,
             announced_expiry: None,
             held: None,
             next_call_at: Duration::ZERO,
@@ -103,6 +129,11 @@
         }
     }
 
+    /// Sets the time for which this host leaves a free lease to others.
+    pub fn set_takeover_delay(&mut self, delay: Duration) {
+        self.takeover_delay = delay;
+    }
+
     /// Returns the fencing token if this host holds the lease at `now`.
     pub fn token(&self, now: Duration) -> Option<u64> {
         self.held.as_ref().filter(|held| now < held.valid_until).map(|held| held.token)
@@ -183,7 +214,8 @@
             return LeaseAction::Wait;
         }
         self.next_call_at = now + RETRY_DELAY;
-        if self.is_missing {
+        let is_free = |since: Duration| now >= since + self.takeover_delay;
+        if self.missing_since.is_some_and(is_free) {
             return LeaseAction::Write { expected: None, record: self.build_record(1, false) };
         }
         match &self.seen {
@@ -203,7 +235,7 @@
     pub fn handle_answer(&mut self, now: Duration, sent_at: Duration, answer: LeaseAnswer) {
         match answer {
             LeaseAnswer::Found { version, record, is_written } => {
-                self.is_missing = false;
+                self.missing_since = None;
                 if is_written {
                     self.handle_written(sent_at, record.as_ref());
                 } else if self.held.is_some() && self.seen_version() != Some(version) {
@@ -215,13 +247,13 @@
                 if self.seen_version() != Some(version) {
                     // The holder sent its latest write before this answer arrived.
                     let expires_by = now + self.lease_duration.mul_f64(HOLD_FRACTION);
-                    self.seen = Some(SeenRecord { version, record, expires_by });
+                    self.seen = Some(SeenRecord { version, record, expires_by, seen_at: now });
                 }
             }
             LeaseAnswer::Missing => {
                 self.seen = None;
                 self.held = None;
-                self.is_missing = true;
+                self.missing_since.get_or_insert(now);
             }
             LeaseAnswer::Refused => {}
             LeaseAnswer::Unknown => {
@@ -281,11 +313,15 @@
     }
 
     /// Returns whether this host may write itself as the holder: the record cannot
-    /// be decoded, was released, names this host, or its lease has expired.
+    /// be decoded, names this host, was released, or its lease has expired.
     fn can_acquire(&self, now: Duration, seen: &SeenRecord) -> bool {
         let Some(record) = &seen.record else { return true };
-        let has_expired = now >= self.compute_expiry(seen) + TAKEOVER_MARGIN;
-        record.is_released || record.holder == self.host || has_expired
+        let free_from = if record.is_released {
+            seen.seen_at
+        } else {
+            self.compute_expiry(seen) + TAKEOVER_MARGIN
+        };
+        record.holder == self.host || now >= free_from + self.takeover_delay
     }
 
     fn seen_version(&self) -> Option<ObjectVersion> {
--- a/crates/skylarkgw/src/decision/freshness.rs
+++ b/crates/skylarkgw/src/decision/freshness.rs
@@ -28,6 +28,13 @@
 /// Time that the coordinator has for the exchange of one host. With many hosts,
 /// each exchanges less often.
 pub const EXCHANGE_TIME_PER_HOST: Duration = Duration::from_millis(3);
+/// Longest time to wait for the reply to a report; a suspended coordinator does
+/// not answer.
+pub const EXCHANGE_TIMEOUT: Duration = Duration::from_millis(300);
+/// Shortest and longest time without a reply after which the coordinator counts as
+/// lost.
+const CONTACT_TIMEOUT_RANGE: (Duration, Duration) =
+    (Duration::from_millis(600), Duration::from_millis(1_000));
 /// Age of the declaration above which the absence of a route or key proves
 /// nothing.
 pub const ABSENCE_MAX_AGE: Duration = Duration::from_millis(2_000);
@@ -71,3 +78,10 @@
 pub fn batch_delay(is_coordinator: bool) -> Duration {
     if is_coordinator { COORDINATOR_BATCH_DELAY } else { HOST_BATCH_DELAY }
 }
+
+/// Returns the time without a reply after which the coordinator of `hosts` hosts
+/// counts as lost. One exchange may fail and be repeated within it.
+pub fn contact_timeout(hosts: u32) -> Duration {
+    let timeout = exchange_interval(hosts) + EXCHANGE_TIMEOUT + EXCHANGE_INTERVAL * 2;
+    timeout.clamp(CONTACT_TIMEOUT_RANGE.0, CONTACT_TIMEOUT_RANGE.1)
+}
--- a/crates/skylarkgw/src/gateway/control.rs
+++ b/crates/skylarkgw/src/gateway/control.rs
@@ -19,7 +19,9 @@
 use crate::decision::coordinator::{
     Coordinator, CoordinatorReply, HostReport, KnowledgeAge, QuotaAnswer,
 };
-use crate::decision::coordinator_lease::{CoordinatorLease, LeaseAction};
+use crate::decision::coordinator_lease::{
+    CoordinatorLease, LeaseAction, compute_capacity, takeover_delay,
+};
 use crate::decision::directory::EngineDirectory;
 use crate::decision::fleet_planner::{AdapterDecision, PlannerCall};
 use crate::gateway::clock::time_since_boot;
@@ -60,6 +62,8 @@
 /// No lock is held across an `.await`.
 pub struct ControlContext {
     state: Arc<GatewayState>,
+    /// Capacity of this host to coordinate the fleet.
+    capacity: f64,
     lease: Mutex<CoordinatorLease>,
     coordinator: Mutex<Option<Coordinator>>,
     directory: Mutex<EngineDirectory>,
@@ -94,14 +98,17 @@
     /// Creates the state of a host that does not hold the lease.
     pub fn new(state: Arc<GatewayState>, ports: ControlPorts) -> ControlContext {
         let settings = &state.settings;
-        let lease = CoordinatorLease::new(
+        let capacity = compute_capacity(settings.cores, settings.link_mbps);
+        let mut lease = CoordinatorLease::new(
             settings.host.clone(),
             state.incarnation,
             settings.peers,
             settings.bounds.lease,
         );
+        lease.set_takeover_delay(takeover_delay(capacity, None));
         ControlContext {
             state,
+            capacity,
             lease: Mutex::new(lease),
             coordinator: Mutex::default(),
             directory: Mutex::default(),
--- a/crates/skylarkgw/src/gateway/control/exchange.rs
+++ b/crates/skylarkgw/src/gateway/control/exchange.rs
@@ -8,7 +8,8 @@
 use tokio::time::sleep;
 
 use crate::decision::coordinator::{CoordinatorReply, HostReport};
-use crate::decision::freshness::exchange_interval;
+use crate::decision::coordinator_lease::takeover_delay;
+use crate::decision::freshness::{EXCHANGE_INTERVAL, contact_timeout, exchange_interval};
 use crate::decision::quota_pool::LocalQuota;
 use crate::gateway::clock::time_since_boot;
 use crate::gateway::control::{ControlContext, lock};
@@ -17,9 +18,6 @@
 use crate::gateway::state::FleetView;
 use crate::ids::EndpointId;
 
-/// Time without a completed exchange after which the coordinator counts as lost.
-const COORDINATOR_TIMEOUT: Duration = Duration::from_millis(600);
-
 /// The latest state received from the coordinator, and the connection to it.
 #[derive(Default)]
 pub(super) struct CoordinatorContact {
@@ -34,11 +32,11 @@
 }
 
 impl ControlContext {
-    /// Returns whether the coordinator has replied within [`COORDINATOR_TIMEOUT`].
+    /// Returns whether the coordinator has replied within [`contact_timeout`].
     pub(super) fn has_contact(&self, now: Duration) -> bool {
+        let timeout = contact_timeout(self.state.host_count());
         let last_reply_at = lock(&self.contact).last_reply_at;
-        last_reply_at
-            .is_some_and(|last_reply_at| now.saturating_sub(last_reply_at) < COORDINATOR_TIMEOUT)
+        last_reply_at.is_some_and(|last_reply_at| now.saturating_sub(last_reply_at) < timeout)
     }
 
     /// Builds the next report to the coordinator.
@@ -60,6 +58,7 @@
                 .iter_mut()
                 .map(|(workspace, quota)| (workspace.clone(), quota.tokens_to_request(now)))
                 .collect(),
+            capacity: self.capacity,
             notice_version,
             registry_version,
         }
@@ -68,8 +67,12 @@
     /// Applies the coordinator's reply to a report that was sent at `sent_at`.
     fn apply_reply(&self, sent_at: Duration, reply: CoordinatorReply) {
         let now = time_since_boot();
-        if let Some((version, remaining)) = reply.lease {
-            lock(&self.lease).record_remaining(now, version, remaining);
+        {
+            let mut lease = lock(&self.lease);
+            lease.set_takeover_delay(takeover_delay(self.capacity, Some(reply.largest_capacity)));
+            if let Some((version, remaining)) = reply.lease {
+                lease.record_remaining(now, version, remaining);
+            }
         }
         self.apply_fleet_state(sent_at, &reply.age, reply.registry);
         {
@@ -118,7 +121,9 @@
     }
 
     /// Sends one report to the coordinator and applies its reply.
-    async fn exchange_once(&self) {
+    ///
+    /// Returns whether a reply arrived.
+    async fn exchange_once(&self) -> bool {
         let now = time_since_boot();
         self.watch_store_without_contact(now);
         if lock(&self.lease).token(now).is_some() {
@@ -126,11 +131,11 @@
             if let Some(reply) = self.handle_report(report) {
                 self.apply_reply(now, reply);
             }
-            return;
+            return true;
         }
         let Some(client) = self.connect_coordinator().await else {
             self.state.metrics.fleet.count_exchange("no-connection");
-            return;
+            return false;
         };
         let report = self.build_report(now);
         let answer = client.exchange(report).await;
@@ -143,18 +148,20 @@
             Some(Some(reply)) => {
                 self.fetch_declaration(&client, reply.age.revision).await;
                 self.apply_reply(now, reply);
+                true
+            }
+            Some(None) => {
+                lock(&self.contact).last_reply_at = None;
+                false
             }
-            Some(None) => lock(&self.contact).last_reply_at = None,
             None => {
+                let has_contact = self.has_contact(time_since_boot());
                 let mut contact = lock(&self.contact);
                 contact.client = None;
-                if contact
-                    .last_reply_at
-                    .is_none_or(|at| now.saturating_sub(at) >= COORDINATOR_TIMEOUT)
-                    && contact.last_reply_at.take().is_some()
-                {
+                if !has_contact && contact.last_reply_at.take().is_some() {
                     warn!("coordinator lost");
                 }
+                false
             }
         }
     }
@@ -163,7 +170,13 @@
 /// Exchanges reports with the coordinator until the task is cancelled.
 pub async fn run_exchange(control: Arc<ControlContext>) {
     loop {
-        control.exchange_once().await;
-        sleep(exchange_interval(control.state.host_count())).await;
+        let has_reply = control.exchange_once().await;
+        // A failed exchange is repeated before the contact counts as lost.
+        sleep(if has_reply {
+            exchange_interval(control.state.host_count())
+        } else {
+            EXCHANGE_INTERVAL
+        })
+        .await;
     }
 }
--- a/crates/skylarkgw/src/gateway/peers.rs
+++ b/crates/skylarkgw/src/gateway/peers.rs
@@ -13,15 +13,13 @@
 use tokio_util::codec::LengthDelimitedCodec;
 
 use crate::decision::coordinator::{CoordinatorReply, HostReport, QuotaAnswer};
+use crate::decision::freshness::EXCHANGE_TIMEOUT;
 use crate::gateway::control::ControlContext;
 use crate::gateway::declaration::{FleetDeclaration, ServiceName};
 use crate::ids::{EndpointId, HostId, ModelName, Tokens, WorkspaceId};
 
 /// Longest time to open a connection to the coordinator.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
-/// Longest time to wait for the reply to a report; a suspended coordinator does
-/// not answer.
-const EXCHANGE_TIMEOUT: Duration = Duration::from_millis(300);
 /// Longest time to wait for the declaration; a host that has not received it
 /// reads it from the store.
 const DECLARATION_TIMEOUT: Duration = Duration::from_millis(400);
--- a/crates/skylarkgw/src/gateway/settings.rs
+++ b/crates/skylarkgw/src/gateway/settings.rs
@@ -53,6 +53,10 @@
     /// Whether this is the first start of the whole fleet, so that no earlier
     /// coordinator can have granted quota tokens.
     pub is_first_start: bool,
+    /// Share of processor cores of the host.
+    pub cores: f64,
+    /// Bandwidth of the host's link, in Mbit/s.
+    pub link_mbps: f64,
     /// Limits that the deployment guarantees.
     pub bounds: GatewayBounds,
 }
--- a/crates/skylarkgw/tests/decisions/freshness.rs
+++ b/crates/skylarkgw/tests/decisions/freshness.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 
 use skylarkgw::decision::freshness::{
-    COORDINATOR_BATCH_DELAY, EXCHANGE_INTERVAL, WATCH_WAIT, can_check_keys, needs_store_read,
-    watch_wait,
+    COORDINATOR_BATCH_DELAY, EXCHANGE_INTERVAL, EXCHANGE_TIMEOUT, WATCH_WAIT, can_check_keys,
+    contact_timeout, exchange_interval, needs_store_read, watch_wait,
 };
 
 use crate::samples::ms;
@@ -63,3 +63,15 @@
         );
     }
 }
+
+/// Guards against a fleet that turns to the store because one exchange was late: the
+/// time between two exchanges of a large fleet left none for a second attempt.
+#[test]
+fn one_late_exchange_does_not_lose_the_coordinator() {
+    for hosts in [1, 12, 50, 133] {
+        let second_reply = exchange_interval(hosts) + EXCHANGE_TIMEOUT + EXCHANGE_INTERVAL;
+        assert!(second_reply < contact_timeout(hosts), "{hosts} hosts");
+        let read_at = contact_timeout(hosts) + WATCH_WAIT + STORE_READ_TIME;
+        assert!(read_at < IN_FORCE_BOUND, "{hosts} hosts: change known after {read_at:?}");
+    }
+}
--- a/crates/skylarkgw/tests/decisions/lease.rs
+++ b/crates/skylarkgw/tests/decisions/lease.rs
@@ -3,7 +3,9 @@
 
 use std::time::Duration;
 
-use skylarkgw::decision::coordinator_lease::{CoordinatorLease, LeaseAction};
+use skylarkgw::decision::coordinator_lease::{
+    CoordinatorLease, LeaseAction, compute_capacity, takeover_delay,
+};
 use skylarkgw::gateway::ports::{LeaseAnswer, LeaseRecord};
 
 use crate::samples::ms;
@@ -153,3 +155,33 @@
     assert_eq!(second.token(ms(3_400)), Some(2));
     assert_eq!(second.order_token(ms(3_400)), None);
 }
+
+/// Guards against a service that does not return after a restart of all hosts because
+/// the smallest of them coordinates the fleet.
+#[test]
+fn larger_host_takes_over_before_smaller_ones() {
+    for first_step in 0..10 {
+        let mut store = RecordStore::default();
+        let mut small: Vec<CoordinatorLease> =
+            (0..20).map(|number| host_lease(&format!("small-{number}"))).collect();
+        let mut large = host_lease("large");
+        small.iter_mut().for_each(|lease| lease.set_takeover_delay(takeover_delay(0.1, None)));
+        large.set_takeover_delay(takeover_delay(1.0, None));
+        for now in (first_step * 20..4_000).step_by(20) {
+            small.iter_mut().for_each(|lease| perform_step(lease, &mut store, now));
+            // The large host starts later than the others.
+            if now > 200 {
+                perform_step(&mut large, &mut store, now);
+            }
+        }
+        assert_eq!(large.token(ms(3_999)), Some(1));
+    }
+}
+
+#[test]
+fn host_without_larger_ones_takes_over_without_delay() {
+    assert_eq!(takeover_delay(0.3, Some(0.3)), Duration::ZERO);
+    assert!(takeover_delay(0.3, Some(1.0)) > takeover_delay(0.6, Some(1.0)));
+    let (cores, link_mbps) = (0.084, 10.0);
+    assert!(compute_capacity(cores, link_mbps) < compute_capacity(0.5, 200.0) / 2.0);
+}
--- a/crates/skylarkgw/tests/gateway/standin.rs
+++ b/crates/skylarkgw/tests/gateway/standin.rs
@@ -40,6 +40,8 @@
         metrics: address,
         store: address,
         is_first_start: true,
+        cores: 1.0,
+        link_mbps: 1_000.0,
         bounds: GatewayBounds {
             revocation: Duration::from_secs(5),
             declaration: Duration::from_secs(2),
