Bound the time and size of bytes without end from engines

All bodies that are held until they are complete now share a quarter of the memory, besides the limit of 8 MB each. Only new bytes are searched.

Reports and orders of the control thread had limits already.

--- a/crates/skylarkgw/src/edge/forward/relay.rs
+++ b/crates/skylarkgw/src/edge/forward/relay.rs
@@ -192,6 +192,10 @@
             let read_deadline =
                 stall_deadline.filter(|_| is_resumable).unwrap_or(self.admitted.deadline);
             let read_deadline = read_deadline.min(self.admitted.deadline);
+            // A timeout does not interrupt a source that always has data.
+            if Instant::now() >= self.admitted.deadline {
+                return SourceRead::Interrupted("deadline-passed");
+            }
             let frame = match timeout_at(read_deadline, source.body.frame()).await {
                 Ok(Some(Ok(frame))) => frame,
                 Ok(Some(Err(_))) => return SourceRead::Interrupted("stream-broken"),
@@ -200,8 +204,10 @@
                 Err(_) => return SourceRead::Interrupted("stream-silent"),
             };
             let Ok(data) = frame.into_data() else { continue };
+            let searched = self.buffer.len().saturating_sub(EVENT_TERMINATOR.len() - 1);
             self.buffer.extend_from_slice(&data);
-            if let Some(end) = find_last_event_end(&self.buffer) {
+            if let Some(end) = find_last_event_end(&self.buffer[searched..]) {
+                let end = searched + end;
                 let events = self.buffer.split_to(end).freeze();
                 if let Some(id) = find_last_event_id(&events) {
                     self.last_id = Some(id);
@@ -286,8 +292,8 @@
     response
 }
 
-/// Returns the length of the whole events at the start of the buffer, or `None` if
-/// there is none.
+/// Returns the length of the data up to the end of its last whole event, or `None` if
+/// no event ends in it.
 fn find_last_event_end(buffer: &[u8]) -> Option<usize> {
     let start =
         buffer.windows(EVENT_TERMINATOR.len()).rposition(|window| window == EVENT_TERMINATOR)?;
--- a/crates/skylarkgw/src/edge/forward/send.rs
+++ b/crates/skylarkgw/src/edge/forward/send.rs
@@ -8,7 +8,7 @@
 use http::header::{self, HeaderName};
 use http::response::Parts;
 use http::{HeaderMap, Request, Response, StatusCode};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use tokio::time::{Instant, timeout_at};
 
@@ -26,8 +26,9 @@
 use crate::gateway::state::GatewayState;
 use crate::gateway::wire::{EngineHeaders, ResponseMetadata};
 
-/// Maximum size of a response body that is not an event stream. It is buffered
-/// until it is complete; a longer one is treated as incomplete.
+/// Maximum size of a response body that is not an event stream. It is held until it
+/// is complete; a longer one is treated as incomplete, as is one that exceeds the
+/// memory for all held bodies.
 const MAX_WHOLE_BODY_BYTES: usize = 8 * 1024 * 1024;
 /// Time limit for opening a connection to an engine.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
@@ -388,25 +389,32 @@
     pending: PendingResponse,
     record: &mut RequestRecord,
 ) -> BodyOutcome {
-    let PendingResponse { parts, info, body, connection, engine } = pending;
-    let read =
-        timeout_at(admitted.deadline, Limited::new(body, MAX_WHOLE_BODY_BYTES).collect()).await;
-    match read {
-        Ok(Ok(body)) => {
+    let PendingResponse { parts, info, mut body, connection, engine } = pending;
+    let state = &admitted.state;
+    let mut held = state.held_bodies.hold_body();
+    let read = timeout_at(admitted.deadline, async {
+        while let Some(frame) = body.frame().await {
+            let Ok(frame) = frame else { return Err("broke-off") };
+            let is_held =
+                frame.data_ref().is_none_or(|part| held.try_extend(part, MAX_WHOLE_BODY_BYTES));
+            if !is_held {
+                return Err("body-too-long");
+            }
+        }
+        Ok(())
+    });
+    match read.await.unwrap_or(Err("body-silent")) {
+        Ok(()) => {
             record.record_first_event();
-            let keeps_connection =
-                !parts.headers.get_all(header::CONNECTION).iter().any(|value| {
-                    value.to_str().is_ok_and(|value| value.eq_ignore_ascii_case("close"))
-                });
-            if keeps_connection {
-                admitted.state.pool.release(engine.entry.address, connection, info.idle_limit);
+            if !closes_connection(&parts.headers) {
+                state.pool.release(engine.entry.address, connection, info.idle_limit);
             }
-            BodyOutcome::Complete(parts, body.to_bytes())
+            BodyOutcome::Complete(parts, held.into_bytes())
         }
-        Ok(Err(_)) | Err(_) => {
-            admitted.state.lock_traffic().record_outcome(time_since_boot(), &engine.entry.id, true);
+        Err(label) => {
+            state.lock_traffic().record_outcome(time_since_boot(), &engine.entry.id, true);
             if let Some(last) = record.attempts.last_mut() {
-                last.outcome = "broke-off";
+                last.outcome = label;
             }
             BodyOutcome::Incomplete
         }
--- a/crates/skylarkgw/src/endpoint/connection.rs
+++ b/crates/skylarkgw/src/endpoint/connection.rs
@@ -13,6 +13,8 @@
 use tokio::net::TcpStream;
 use tokio::time::{Instant, timeout};
 
+use crate::endpoint::head_limit::{HeadLimit, LimitedStream};
+
 /// Maximum size of the buffer of a connection; bounds the memory that an unread
 /// response uses.
 const MAX_BUFFER_BYTES: usize = 16 * 1024;
@@ -77,6 +79,7 @@
 #[derive(Debug)]
 pub struct HttpConnection {
     sender: SendRequest<Full<Bytes>>,
+    head_limit: HeadLimit,
     last_used: Instant,
 }
 
@@ -96,6 +99,7 @@
             .map_err(|_| ConnectionError::ConnectTimeout { address })?
             .map_err(|source| ConnectionError::Connect { address, source })?;
         stream.set_nodelay(true).map_err(|source| ConnectionError::Connect { address, source })?;
+        let (stream, head_limit) = LimitedStream::new(stream);
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(MAX_BUFFER_BYTES)
             .handshake(TokioIo::new(stream))
@@ -104,7 +108,7 @@
         // The task ends when the sender is dropped or the endpoint closes the
         // connection.
         tokio::spawn(connection);
-        Ok(HttpConnection { sender, last_used: Instant::now() })
+        Ok(HttpConnection { sender, head_limit, last_used: Instant::now() })
     }
 
     /// Returns whether the connection is open and ready for a request.
@@ -135,12 +139,15 @@
         &mut self,
         request: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, ConnectionError> {
-        self.sender.try_send_request(request).await.map_err(|mut failure| {
+        self.head_limit.start();
+        let response = self.sender.try_send_request(request).await.map_err(|mut failure| {
             match failure.take_message() {
                 Some(_) => ConnectionError::NotSent(failure.into_error()),
                 None => ConnectionError::Broken(failure.into_error()),
             }
-        })
+        })?;
+        self.head_limit.stop();
+        Ok(response)
     }
 
     /// Sends a request and reads the complete response.
--- a/crates/skylarkgw/src/endpoint/engine.rs
+++ b/crates/skylarkgw/src/endpoint/engine.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use bytes::{Bytes, BytesMut};
 use eventsource_stream::Eventsource;
 use futures::{Stream, StreamExt};
 use serde::{Deserialize, Serialize};
@@ -31,6 +32,11 @@
 /// Time without a call after which a pooled connection is closed.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(5);
 
+/// Maximum size of one event of a stream.
+const MAX_EVENT_BYTES: usize = 256 * 1024;
+/// Maximum size of a load report.
+const MAX_LOAD_BYTES: usize = 256 * 1024;
+
 /// A request to generate tokens.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 #[serde(deny_unknown_fields)]
@@ -162,11 +168,10 @@
         if response.status().as_u16() != 200 {
             return Err(EngineError::Status(response.status().as_u16()));
         }
-        let events = response.bytes_stream().eventsource().map(|event| match event {
+        let parts = response.bytes_stream().map(|part| part.map_err(EngineError::ConnectionLost));
+        let events = limit_events(parts).eventsource().map(|event| match event {
             Ok(event) => serde_json::from_str(&event.data).map_err(|_| EngineError::InvalidData),
-            Err(eventsource_stream::EventStreamError::Transport(error)) => {
-                Err(EngineError::ConnectionLost(error))
-            }
+            Err(eventsource_stream::EventStreamError::Transport(error)) => Err(error),
             Err(_) => Err(EngineError::InvalidData),
         });
         Ok(Box::pin(events))
@@ -217,11 +222,35 @@
         if response.status().as_u16() != 200 {
             return Err(EngineError::Status(response.status().as_u16()));
         }
-        let body = response.bytes().await.map_err(classify_error)?;
+        let mut parts = response.bytes_stream();
+        let mut body = BytesMut::new();
+        while let Some(part) = parts.next().await {
+            body.extend_from_slice(&part.map_err(classify_error)?);
+            if body.len() > MAX_LOAD_BYTES {
+                return Err(EngineError::InvalidData);
+            }
+        }
         serde_json::from_slice(&body).map_err(|_| EngineError::InvalidData)
     }
 }
 
+/// Ends a stream with an error when it contains an event of more than
+/// [`MAX_EVENT_BYTES`].
+fn limit_events(
+    parts: impl Stream<Item = Result<Bytes, EngineError>> + Send + 'static,
+) -> impl Stream<Item = Result<Bytes, EngineError>> + Send {
+    let mut event_bytes = 0;
+    parts.map(move |part| {
+        let part = part?;
+        // An event ends at an empty line, which may be split between two parts. The
+        // count is then too high by at most one event.
+        let event_end =
+            part.windows(2).rposition(|bytes| matches!(bytes, b"\n\n" | b"\r\r" | b"\n\r"));
+        event_bytes = event_end.map_or(event_bytes + part.len(), |end| part.len() - end);
+        if event_bytes > MAX_EVENT_BYTES { Err(EngineError::InvalidData) } else { Ok(part) }
+    })
+}
+
 /// Waits for the next event of a stream.
 ///
 /// # Errors
--- a/crates/skylarkgw/src/gateway/settings.rs
+++ b/crates/skylarkgw/src/gateway/settings.rs
@@ -57,6 +57,8 @@
     pub cores: f64,
     /// Bandwidth of the host's link, in Mbit/s.
     pub link_mbps: f64,
+    /// Memory that the process may use, in megabytes.
+    pub memory_mb: u64,
     /// Limits that the deployment guarantees.
     pub bounds: GatewayBounds,
 }
--- a/crates/skylarkgw/src/gateway/state.rs
+++ b/crates/skylarkgw/src/gateway/state.rs
@@ -13,7 +13,7 @@
 use crate::decision::quota_pool::LocalQuota;
 use crate::decision::route_table::RouteTable;
 use crate::decision::traffic::TrafficStats;
-use crate::endpoint::ConnectionPool;
+use crate::endpoint::{ByteBudget, ConnectionPool};
 use crate::gateway::declaration::{FleetDeclaration, ServiceName};
 use crate::gateway::registry::EngineEntry;
 use crate::gateway::settings::GatewaySettings;
@@ -21,6 +21,9 @@
 use crate::ids::{EndpointId, ModelName, ObjectVersion, Tokens, WorkspaceId};
 use crate::telemetry::Metrics;
 
+/// Part of the memory of the process that held response bodies may use.
+const HELD_BODIES_DIVISOR: usize = 4;
+
 /// An immutable view of the fleet from which requests are routed.
 ///
 /// Every change replaces the whole snapshot.
@@ -115,6 +118,8 @@
     pub snapshot: ArcSwap<FleetSnapshot>,
     /// Idle connections to engines, kept for reuse.
     pub pool: ConnectionPool,
+    /// Memory for response bodies that are held until they are complete.
+    pub held_bodies: ByteBudget,
     /// Metrics of this process.
     pub metrics: Arc<Metrics>,
     /// Queue of requests to the coordinator.
@@ -139,12 +144,14 @@
         metrics: Arc<Metrics>,
         coordinator_requests: mpsc::Sender<CoordinatorRequest>,
     ) -> GatewayState {
+        let held_bytes = settings.memory_mb as usize * 1024 * 1024 / HELD_BODIES_DIVISOR;
         GatewayState {
             settings,
             codec,
             incarnation,
             snapshot: ArcSwap::from_pointee(FleetSnapshot::default()),
             pool: ConnectionPool::default(),
+            held_bodies: ByteBudget::new(held_bytes),
             metrics,
             coordinator_requests,
             is_draining: AtomicBool::new(false),
--- a/crates/skylarkgw/tests/gateway/standin.rs
+++ b/crates/skylarkgw/tests/gateway/standin.rs
@@ -42,6 +42,7 @@
         is_first_start: true,
         cores: 1.0,
         link_mbps: 1_000.0,
+        memory_mb: 112,
         bounds: GatewayBounds {
             revocation: Duration::from_secs(5),
             declaration: Duration::from_secs(2),
