Do not count replicas on drained engines

Callers got 502 "no engine took the request" or 503 "no endpoint serves it now" after an engine had been drained, although another engine held the model.

Cause: the plan counted the replica on the drained engine. With it, the only other replica was surplus and was unloaded; and a model held by a drained engine alone was not loaded elsewhere. The status of a failing host showed engine-1 without models and the drained engine with one. The test was fast enough to end before the unload unless the machine was busy.

Replicas on engines that are leaving no longer count, neither for loads and unloads nor for the end of a rollout.

--- a/crates/skylarkgw/src/configuration.rs
+++ b/crates/skylarkgw/src/configuration.rs
@@ -184,6 +184,11 @@
 }
 
 impl FleetConfiguration {
+    /// Returns whether an endpoint is leaving or is not declared.
+    pub fn is_leaving(&self, endpoint: &str) -> bool {
+        self.endpoints.get(endpoint).is_none_or(|spec| spec.leaving)
+    }
+
     /// Resolves the name of a model or adapter, or returns `None` if it is not
     /// declared.
     pub fn resolve_model(&self, name: &str) -> Option<ResolvedModel> {
--- a/crates/skylarkgw/src/decision/placement.rs
+++ b/crates/skylarkgw/src/decision/placement.rs
@@ -415,7 +415,8 @@
         let is_rolled_out = |(model, spec): &(&ModelName, &ModelSpec)| {
             let next = spec.next.as_ref();
             next.is_some_and(|next| {
-                self.ledger.serving_engines(model, next).len() >= spec.replicas as usize
+                let serving = self.ledger.count_serving_engines(configuration, model, next);
+                serving >= spec.replicas as usize
             })
         };
         let models = configuration.models.iter().filter(is_rolled_out);
--- a/crates/skylarkgw/src/decision/placement/ledger.rs
+++ b/crates/skylarkgw/src/decision/placement/ledger.rs
@@ -7,6 +7,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::configuration::FleetConfiguration;
 use crate::decision::fencing::FencingToken;
 use crate::decision::placement::{EngineOrder, ORDER_LIFETIME, OrderAction, OrderNumber};
 use crate::ids::{EndpointId, ModelName};
@@ -237,6 +238,18 @@
             .collect()
     }
 
+    /// Returns the number of engines that certainly serve a version of a model and
+    /// are not leaving.
+    pub fn count_serving_engines(
+        &self,
+        configuration: &FleetConfiguration,
+        model: &str,
+        version: &str,
+    ) -> usize {
+        let serving = self.serving_engines(model, version).into_iter();
+        serving.filter(|engine| !configuration.is_leaving(engine)).count()
+    }
+
     /// Returns whether an engine with a recent report holds a version of a model
     /// or may hold it once the pending order is applied.
     ///
--- a/crates/skylarkgw/src/decision/placement/plan.rs
+++ b/crates/skylarkgw/src/decision/placement/plan.rs
@@ -32,6 +32,7 @@
 
 /// Plans at most one order for each engine.
 ///
+/// Replicas on engines that are leaving do not count, since they get no new requests.
 /// Loads are planned before unloads. A replica of a declared model is unloaded
 /// only if the declared number of other replicas, and at least one, certainly serve
 /// the accepted version; until then, replicas of other versions stay. This condition
@@ -52,7 +53,9 @@
     let mut models: Vec<(&ModelName, &ModelSpec)> = configuration.models.iter().collect();
     // Models with the fewest replicas come first, since a model without replicas
     // cannot be served.
-    models.sort_by_key(|(model, spec)| ledger.serving_engines(model, &spec.version).len());
+    models.sort_by_key(|(model, spec)| {
+        ledger.count_serving_engines(configuration, model, &spec.version)
+    });
     for (model, spec) in &models {
         let versions = std::iter::once(&spec.version).chain(spec.next.as_ref());
         versions.for_each(|version| draft.load_missing(model, spec, version));
@@ -95,7 +98,8 @@
     /// its maximum number of concurrent loads.
     fn load_missing(&mut self, model: &ModelName, spec: &ModelSpec, version: &Arc<str>) {
         let holds = |engine: &&EndpointId| self.ledger.may_hold(engine, model, version);
-        let held = self.engines().filter(holds).count();
+        let stays = |engine: &&EndpointId| !self.configuration.is_leaving(engine);
+        let held = self.engines().filter(stays).filter(holds).count();
         for _ in held..spec.replicas as usize {
             if self.load_count >= self.configuration.weight_store.in_flight as usize {
                 return;
@@ -123,7 +127,7 @@
     /// Unloads replicas of other versions, and replicas beyond the declared
     /// number, once enough replicas serve the accepted version.
     fn unload_surplus(&mut self, model: &ModelName, spec: &ModelSpec) {
-        let serving = self.ledger.serving_engines(model, &spec.version).len();
+        let serving = self.ledger.count_serving_engines(self.configuration, model, &spec.version);
         let has_enough = serving >= (spec.replicas as usize).max(1);
         if !has_enough {
             return;
--- a/crates/skylarkgw/tests/decisions/main.rs
+++ b/crates/skylarkgw/tests/decisions/main.rs
@@ -8,6 +8,7 @@
 mod lease;
 mod placement;
 mod quota;
+mod replicas;
 mod retries;
 mod routes;
 mod samples;
