Let larger hosts take the lease after an outage, and hand it over to them

Cause: the delay that leaves the lease to larger hosts ran from its expiry, so it was over for everybody when the store returned; and a holder that is too small kept the lease when larger hosts were there.

The delay now runs from the time at which a host knows that the lease is free, and a failed call resets it. A holder with less than half of the capacity of the largest host that reports to it releases the lease after 1.5 s.

Two tests fail without the change: larger_host_takes_over_first_after_an_outage and small_holder_hands_the_lease_over_to_a_larger_host.

--- a/crates/skylarkgw/src/decision/coordinator_lease.rs
+++ b/crates/skylarkgw/src/decision/coordinator_lease.rs
@@ -29,6 +29,11 @@
 
 /// Longest time for which a host with little capacity leaves the lease to others.
 const MAX_TAKEOVER_DELAY: Duration = Duration::from_millis(600);
+/// Share of the largest capacity below which a holder hands the lease over.
+const HANDOVER_SHARE: f64 = 0.5;
+/// Shortest time for which a host holds the lease before it hands it over. The larger
+/// hosts report within it.
+const MIN_TERM: Duration = Duration::from_millis(1_500);
 /// Processor share, in cores, and link with which a host can coordinate a fleet of
 /// any supported size.
 const FULL_CAPACITY: (f64, f64) = (0.25, 100.0);
@@ -71,13 +76,13 @@
     record: Option<LeaseRecord>,
     /// Upper bound of the time at which the holder stops.
     expires_by: Duration,
-    /// Time at which this version was first seen.
-    seen_at: Duration,
 }
 
 #[derive(Clone, Debug)]
 struct HeldLease {
     token: u64,
+    /// Time at which the lease was taken.
+    held_since: Duration,
     /// Time at which the holder stops unless it renews the lease before.
     valid_until: Duration,
     renew_at: Duration,
@@ -95,8 +100,12 @@
     /// The record as the store last returned it. `None` before that, if the record
     /// does not exist, or after the lease of this host has expired.
     seen: Option<SeenRecord>,
-    /// Time since which the store has answered that the record does not exist.
-    missing_since: Option<Duration>,
+    /// Whether the store last answered that the record does not exist.
+    is_missing: bool,
+    /// Whether the last call got an answer.
+    is_store_reachable: bool,
+    /// Time since which the lease is known to be free.
+    free_since: Option<Duration>,
     /// Time for which this host leaves a free lease to others.
     takeover_delay: Duration,
     /// Version of the record and the end of its lease, as the holder announced it.
@@ -104,6 +113,8 @@
     held: Option<HeldLease>,
     next_call_at: Duration,
     is_releasing: bool,
+    /// Whether the lease is being released to a larger host.
+    is_handing_over: bool,
 }
 
 impl CoordinatorLease {
@@ -120,12 +131,15 @@
             address,
             lease_duration,
             seen: None,
-            missing_since: None,
+            is_missing: false,
+            is_store_reachable: false,
+            free_since: None,
             takeover_delay: Duration::ZERO,
             announced_expiry: None,
             held: None,
             next_call_at: Duration::ZERO,
             is_releasing: false,
+            is_handing_over: false,
         }
     }
 
@@ -147,7 +161,8 @@
     pub fn order_token(&self, now: Duration) -> Option<u64> {
         let held = self.held.as_ref().filter(|held| now < held.valid_until)?;
         let is_open = now >= held.orders_from && now + ORDER_MARGIN < held.valid_until;
-        (is_open && !self.is_releasing).then_some(held.token)
+        let is_kept = !self.is_releasing && !self.is_handing_over;
+        (is_open && is_kept).then_some(held.token)
     }
 
     /// Returns the version of the held record and the remaining time of the lease,
@@ -174,6 +189,23 @@
         (!record.is_released).then(|| (record.holder.clone(), record.address))
     }
 
+    /// Releases the lease if hosts of much larger capacity are there to take it.
+    ///
+    /// `largest` is the largest capacity of any host of the fleet. Returns whether the
+    /// release starts.
+    pub fn hand_over(&mut self, now: Duration, capacity: f64, largest: f64) -> bool {
+        let is_new = self.held.as_ref().is_none_or(|held| now < held.held_since + MIN_TERM);
+        if is_new || self.is_handing_over || capacity >= largest * HANDOVER_SHARE {
+            return false;
+        }
+        self.is_handing_over = true;
+        self.next_call_at = Duration::ZERO;
+        if let Some(held) = &mut self.held {
+            held.renew_at = Duration::ZERO;
+        }
+        true
+    }
+
     /// Starts to release the lease, for example before the process ends.
     pub fn start_release(&mut self) {
         self.is_releasing = true;
@@ -205,7 +237,7 @@
             if now < held.renew_at {
                 return LeaseAction::Wait;
             }
-            let record = self.build_record(held.token, self.is_releasing);
+            let record = self.build_record(held.token, self.is_releasing || self.is_handing_over);
             let expected = Some(seen.version);
             self.next_call_at = now + RETRY_DELAY;
             return LeaseAction::Write { expected, record };
@@ -214,12 +246,13 @@
             return LeaseAction::Wait;
         }
         self.next_call_at = now + RETRY_DELAY;
-        let is_free = |since: Duration| now >= since + self.takeover_delay;
-        if self.missing_since.is_some_and(is_free) {
+        self.update_free_since(now);
+        let may_acquire = self.free_since.is_some_and(|since| now >= since + self.takeover_delay);
+        if may_acquire && self.is_missing {
             return LeaseAction::Write { expected: None, record: self.build_record(1, false) };
         }
         match &self.seen {
-            Some(seen) if self.can_acquire(now, seen) => {
+            Some(seen) if may_acquire => {
                 let token = seen.record.as_ref().map_or(0, |record| record.token) + 1;
                 let expected = Some(seen.version);
                 LeaseAction::Write { expected, record: self.build_record(token, false) }
@@ -233,9 +266,32 @@
 
     /// Processes the answer, received at `now`, to the call sent at `sent_at`.
     pub fn handle_answer(&mut self, now: Duration, sent_at: Duration, answer: LeaseAnswer) {
+        let has_answer = !matches!(answer, LeaseAnswer::Refused | LeaseAnswer::Unknown);
+        self.apply_answer(now, sent_at, answer);
+        self.is_store_reachable = has_answer;
+        self.update_free_since(now);
+        if self.free_since.is_some() {
+            self.next_call_at = self.next_call_at.min(now + self.takeover_delay);
+        }
+    }
+
+    /// Updates the time since which the lease is known to be free.
+    ///
+    /// A failed call resets it, so that all hosts find the lease free together when the
+    /// store returns, and those with more capacity come first.
+    fn update_free_since(&mut self, now: Duration) {
+        let is_free = match &self.seen {
+            Some(seen) => self.is_free(now, seen),
+            None => self.is_missing,
+        };
+        let is_known = self.is_store_reachable && is_free && self.held.is_none();
+        self.free_since = is_known.then(|| self.free_since.unwrap_or(now));
+    }
+
+    fn apply_answer(&mut self, now: Duration, sent_at: Duration, answer: LeaseAnswer) {
         match answer {
             LeaseAnswer::Found { version, record, is_written } => {
-                self.missing_since = None;
+                self.is_missing = false;
                 if is_written {
                     self.handle_written(sent_at, record.as_ref());
                 } else if self.held.is_some() && self.seen_version() != Some(version) {
@@ -247,13 +303,13 @@
                 if self.seen_version() != Some(version) {
                     // The holder sent its latest write before this answer arrived.
                     let expires_by = now + self.lease_duration.mul_f64(HOLD_FRACTION);
-                    self.seen = Some(SeenRecord { version, record, expires_by, seen_at: now });
+                    self.seen = Some(SeenRecord { version, record, expires_by });
                 }
             }
             LeaseAnswer::Missing => {
                 self.seen = None;
                 self.held = None;
-                self.missing_since.get_or_insert(now);
+                self.is_missing = true;
             }
             LeaseAnswer::Refused => {}
             LeaseAnswer::Unknown => {
@@ -268,16 +324,17 @@
     fn handle_written(&mut self, sent_at: Duration, record: Option<&LeaseRecord>) {
         let Some(record) = record.filter(|record| !record.is_released) else {
             self.held = None;
+            self.is_handing_over = false;
             return;
         };
         let valid_until = sent_at + self.lease_duration.mul_f64(HOLD_FRACTION);
         let renew_at = sent_at + RENEWAL_INTERVAL;
-        let orders_from = match &self.held {
-            Some(held) if held.token == record.token => held.orders_from,
-            _ => self.compute_order_start(sent_at),
+        let (held_since, orders_from) = match &self.held {
+            Some(held) if held.token == record.token => (held.held_since, held.orders_from),
+            _ => (sent_at, self.compute_order_start(sent_at)),
         };
         let token = record.token;
-        self.held = Some(HeldLease { token, valid_until, renew_at, orders_from });
+        self.held = Some(HeldLease { token, held_since, valid_until, renew_at, orders_from });
     }
 
     /// Returns the earliest time at which this host may give orders if it takes
@@ -312,16 +369,12 @@
         }
     }
 
-    /// Returns whether this host may write itself as the holder: the record cannot
-    /// be decoded, names this host, was released, or its lease has expired.
-    fn can_acquire(&self, now: Duration, seen: &SeenRecord) -> bool {
+    /// Returns whether a host may write itself as the holder: the record cannot be
+    /// decoded, names this host, was released, or its lease has expired.
+    fn is_free(&self, now: Duration, seen: &SeenRecord) -> bool {
         let Some(record) = &seen.record else { return true };
-        let free_from = if record.is_released {
-            seen.seen_at
-        } else {
-            self.compute_expiry(seen) + TAKEOVER_MARGIN
-        };
-        record.holder == self.host || now >= free_from + self.takeover_delay
+        let has_expired = now >= self.compute_expiry(seen) + TAKEOVER_MARGIN;
+        record.is_released || record.holder == self.host || has_expired
     }
 
     fn seen_version(&self) -> Option<ObjectVersion> {
--- a/crates/skylarkgw/src/gateway/control/exchange.rs
+++ b/crates/skylarkgw/src/gateway/control/exchange.rs
@@ -67,12 +67,17 @@
     /// Applies the coordinator's reply to a report that was sent at `sent_at`.
     fn apply_reply(&self, sent_at: Duration, reply: CoordinatorReply) {
         let now = time_since_boot();
-        {
+        let is_handed_over = {
             let mut lease = lock(&self.lease);
             lease.set_takeover_delay(takeover_delay(self.capacity, Some(reply.largest_capacity)));
             if let Some((version, remaining)) = reply.lease {
                 lease.record_remaining(now, version, remaining);
             }
+            lease.hand_over(now, self.capacity, reply.largest_capacity)
+        };
+        if is_handed_over {
+            let (capacity, largest) = (self.capacity, reply.largest_capacity);
+            info!("coordinator lease handed over", kv: { capacity, largest });
         }
         self.apply_fleet_state(sent_at, &reply.age, reply.registry);
         {
--- a/crates/skylarkgw/tests/decisions/lease.rs
+++ b/crates/skylarkgw/tests/decisions/lease.rs
@@ -185,3 +185,54 @@
     let (cores, link_mbps) = (0.084, 10.0);
     assert!(compute_capacity(cores, link_mbps) < compute_capacity(0.5, 200.0) / 2.0);
 }
+
+/// Guards against a coordinator that cannot serve the fleet: after an outage of the
+/// store every host had waited long enough to take the lease.
+#[test]
+fn larger_host_takes_over_first_after_an_outage_of_the_store() {
+    let (mut store, mut small, mut large) =
+        (RecordStore::default(), host_lease("small"), host_lease("large"));
+    let mut former = host_lease("former");
+    (0..5).for_each(|step| perform_step(&mut former, &mut store, step * 400));
+    small.set_takeover_delay(takeover_delay(0.1, None));
+    perform_step(&mut small, &mut store, 1_900);
+    perform_step(&mut large, &mut store, 1_900);
+    for now in (2_000..9_000).step_by(20) {
+        for lease in [&mut small, &mut large] {
+            if lease.step(ms(now), false) != LeaseAction::Wait {
+                lease.handle_answer(ms(now), ms(now), LeaseAnswer::Refused);
+            }
+        }
+    }
+    for now in (9_000..12_000).step_by(20) {
+        perform_step(&mut small, &mut store, now);
+        // The larger host notices the return of the store later.
+        if now > 9_300 {
+            perform_step(&mut large, &mut store, now);
+        }
+    }
+    assert_eq!(large.token(ms(11_980)), Some(2));
+}
+
+/// Guards against a coordinator that cannot serve the fleet and keeps the lease because
+/// it took it while no larger host was there.
+#[test]
+fn small_holder_hands_the_lease_over_to_a_larger_host() {
+    let (mut store, mut small, mut large) =
+        (RecordStore::default(), host_lease("small"), host_lease("large"));
+    let mut has_handed_over = false;
+    for now in (0..6_000).step_by(20) {
+        perform_step(&mut small, &mut store, now);
+        if small.token(ms(now)).is_some() {
+            has_handed_over |= small.hand_over(ms(now), 0.1, if now < 2_000 { 0.1 } else { 1.0 });
+        }
+        if now > 2_000 {
+            perform_step(&mut large, &mut store, now);
+        }
+        small.set_takeover_delay(takeover_delay(0.1, Some(1.0)));
+        assert!(small.token(ms(now)).is_none() || large.token(ms(now)).is_none());
+    }
+    assert!(has_handed_over);
+    assert_eq!((small.token(ms(5_980)), large.token(ms(5_980))), (None, Some(2)));
+    assert!(!large.hand_over(ms(9_000), 1.0, 1.0));
+}
