Let idle models give up their last replica to requested ones

Cause: the plan kept one replica of every declared model, whether requested or not, so hardly any memory was left for replicas of busy models.

A model without a request for 8 s may lose its last replica where its engine keeps a copy of the weights, and returns from a copy at its next request, or when memory is free. Time without any request at all, as while keys cannot be checked, does not count.

--- a/crates/skylarkgw/src/decision/fleet_planner.rs
+++ b/crates/skylarkgw/src/decision/fleet_planner.rs
@@ -237,11 +237,13 @@
     }
 
     /// Returns the state of the engine for planning.
-    fn snapshot(&self, rule: &GenerationRule, running: f64) -> EngineSnapshot {
-        let size_mb = |model: &ModelName| {
-            let models = rule.models.iter().find(|rule| rule.name == *model);
-            models.map_or(rule.weights_mb, |rule| rule.weights_mb)
-        };
+    fn snapshot(
+        &self,
+        rule: &GenerationRule,
+        sizes_mb: &HashMap<&ModelName, f64>,
+        running: f64,
+    ) -> EngineSnapshot {
+        let size_mb = |model: &ModelName| sizes_mb.get(model).copied().unwrap_or(rule.weights_mb);
         let possible = self.possible_models();
         let used_mb: f64 = possible.iter().map(|model| size_mb(model)).sum();
         let adapter_mb = rule.models.iter().map(|model| model.adapter_mb).fold(0.0, f64::max);
@@ -329,7 +331,7 @@
         for service in declaration.services.values() {
             let Some(rule) = &service.generation else { continue };
             let slots = self.min_slots(&service.name);
-            let demand = demand.estimate_slots(now, &service.name, slots);
+            let demand = demand.estimate_demand(now, &service.name, &rule.models, slots);
             let limit = (rule.store_loads_per_s * window.as_secs_f64() * STORE_RATE_SHARE) as usize;
             for _ in 0..MAX_CHANGES_PER_CALL {
                 let store_loads = limit.saturating_sub(self.store_loads.len()) as u32;
@@ -352,12 +354,14 @@
         rule: &GenerationRule,
         running: &HashMap<EndpointId, f64>,
     ) -> Vec<EngineSnapshot> {
+        let sizes_mb: HashMap<&ModelName, f64> =
+            rule.models.iter().map(|model| (&model.name, model.weights_mb)).collect();
         let ledgers = self.engines.values();
         let ready = ledgers.filter(|ledger| ledger.entry.service == *service && ledger.is_ready());
         let running =
             |ledger: &EngineLedger| running.get(&ledger.entry.id).copied().unwrap_or_default();
         let mut engines: Vec<EngineSnapshot> =
-            ready.map(|ledger| ledger.snapshot(rule, running(ledger))).collect();
+            ready.map(|ledger| ledger.snapshot(rule, &sizes_mb, running(ledger))).collect();
         engines.sort_by(|a, b| a.id.cmp(&b.id));
         engines
     }
--- a/crates/skylarkgw/src/decision/model_plan/balance.rs
+++ b/crates/skylarkgw/src/decision/model_plan/balance.rs
@@ -43,7 +43,7 @@
         if self.pending.contains_key(model) {
             return None;
         }
-        let holders = self.engines.iter().filter(|engine| engine.models.contains(model));
+        let holders = self.holders.get(model)?.iter();
         let lowest_running = holders.map(|engine| engine.running).reduce(f64::min)?;
         if lowest_running < self.slots * BUSY_SHARE {
             return None;
@@ -95,7 +95,7 @@
         }
         let victims = engine.models.iter().filter(|victim| {
             let freed_mb = self.models.get(victim).map_or(0.0, |rule| rule.weights_mb);
-            self.serving_replicas(victim) > 1 && engine.free_mb + freed_mb >= size_mb
+            self.can_give_up(engine, victim) && engine.free_mb + freed_mb >= size_mb
         });
         let (gain, victim) = victims
             .map(|victim| (gain - self.compute_displacement_loss(victim, engine), victim))
@@ -115,10 +115,8 @@
     /// The loss is infinite if no other engine holds the model and there is demand
     /// for it.
     fn compute_displacement_loss(&self, victim: &ModelName, engine: &EngineSnapshot) -> f64 {
-        let others = self
-            .engines
-            .iter()
-            .filter(|other| other.id != engine.id && other.models.contains(victim));
+        let holders = self.holders.get(victim).into_iter().flatten();
+        let others = holders.filter(|other| other.id != engine.id);
         let lowest_running =
             others.map(|other| other.running).reduce(f64::min).unwrap_or(f64::INFINITY);
         let work = self.compute_need(victim);
