--- a/crates/skylarkgw/src/decision/coordinator.rs
+++ b/crates/skylarkgw/src/decision/coordinator.rs
@@ -150,7 +150,7 @@
             token,
             started_at: now,
             hosts: HashMap::new(),
-            demand: DemandEstimate::new(now),
+            demand: DemandEstimate::default(),
             total_running: HashMap::new(),
             running: HashMap::new(),
             averaged_at: now,
--- a/crates/skylarkgw/src/decision/fleet_planner.rs
+++ b/crates/skylarkgw/src/decision/fleet_planner.rs
@@ -331,7 +331,7 @@
         for service in declaration.services.values() {
             let Some(rule) = &service.generation else { continue };
             let slots = self.min_slots(&service.name);
-            let demand = demand.estimate_demand(now, &service.name, &rule.models, slots);
+            let demand = demand.estimate_slots(now, &service.name, slots);
             let limit = (rule.store_loads_per_s * window.as_secs_f64() * STORE_RATE_SHARE) as usize;
             for _ in 0..MAX_CHANGES_PER_CALL {
                 let store_loads = limit.saturating_sub(self.store_loads.len()) as u32;
--- a/crates/skylarkgw/src/decision/model_plan/balance.rs
+++ b/crates/skylarkgw/src/decision/model_plan/balance.rs
@@ -95,7 +95,7 @@
         }
         let victims = engine.models.iter().filter(|victim| {
             let freed_mb = self.models.get(victim).map_or(0.0, |rule| rule.weights_mb);
-            self.can_give_up(engine, victim) && engine.free_mb + freed_mb >= size_mb
+            self.serving_replicas(victim) > 1 && engine.free_mb + freed_mb >= size_mb
         });
         let (gain, victim) = victims
             .map(|victim| (gain - self.compute_displacement_loss(victim, engine), victim))
