Hand the lease over at most every 20 s

A holder of little capacity that no larger host replaces, for instance because those cannot reach the store, would release the lease and take it again every two seconds, and lose the state of the quota pool each time. It now keeps the lease for 20 s after a handover.

--- a/crates/skylarkgw/src/decision/coordinator_lease.rs
+++ b/crates/skylarkgw/src/decision/coordinator_lease.rs
@@ -34,6 +34,9 @@
 /// Shortest time for which a host holds the lease before it hands it over. The larger
 /// hosts report within it.
 const MIN_TERM: Duration = Duration::from_millis(1_500);
+/// Shortest time between two handovers. A larger host that cannot reach the store does
+/// not take the lease.
+const HANDOVER_INTERVAL: Duration = Duration::from_secs(20);
 /// Processor share, in cores, and link with which a host can coordinate a fleet of
 /// any supported size.
 const FULL_CAPACITY: (f64, f64) = (0.25, 100.0);
@@ -115,6 +118,8 @@
     is_releasing: bool,
     /// Whether the lease is being released to a larger host.
     is_handing_over: bool,
+    /// Time of the last handover.
+    handed_over_at: Option<Duration>,
 }
 
 impl CoordinatorLease {
@@ -140,6 +145,7 @@
             next_call_at: Duration::ZERO,
             is_releasing: false,
             is_handing_over: false,
+            handed_over_at: None,
         }
     }
 
@@ -195,10 +201,12 @@
     /// release starts.
     pub fn hand_over(&mut self, now: Duration, capacity: f64, largest: f64) -> bool {
         let is_new = self.held.as_ref().is_none_or(|held| now < held.held_since + MIN_TERM);
-        if is_new || self.is_handing_over || capacity >= largest * HANDOVER_SHARE {
+        let is_repeated = self.handed_over_at.is_some_and(|at| now < at + HANDOVER_INTERVAL);
+        if is_new || is_repeated || capacity >= largest * HANDOVER_SHARE {
             return false;
         }
         self.is_handing_over = true;
+        self.handed_over_at = Some(now);
         self.next_call_at = Duration::ZERO;
         if let Some(held) = &mut self.held {
             held.renew_at = Duration::ZERO;
@@ -229,6 +237,7 @@
         if self.held.as_ref().is_some_and(|held| now >= held.valid_until) {
             self.held = None;
             self.seen = None;
+            self.is_handing_over = false;
         }
         if now < self.next_call_at {
             return LeaseAction::Wait;
@@ -268,6 +277,7 @@
     pub fn handle_answer(&mut self, now: Duration, sent_at: Duration, answer: LeaseAnswer) {
         let has_answer = !matches!(answer, LeaseAnswer::Refused | LeaseAnswer::Unknown);
         self.apply_answer(now, sent_at, answer);
+        self.is_handing_over &= self.held.is_some();
         self.is_store_reachable = has_answer;
         self.update_free_since(now);
         if self.free_since.is_some() {
@@ -324,7 +334,6 @@
     fn handle_written(&mut self, sent_at: Duration, record: Option<&LeaseRecord>) {
         let Some(record) = record.filter(|record| !record.is_released) else {
             self.held = None;
-            self.is_handing_over = false;
             return;
         };
         let valid_until = sent_at + self.lease_duration.mul_f64(HOLD_FRACTION);
--- a/crates/skylarkgw/tests/decisions/lease.rs
+++ b/crates/skylarkgw/tests/decisions/lease.rs
@@ -236,3 +236,17 @@
     assert_eq!((small.token(ms(5_980)), large.token(ms(5_980))), (None, Some(2)));
     assert!(!large.hand_over(ms(9_000), 1.0, 1.0));
 }
+
+#[test]
+fn holder_that_nobody_replaces_keeps_the_lease_after_a_handover() {
+    let (mut store, mut small) = (RecordStore::default(), host_lease("small"));
+    small.set_takeover_delay(takeover_delay(0.1, Some(1.0)));
+    let mut handovers = 0;
+    for now in (0..15_000).step_by(20) {
+        perform_step(&mut small, &mut store, now);
+        handovers += usize::from(small.hand_over(ms(now), 0.1, 1.0));
+    }
+    assert_eq!(handovers, 1);
+    assert_eq!(small.token(ms(14_980)), Some(2));
+    assert_eq!(small.order_token(ms(14_980)), Some(2));
+}
