Ignore SIGHUP in skylarkd

Requests were cut without draining when a host got SIGHUP, which ended the process. The shell that had started the script ended while that test had a host paused, and the kernel sends SIGHUP and SIGCONT to a process group that becomes orphaned with a stopped member.

--- a/crates/skylarkgw/src/daemon.rs
+++ b/crates/skylarkgw/src/daemon.rs
@@ -95,7 +95,8 @@
 ///
 /// SIGTERM or SIGINT starts a graceful shutdown: the host reports that it is not
 /// ready, completes running requests and transfers its shares to other hosts. A
-/// second signal, or the end of `drain_deadline_ms`, stops it immediately.
+/// second signal, or the end of `drain_deadline_ms`, stops it immediately. SIGHUP,
+/// which also reaches a host that is paused while its shell ends, has no effect.
 ///
 /// # Errors
 ///
@@ -103,6 +104,8 @@
 pub async fn run_host(settings: HostSettings) -> Result<(), DaemonError> {
     let terminate = signal(SignalKind::terminate())?;
     let interrupt = signal(SignalKind::interrupt())?;
+    // Without a handler, the signal would end the process without draining.
+    let _hangup = signal(SignalKind::hangup())?;
     let host = HostProcess::start(settings).await?;
     host.run(terminate, interrupt).await;
     Ok(())
--- a/crates/standins/tests/fleet/stops.rs
+++ b/crates/standins/tests/fleet/stops.rs
@@ -30,6 +30,18 @@
     assert!(ledger.value.contains("host-02"), "{}", ledger.value);
 }
 
+/// Guards against requests that are cut because a host ends on a hang-up, as a paused
+/// one does when the shell that started it ends.
+#[tokio::test]
+async fn hang_up_does_not_stop_a_host() {
+    let fleet = TestFleet::start(FleetOptions { hosts: 1, ..FleetOptions::default() }).await;
+    fleet.hosts[0].process.signal("HUP");
+    // The next signal shows that the hang-up has been delivered.
+    fleet.hosts[0].process.signal("STOP");
+    fleet.hosts[0].process.signal("CONT");
+    assert_eq!(fleet.send_chat(&fleet.hosts[0], "after the hang-up", 2).await.status(), 200);
+}
+
 #[tokio::test]
 async fn second_signal_ends_the_process_without_draining() {
     let options = FleetOptions {
