--- a/crates/skylarkgw/src/decision/coordinator_lease.rs
+++ b/crates/skylarkgw/src/decision/coordinator_lease.rs
@@ -91,6 +91,8 @@
     renew_at: Duration,
     /// Earliest time at which the holder may give orders.
     orders_from: Duration,
+    /// Whether the lease is being released to a larger host.
+    is_handing_over: bool,
 }
 
 /// State of one host that holds or watches the coordinator lease.
@@ -116,8 +118,6 @@
     held: Option<HeldLease>,
     next_call_at: Duration,
     is_releasing: bool,
-    /// Whether the lease is being released to a larger host.
-    is_handing_over: bool,
     /// Time of the last handover.
     handed_over_at: Option<Duration>,
 }
@@ -144,7 +144,6 @@
             held: None,
             next_call_at: Duration::ZERO,
             is_releasing: false,
-            is_handing_over: false,
             handed_over_at: None,
         }
     }
@@ -167,7 +166,7 @@
     pub fn order_token(&self, now: Duration) -> Option<u64> {
         let held = self.held.as_ref().filter(|held| now < held.valid_until)?;
         let is_open = now >= held.orders_from && now + ORDER_MARGIN < held.valid_until;
-        let is_kept = !self.is_releasing && !self.is_handing_over;
+        let is_kept = !self.is_releasing && !held.is_handing_over;
         (is_open && is_kept).then_some(held.token)
     }
 
@@ -200,23 +199,27 @@
     /// `largest` is the largest capacity of any host of the fleet. Returns whether the
     /// release starts.
     pub fn hand_over(&mut self, now: Duration, capacity: f64, largest: f64) -> bool {
-        let is_new = self.held.as_ref().is_none_or(|held| now < held.held_since + MIN_TERM);
         let is_repeated = self.handed_over_at.is_some_and(|at| now < at + HANDOVER_INTERVAL);
-        if is_new || is_repeated || capacity >= largest * HANDOVER_SHARE {
+        let Some(held) = self.held.as_mut().filter(|held| now >= held.held_since + MIN_TERM) else {
+            return false;
+        };
+        if is_repeated || capacity >= largest * HANDOVER_SHARE {
             return false;
         }
-        self.is_handing_over = true;
+        held.is_handing_over = true;
         self.handed_over_at = Some(now);
-        self.next_call_at = Duration::ZERO;
-        if let Some(held) = &mut self.held {
-            held.renew_at = Duration::ZERO;
-        }
+        self.write_now();
         true
     }
 
     /// Starts to release the lease, for example before the process ends.
     pub fn start_release(&mut self) {
         self.is_releasing = true;
+        self.write_now();
+    }
+
+    /// Makes the next write of the holder due at once.
+    fn write_now(&mut self) {
         self.next_call_at = Duration::ZERO;
         if let Some(held) = &mut self.held {
             held.renew_at = Duration::ZERO;
@@ -237,7 +240,6 @@
         if self.held.as_ref().is_some_and(|held| now >= held.valid_until) {
             self.held = None;
             self.seen = None;
-            self.is_handing_over = false;
         }
         if now < self.next_call_at {
             return LeaseAction::Wait;
@@ -246,7 +248,7 @@
             if now < held.renew_at {
                 return LeaseAction::Wait;
             }
-            let record = self.build_record(held.token, self.is_releasing || self.is_handing_over);
+            let record = self.build_record(held.token, self.is_releasing || held.is_handing_over);
             let expected = Some(seen.version);
             self.next_call_at = now + RETRY_DELAY;
             return LeaseAction::Write { expected, record };
@@ -277,7 +279,6 @@
     pub fn handle_answer(&mut self, now: Duration, sent_at: Duration, answer: LeaseAnswer) {
         let has_answer = !matches!(answer, LeaseAnswer::Refused | LeaseAnswer::Unknown);
         self.apply_answer(now, sent_at, answer);
-        self.is_handing_over &= self.held.is_some();
         self.is_store_reachable = has_answer;
         self.update_free_since(now);
         if self.free_since.is_some() {
@@ -338,12 +339,17 @@
         };
         let valid_until = sent_at + self.lease_duration.mul_f64(HOLD_FRACTION);
         let renew_at = sent_at + RENEWAL_INTERVAL;
-        let (held_since, orders_from) = match &self.held {
-            Some(held) if held.token == record.token => (held.held_since, held.orders_from),
-            _ => (sent_at, self.compute_order_start(sent_at)),
-        };
         let token = record.token;
-        self.held = Some(HeldLease { token, held_since, valid_until, renew_at, orders_from });
+        let new_term = HeldLease {
+            token,
+            held_since: sent_at,
+            valid_until,
+            renew_at,
+            orders_from: self.compute_order_start(sent_at),
+            is_handing_over: false,
+        };
+        let term = self.held.take().filter(|held| held.token == token).unwrap_or(new_term);
+        self.held = Some(HeldLease { valid_until, renew_at, ..term });
     }
 
     /// Returns the earliest time at which this host may give orders if it takes
--- a/crates/skylarkgw/src/decision/directory.rs
+++ b/crates/skylarkgw/src/decision/directory.rs
@@ -83,7 +83,7 @@
     pub fn update_from_coordinator(
         &mut self,
         stamp: RegistryStamp,
-        listed: Vec<EngineEntry>,
+        listed: impl IntoIterator<Item = EngineEntry>,
     ) -> bool {
         if stamp.revision < self.stamp.revision {
             return false;
@@ -98,7 +98,7 @@
     fn replace(
         &mut self,
         stamp: RegistryStamp,
-        listed: Vec<EngineEntry>,
+        listed: impl IntoIterator<Item = EngineEntry>,
     ) -> HashMap<EndpointId, Arc<EngineEntry>> {
         self.record_unchanged(stamp);
         let listed = listed.into_iter().map(|entry| (entry.id.clone(), Arc::new(entry)));
--- a/crates/skylarkgw/src/decision/fleet_planner.rs
+++ b/crates/skylarkgw/src/decision/fleet_planner.rs
@@ -5,16 +5,19 @@
 //! refuses an order that arrives late or that is based on a stale ledger.
 //! Everything that an engine may hold in the worst case counts against its memory.
 
+mod ledger;
+
 use std::collections::{HashMap, HashSet, VecDeque};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
+use crate::decision::fleet_planner::ledger::{EngineLedger, HeldAdapter, MemoryRule};
 use crate::decision::model_demand::DemandEstimate;
 use crate::decision::model_plan::{EngineSnapshot, PlanChange, plan_change};
 use crate::gateway::declaration::{FleetDeclaration, GenerationRule, ServiceName};
 use crate::gateway::ports::{EngineOrder, EngineReport, OrderAnswer, OrderKind};
-use crate::gateway::registry::{EngineEntry, EnginePhase};
+use crate::gateway::registry::EngineEntry;
 use crate::ids::{EndpointId, ModelName};
 
 /// Time between the start of draining a model and its unload. Hosts receive the
@@ -45,44 +48,6 @@
 /// Share of the declared rate of the weight store that is used.
 const STORE_RATE_SHARE: f64 = 0.9;
 
-/// Adapter on an engine.
-#[derive(Clone, Debug, Eq, PartialEq)]
-struct HeldAdapter {
-    model: ModelName,
-    adapter: Arc<str>,
-    /// Time of the last use, or at which the ledger entry was created if that is
-    /// later.
-    used_at: Duration,
-    /// Time from which requests for the adapter may be sent.
-    ready_at: Duration,
-}
-
-/// Contents and ongoing changes of one engine.
-///
-/// Each change is stored with the time at which it began.
-#[derive(Debug)]
-struct EngineLedger {
-    entry: Arc<EngineEntry>,
-    /// Number of orders that the engine has accepted.
-    order_count: u64,
-    models: HashSet<ModelName>,
-    adapters: Vec<HeldAdapter>,
-    loading: Option<(ModelName, Duration)>,
-    draining: Option<(ModelName, Duration)>,
-    unloading: Option<(ModelName, Duration)>,
-    /// Model for which another one is drained, and the time at which the memory
-    /// was reserved for it.
-    reserved: Option<(ModelName, Duration)>,
-    /// Whether an order awaits its answer.
-    has_call: bool,
-    /// Whether a complete report has confirmed the ledger. Orders are sent only
-    /// then.
-    is_confirmed: bool,
-    /// Time of the last report request, or of the last answer that has to be
-    /// confirmed by a later report.
-    requested_at: Option<Duration>,
-}
-
 /// Call to an engine that the planner requests.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum PlannerCall {
@@ -146,150 +111,6 @@
     requested_adapters: HashMap<(ModelName, Arc<str>), Duration>,
 }
 
-impl EngineLedger {
-    fn new(entry: Arc<EngineEntry>) -> EngineLedger {
-        let mut ledger = EngineLedger {
-            order_count: 0,
-            models: HashSet::new(),
-            adapters: Vec::new(),
-            loading: None,
-            draining: None,
-            unloading: None,
-            reserved: None,
-            has_call: false,
-            // The registry entry does not contain the number of orders that
-            // the engine has accepted.
-            is_confirmed: false,
-            requested_at: None,
-            entry: entry.clone(),
-        };
-        ledger.models = entry.models.iter().map(|held| held.name.clone()).collect();
-        for held in &entry.models {
-            ledger.add_adapters(Duration::ZERO, &held.name, &held.adapters);
-        }
-        ledger
-    }
-
-    /// Adds adapters of a model that are not yet in the ledger.
-    fn add_adapters(&mut self, now: Duration, model: &ModelName, adapters: &[Arc<str>]) {
-        for adapter in adapters {
-            let is_held =
-                self.adapters.iter().any(|held| held.model == *model && held.adapter == *adapter);
-            if !is_held {
-                self.adapters.push(HeldAdapter {
-                    model: model.clone(),
-                    adapter: adapter.clone(),
-                    used_at: now,
-                    ready_at: now,
-                });
-            }
-        }
-    }
-
-    /// Updates the registry entry, and resets the ledger if the engine has
-    /// restarted.
-    fn update_entry(&mut self, entry: &Arc<EngineEntry>) {
-        if entry.started_ms != self.entry.started_ms {
-            *self = EngineLedger::new(entry.clone());
-            return;
-        }
-        self.entry = entry.clone();
-        if !self.is_confirmed {
-            for held in &entry.models {
-                self.add_adapters(Duration::ZERO, &held.name, &held.adapters);
-            }
-        }
-        // The entry may be older than the last order, so it can confirm a
-        // load but never removes a model.
-        let listed = entry.models.iter().map(|held| &held.name);
-        let mut loaded =
-            listed.filter(|name| self.loading.as_ref().is_some_and(|(model, _)| model == *name));
-        if let Some(model) = loaded.next().cloned() {
-            self.models.insert(model);
-            self.loading = None;
-        }
-    }
-
-    /// Returns all models that the engine may hold.
-    fn possible_models(&self) -> HashSet<&ModelName> {
-        let listed = self.entry.models.iter().map(|held| &held.name);
-        let loading = self.loading.iter().map(|(model, _)| model);
-        self.models.iter().chain(listed).chain(loading).collect()
-    }
-
-    /// Returns whether the engine accepts requests and has not received notice of
-    /// its termination.
-    fn is_ready(&self) -> bool {
-        self.entry.phase == EnginePhase::Ready && self.entry.leaves_in.is_none()
-    }
-
-    /// Returns whether a change of placement can begin on the engine.
-    fn is_idle(&self) -> bool {
-        let has_change =
-            self.loading.is_some() || self.draining.is_some() || self.unloading.is_some();
-        self.is_ready() && self.is_confirmed && !self.has_call && !has_change
-    }
-
-    /// Returns whether the engine can receive an order for an adapter.
-    fn can_take_adapter_order(&self) -> bool {
-        let has_order = self.loading.is_some() || self.unloading.is_some();
-        self.is_confirmed && !self.has_call && !has_order
-    }
-
-    /// Returns the state of the engine for planning.
-    fn snapshot(
-        &self,
-        rule: &GenerationRule,
-        sizes_mb: &HashMap<&ModelName, f64>,
-        running: f64,
-    ) -> EngineSnapshot {
-        let size_mb = |model: &ModelName| sizes_mb.get(model).copied().unwrap_or(rule.weights_mb);
-        let possible = self.possible_models();
-        let used_mb: f64 = possible.iter().map(|model| size_mb(model)).sum();
-        let adapter_mb = rule.models.iter().map(|model| model.adapter_mb).fold(0.0, f64::max);
-        let adapters_mb = adapter_mb * f64::from(rule.adapter_slots);
-        let removals = [&self.draining, &self.unloading];
-        let is_being_removed = |model: &ModelName| {
-            removals.iter().any(|change| change.as_ref().is_some_and(|(name, _)| name == model))
-        };
-        let loading = self.loading.as_ref().map(|(model, _)| model);
-        let is_serving = |model: &&ModelName| Some(*model) != loading && !is_being_removed(model);
-        let models = possible.into_iter().filter(is_serving);
-        let copies = self.entry.copies_in_memory.iter().chain(&self.entry.copies_on_disk);
-        EngineSnapshot {
-            id: self.entry.id.clone(),
-            models: models.cloned().collect(),
-            loading: loading.cloned(),
-            reserved: self.reserved.as_ref().map(|(model, _)| model.clone()),
-            free_mb: rule.weights_mb - adapters_mb - used_mb,
-            is_idle: self.is_idle(),
-            copies: copies.cloned().collect(),
-            slots: self.entry.slots,
-            running,
-        }
-    }
-
-    /// Builds an order. Its expected count is the number of orders that the engine
-    /// has accepted according to the ledger.
-    fn build_order(
-        &self,
-        token: u64,
-        kind: OrderKind,
-        model: &ModelName,
-        adapter: Option<Arc<str>>,
-    ) -> EngineOrder {
-        EngineOrder {
-            engine: self.entry.id.clone(),
-            address: self.entry.address,
-            kind,
-            model: model.clone(),
-            adapter,
-            expected_count: self.order_count,
-            token,
-        }
-    }
-}
-
 impl FleetPlanner {
     /// Updates the ledgers from the registry, and removes those of engines that are
     /// not in it.
@@ -354,14 +175,13 @@
         rule: &GenerationRule,
         running: &HashMap<EndpointId, f64>,
     ) -> Vec<EngineSnapshot> {
-        let sizes_mb: HashMap<&ModelName, f64> =
-            rule.models.iter().map(|model| (&model.name, model.weights_mb)).collect();
+        let memory = MemoryRule::new(rule);
         let ledgers = self.engines.values();
         let ready = ledgers.filter(|ledger| ledger.entry.service == *service && ledger.is_ready());
         let running =
             |ledger: &EngineLedger| running.get(&ledger.entry.id).copied().unwrap_or_default();
         let mut engines: Vec<EngineSnapshot> =
-            ready.map(|ledger| ledger.snapshot(rule, &sizes_mb, running(ledger))).collect();
+            ready.map(|ledger| ledger.snapshot(&memory, running(ledger))).collect();
         engines.sort_by(|a, b| a.id.cmp(&b.id));
         engines
     }
@@ -668,39 +488,3 @@
         ledgers.map(|(engine, ledger)| (engine.clone(), ledger.build_notice())).collect()
     }
 }
-
-impl EngineLedger {
-    /// Returns the placement information for hosts.
-    fn build_notice(&self) -> EngineNotice {
-        let removals = [&self.draining, &self.unloading].into_iter().flatten();
-        let mut adapters: Vec<(ModelName, Vec<Arc<str>>)> = Vec::new();
-        for held in &self.adapters {
-            match adapters.iter_mut().find(|(model, _)| *model == held.model) {
-                Some((_, names)) => names.push(held.adapter.clone()),
-                None => adapters.push((held.model.clone(), vec![held.adapter.clone()])),
-            }
-        }
-        // The order of the ledger changes with every report.
-        adapters.iter_mut().for_each(|(_, names)| names.sort());
-        adapters.sort();
-        EngineNotice { closing: removals.map(|(model, _)| model.clone()).collect(), adapters }
-    }
-
-    /// Returns whether a model is draining or unloading.
-    fn is_being_removed(&self, model: &ModelName) -> bool {
-        [&self.draining, &self.unloading].into_iter().flatten().any(|(name, _)| name == model)
-    }
-
-    /// Removes an adapter of a model from the ledger.
-    fn remove_adapter(&mut self, model: &ModelName, adapter: Option<&Arc<str>>) {
-        self.adapters.retain(|held| held.model != *model || Some(&held.adapter) != adapter);
-    }
-
-    /// Marks the ledger as unconfirmed until the next complete report.
-    fn mark_unconfirmed(&mut self, now: Duration) {
-        self.is_confirmed = false;
-        // Reports lag behind, so one that is requested now may predate the order.
-        // Setting the time delays the next request.
-        self.requested_at = Some(now);
-    }
-}
--- /dev/null
+++ b/crates/skylarkgw/src/decision/fleet_planner/ledger.rs
@@ -0,0 +1,248 @@
+//! Contents and ongoing changes of single engines, as the planner knows them.
+
+use std::collections::{HashMap, HashSet};
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::decision::fleet_planner::EngineNotice;
+use crate::decision::model_plan::EngineSnapshot;
+use crate::gateway::declaration::GenerationRule;
+use crate::gateway::ports::{EngineOrder, OrderKind};
+use crate::gateway::registry::{EngineEntry, EnginePhase};
+use crate::ids::ModelName;
+
+/// Adapter on an engine.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(super) struct HeldAdapter {
+    pub(super) model: ModelName,
+    pub(super) adapter: Arc<str>,
+    /// Time of the last use, or at which the ledger entry was created if that is
+    /// later.
+    pub(super) used_at: Duration,
+    /// Time from which requests for the adapter may be sent.
+    pub(super) ready_at: Duration,
+}
+
+/// Contents and ongoing changes of one engine.
+///
+/// Each change is stored with the time at which it began.
+#[derive(Debug)]
+pub(super) struct EngineLedger {
+    pub(super) entry: Arc<EngineEntry>,
+    /// Number of orders that the engine has accepted.
+    pub(super) order_count: u64,
+    pub(super) models: HashSet<ModelName>,
+    pub(super) adapters: Vec<HeldAdapter>,
+    pub(super) loading: Option<(ModelName, Duration)>,
+    pub(super) draining: Option<(ModelName, Duration)>,
+    pub(super) unloading: Option<(ModelName, Duration)>,
+    /// Model for which another one is drained, and the time at which the memory
+    /// was reserved for it.
+    pub(super) reserved: Option<(ModelName, Duration)>,
+    /// Whether an order awaits its answer.
+    pub(super) has_call: bool,
+    /// Whether a complete report has confirmed the ledger. Orders are sent only
+    /// then.
+    pub(super) is_confirmed: bool,
+    /// Time of the last report request, or of the last answer that has to be
+    /// confirmed by a later report.
+    pub(super) requested_at: Option<Duration>,
+}
+
+impl EngineLedger {
+    pub(super) fn new(entry: Arc<EngineEntry>) -> EngineLedger {
+        let mut ledger = EngineLedger {
+            order_count: 0,
+            models: HashSet::new(),
+            adapters: Vec::new(),
+            loading: None,
+            draining: None,
+            unloading: None,
+            reserved: None,
+            has_call: false,
+            // The registry entry does not contain the number of orders that
+            // the engine has accepted.
+            is_confirmed: false,
+            requested_at: None,
+            entry: entry.clone(),
+        };
+        ledger.models = entry.models.iter().map(|held| held.name.clone()).collect();
+        ledger.add_listed_adapters();
+        ledger
+    }
+
+    /// Adds adapters of a model that are not yet in the ledger.
+    pub(super) fn add_adapters(&mut self, now: Duration, model: &ModelName, adapters: &[Arc<str>]) {
+        for adapter in adapters {
+            let is_held =
+                self.adapters.iter().any(|held| held.model == *model && held.adapter == *adapter);
+            if !is_held {
+                self.adapters.push(HeldAdapter {
+                    model: model.clone(),
+                    adapter: adapter.clone(),
+                    used_at: now,
+                    ready_at: now,
+                });
+            }
+        }
+    }
+
+    /// Adds the adapters of the registry entry, which are the only known ones until a
+    /// report confirms the ledger.
+    fn add_listed_adapters(&mut self) {
+        for held in &self.entry.clone().models {
+            self.add_adapters(Duration::ZERO, &held.name, &held.adapters);
+        }
+    }
+
+    /// Updates the registry entry, and resets the ledger if the engine has
+    /// restarted.
+    pub(super) fn update_entry(&mut self, entry: &Arc<EngineEntry>) {
+        if entry.started_ms != self.entry.started_ms {
+            *self = EngineLedger::new(entry.clone());
+            return;
+        }
+        self.entry = entry.clone();
+        if !self.is_confirmed {
+            self.add_listed_adapters();
+        }
+        // The entry may be older than the last order, so it can confirm a
+        // load but never removes a model.
+        let listed = entry.models.iter().map(|held| &held.name);
+        let mut loaded =
+            listed.filter(|name| self.loading.as_ref().is_some_and(|(model, _)| model == *name));
+        if let Some(model) = loaded.next().cloned() {
+            self.models.insert(model);
+            self.loading = None;
+        }
+    }
+
+    /// Returns all models that the engine may hold.
+    pub(super) fn possible_models(&self) -> HashSet<&ModelName> {
+        let listed = self.entry.models.iter().map(|held| &held.name);
+        let loading = self.loading.iter().map(|(model, _)| model);
+        self.models.iter().chain(listed).chain(loading).collect()
+    }
+
+    /// Returns whether the engine accepts requests and has not received notice of
+    /// its termination.
+    pub(super) fn is_ready(&self) -> bool {
+        self.entry.phase == EnginePhase::Ready && self.entry.leaves_in.is_none()
+    }
+
+    /// Returns whether a change of placement can begin on the engine.
+    pub(super) fn is_idle(&self) -> bool {
+        let has_change =
+            self.loading.is_some() || self.draining.is_some() || self.unloading.is_some();
+        self.is_ready() && self.is_confirmed && !self.has_call && !has_change
+    }
+
+    /// Returns whether the engine can receive an order for an adapter.
+    pub(super) fn can_take_adapter_order(&self) -> bool {
+        let has_order = self.loading.is_some() || self.unloading.is_some();
+        self.is_confirmed && !self.has_call && !has_order
+    }
+
+    /// Returns the state of the engine for planning.
+    pub(super) fn snapshot(&self, memory: &MemoryRule<'_>, running: f64) -> EngineSnapshot {
+        let possible = self.possible_models();
+        let used_mb: f64 = possible.iter().map(|model| memory.model_size_mb(model)).sum();
+        let loading = self.loading.as_ref().map(|(model, _)| model);
+        let is_serving =
+            |model: &&ModelName| Some(*model) != loading && !self.is_being_removed(model);
+        let models = possible.into_iter().filter(is_serving);
+        let copies = self.entry.copies_in_memory.iter().chain(&self.entry.copies_on_disk);
+        EngineSnapshot {
+            id: self.entry.id.clone(),
+            models: models.cloned().collect(),
+            loading: loading.cloned(),
+            reserved: self.reserved.as_ref().map(|(model, _)| model.clone()),
+            free_mb: memory.models_mb - used_mb,
+            is_idle: self.is_idle(),
+            copies: copies.cloned().collect(),
+            slots: self.entry.slots,
+            running,
+        }
+    }
+
+    /// Builds an order. Its expected count is the number of orders that the engine
+    /// has accepted according to the ledger.
+    pub(super) fn build_order(
+        &self,
+        token: u64,
+        kind: OrderKind,
+        model: &ModelName,
+        adapter: Option<Arc<str>>,
+    ) -> EngineOrder {
+        EngineOrder {
+            engine: self.entry.id.clone(),
+            address: self.entry.address,
+            kind,
+            model: model.clone(),
+            adapter,
+            expected_count: self.order_count,
+            token,
+        }
+    }
+}
+
+impl EngineLedger {
+    /// Returns the placement information for hosts.
+    pub(super) fn build_notice(&self) -> EngineNotice {
+        let removals = [&self.draining, &self.unloading].into_iter().flatten();
+        let mut adapters: Vec<(ModelName, Vec<Arc<str>>)> = Vec::new();
+        for held in &self.adapters {
+            match adapters.iter_mut().find(|(model, _)| *model == held.model) {
+                Some((_, names)) => names.push(held.adapter.clone()),
+                None => adapters.push((held.model.clone(), vec![held.adapter.clone()])),
+            }
+        }
+        // The order of the ledger changes with every report.
+        adapters.iter_mut().for_each(|(_, names)| names.sort());
+        adapters.sort();
+        EngineNotice { closing: removals.map(|(model, _)| model.clone()).collect(), adapters }
+    }
+
+    /// Returns whether a model is draining or unloading.
+    pub(super) fn is_being_removed(&self, model: &ModelName) -> bool {
+        [&self.draining, &self.unloading].into_iter().flatten().any(|(name, _)| name == model)
+    }
+
+    /// Removes an adapter of a model from the ledger.
+    pub(super) fn remove_adapter(&mut self, model: &ModelName, adapter: Option<&Arc<str>>) {
+        self.adapters.retain(|held| held.model != *model || Some(&held.adapter) != adapter);
+    }
+
+    /// Marks the ledger as unconfirmed until the next complete report.
+    pub(super) fn mark_unconfirmed(&mut self, now: Duration) {
+        self.is_confirmed = false;
+        // Reports lag behind, so one that is requested now may predate the order.
+        // Setting the time delays the next request.
+        self.requested_at = Some(now);
+    }
+}
+
+/// Memory of the engines of a service, by its declaration.
+pub(super) struct MemoryRule<'a> {
+    rule: &'a GenerationRule,
+    sizes_mb: HashMap<&'a ModelName, f64>,
+    /// Memory of one engine for models, beside its adapters.
+    models_mb: f64,
+}
+
+impl<'a> MemoryRule<'a> {
+    /// Indexes the declaration of a service.
+    pub(super) fn new(rule: &'a GenerationRule) -> MemoryRule<'a> {
+        let adapter_mb = rule.models.iter().map(|model| model.adapter_mb).fold(0.0, f64::max);
+        MemoryRule {
+            rule,
+            sizes_mb: rule.models.iter().map(|model| (&model.name, model.weights_mb)).collect(),
+            models_mb: rule.weights_mb - adapter_mb * f64::from(rule.adapter_slots),
+        }
+    }
+
+    /// Returns the size of a model. One that is not declared counts as the whole memory.
+    fn model_size_mb(&self, model: &ModelName) -> f64 {
+        self.sizes_mb.get(model).copied().unwrap_or(self.rule.weights_mb)
+    }
+}
--- a/crates/skylarkgw/src/gateway/control/exchange.rs
+++ b/crates/skylarkgw/src/gateway/control/exchange.rs
@@ -101,7 +101,7 @@
         contact.last_reply_at = Some(now);
         if let Some(delta) = reply.notices {
             contact.notice_version = delta.version;
-            delta.apply_to(&mut view.placement);
+            delta.apply_to(Arc::make_mut(&mut view.placement));
         }
         self.state.metrics.members.set(i64::from(view.hosts));
         self.update_snapshot(|snapshot| snapshot.view = Arc::new(view));
--- a/crates/skylarkgw/src/gateway/control/knowledge.rs
+++ b/crates/skylarkgw/src/gateway/control/knowledge.rs
@@ -79,24 +79,25 @@
             needs_store_read(is_coordinator, false, age.registry),
             Some(age),
         );
-        if is_coordinator {
-            return;
-        }
         let has_delta = registry.is_some();
-        let engines = {
+        let is_used = {
             let mut contact = lock(&self.contact);
             if let Some(delta) = registry {
                 contact.registry_version = delta.version;
                 delta.apply_to(&mut contact.engines);
             }
-            let in_use = self.state.snapshot.load().registry;
-            if !has_delta && in_use.source == RegistrySource::Coordinator {
-                lock(&self.directory).record_unchanged(stamp);
+            // The coordinator reads the store itself.
+            if is_coordinator {
+                return;
+            }
+            let mut directory = lock(&self.directory);
+            let source = self.state.snapshot.load().registry.source;
+            if !has_delta && source == RegistrySource::Coordinator {
+                directory.record_unchanged(stamp);
                 return;
             }
-            contact.engines.values().cloned().collect()
+            directory.update_from_coordinator(stamp, contact.engines.values().cloned())
         };
-        let is_used = lock(&self.directory).update_from_coordinator(stamp, engines);
         self.record_registry_copy(RegistrySource::Coordinator, stamp, is_used);
         self.publish_engines();
     }
--- a/crates/skylarkgw/src/gateway/state.rs
+++ b/crates/skylarkgw/src/gateway/state.rs
@@ -78,7 +78,7 @@
     /// Number of requests of other hosts that run at each engine.
     pub running_elsewhere: HashMap<EndpointId, u32>,
     /// Placement on each engine.
-    pub placement: HashMap<EndpointId, EngineNotice>,
+    pub placement: Arc<HashMap<EndpointId, EngineNotice>>,
 }
 
 /// A request of the traffic thread that only the coordinator can answer.
--- a/crates/skylarkgw/tests/decisions/lease.rs
+++ b/crates/skylarkgw/tests/decisions/lease.rs
@@ -250,3 +250,23 @@
     assert_eq!(small.token(ms(14_980)), Some(2));
     assert_eq!(small.order_token(ms(14_980)), Some(2));
 }
+
+#[test]
+fn handover_takes_effect_although_a_renewal_is_on_its_way() {
+    let (mut store, mut small) = (RecordStore::default(), host_lease("small"));
+    (0..5).for_each(|step| perform_step(&mut small, &mut store, step * 400));
+    let renewal = small.step(ms(2_450), false);
+    assert!(matches!(renewal, LeaseAction::Write { .. }), "{renewal:?}");
+    assert!(small.hand_over(ms(2_460), 0.1, 1.0));
+    let answer = store.call(&renewal).expect("a write is answered");
+    small.handle_answer(ms(2_470), ms(2_450), answer);
+    assert_eq!(small.order_token(ms(2_480)), None);
+    for now in (2_480..4_000).step_by(20) {
+        let released = store.record.as_ref().is_some_and(|record| record.is_released);
+        if released {
+            return;
+        }
+        perform_step(&mut small, &mut store, now);
+    }
+    panic!("the lease is not released");
+}
