--- a/crates/skylarkgw/tests/decisions/quota.rs
+++ b/crates/skylarkgw/tests/decisions/quota.rs
@@ -185,6 +185,29 @@
     assert!(after - before <= RATE as f64 - fallback_per_s * 0.9, "{before} to {after}");
 }
 
+/// Guards against a quota that is exceeded while hosts are stopped in turn: every next
+/// holder of the lease started with tokens of its own.
+#[test]
+fn holders_that_stop_in_turn_do_not_exceed_the_quota() {
+    for interval in [1_000, 1_500, 2_500] {
+        let mut fleet = Fleet::new(12);
+        for now in (0..24_000).step_by(10) {
+            if now > 8_000 && now < 16_000 && now % interval == 0 {
+                fleet.pool = QuotaPool::new(ms(now), TOLERANCE, false);
+                fleet.pool.set_workspaces(ms(now), &[workspace(SHOP, "key", RATE)]);
+            }
+            if now % 80 == 0 {
+                fleet.exchange(now);
+            }
+            // Four times the rate, sent to all hosts in turn.
+            fleet.request(now, (now / 10 % 12) as usize, 400, true);
+        }
+        let spent = fleet.max_spent_in(8_000);
+        let max_tokens = max_tokens_per_window();
+        assert!(spent <= max_tokens, "{spent} tokens of {max_tokens}, a stop each {interval} ms");
+    }
+}
+
 proptest! {
     #![proptest_config(ProptestConfig { rng_seed: RngSeed::Fixed(20_261_204), ..ProptestConfig::default() })]
 
