Start the quota pool empty after a released lease

Cause: the pool of a new holder starts with 0.45 of the tolerated excess, as it has no record of earlier grants. That covers two lost holders in a window, but holders that stop in turn follow one another without end.

A holder that takes a released lease knows that its predecessor has just stopped granting, so no excess is needed: its buckets start empty and refill at the rate. After a lost holder nothing changes.

The other tests of quotas state what they start after, as before.

--- a/crates/skylarkgw/src/decision/coordinator.rs
+++ b/crates/skylarkgw/src/decision/coordinator.rs
@@ -13,7 +13,7 @@
 use crate::decision::directory::RegistryStamp;
 use crate::decision::fleet_planner::{EngineNotice, FleetPlanner, PlannerCall};
 use crate::decision::model_demand::{DemandEstimate, ModelUse};
-use crate::decision::quota_pool::{CONTACT_TIMEOUT, QuotaPool, QuotaTolerance};
+use crate::decision::quota_pool::{CONTACT_TIMEOUT, PoolStart, QuotaPool, QuotaTolerance};
 use crate::decision::shared_map::{MapDelta, SharedMap};
 use crate::gateway::declaration::{FleetDeclaration, ServiceName};
 use crate::gateway::registry::EngineEntry;
@@ -138,13 +138,12 @@
     /// Creates the state of a new lease holder with the given fencing token.
     ///
     /// `tolerance` is the window over which quotas are counted and the excess
-    /// that is tolerated. `is_first` states that no other host can have held the
-    /// lease before.
+    /// that is tolerated. `start` is what is known about earlier grants.
     pub fn new(
         now: Duration,
         token: u64,
         tolerance: QuotaTolerance,
-        is_first: bool,
+        start: PoolStart,
     ) -> Coordinator {
         Coordinator {
             token,
@@ -154,7 +153,7 @@
             total_running: HashMap::new(),
             running: HashMap::new(),
             averaged_at: now,
-            quota_pool: QuotaPool::new(now, tolerance, is_first),
+            quota_pool: QuotaPool::new(now, tolerance, start),
             planner: FleetPlanner::default(),
             notices: SharedMap::new(token),
             registry: SharedMap::new(token),
--- a/crates/skylarkgw/src/decision/coordinator_lease.rs
+++ b/crates/skylarkgw/src/decision/coordinator_lease.rs
@@ -91,6 +91,8 @@
     renew_at: Duration,
     /// Earliest time at which the holder may give orders.
     orders_from: Duration,
+    /// Whether the previous holder had released the lease.
+    follows_release: bool,
     /// Whether the lease is being released to a larger host.
     is_handing_over: bool,
 }
@@ -170,6 +172,12 @@
         (is_open && is_kept).then_some(held.token)
     }
 
+    /// Returns whether this host holds a lease that the previous holder had released,
+    /// rather than one that had expired.
+    pub fn follows_release(&self) -> bool {
+        self.held.as_ref().is_some_and(|held| held.follows_release)
+    }
+
     /// Returns the version of the held record and the remaining time of the lease,
     /// or `None` if this host does not hold the lease at `now`.
     pub fn remaining(&self, now: Duration) -> Option<(ObjectVersion, Duration)> {
@@ -346,6 +354,7 @@
             valid_until,
             renew_at,
             orders_from: self.compute_order_start(sent_at),
+            follows_release: self.is_seen_released(),
             is_handing_over: false,
         };
         let term = self.held.take().filter(|held| held.token == token).unwrap_or(new_term);
@@ -392,6 +401,11 @@
         record.is_released || record.holder == self.host || has_expired
     }
 
+    fn is_seen_released(&self) -> bool {
+        let record = self.seen.as_ref().and_then(|seen| seen.record.as_ref());
+        record.is_some_and(|record| record.is_released)
+    }
+
     fn seen_version(&self) -> Option<ObjectVersion> {
         self.seen.as_ref().map(|seen| seen.version)
     }
--- a/crates/skylarkgw/src/decision/quota_pool.rs
+++ b/crates/skylarkgw/src/decision/quota_pool.rs
@@ -30,8 +30,8 @@
 /// Time of estimated demand that a host draws ahead, in seconds.
 const DEMAND_HORIZON_S: f64 = 0.6;
 /// Share of the tolerated excess that the buckets of a new coordinator start
-/// with. It has no record of what its predecessor granted, and the coordinator
-/// may change twice in one window.
+/// with if it does not know when its predecessor stopped. It has no record of what
+/// that one granted, and the coordinator may fail twice in one window.
 const INITIAL_LEVEL_SHARE: f64 = 0.45;
 /// Time constant of the demand estimate, in seconds.
 const DEMAND_TIME_CONSTANT_S: f64 = 1.0;
@@ -118,8 +118,22 @@
     reported_at: HashMap<HostId, Duration>,
     tolerance: QuotaTolerance,
     started_at: Duration,
-    /// Whether nothing can have been granted before this pool was created.
-    starts_full: bool,
+    start: PoolStart,
+}
+
+/// What is known about the grants before a pool was created.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum PoolStart {
+    /// Nothing can have been granted, so the buckets start full.
+    First,
+    /// The previous coordinator has stopped just before. Its buckets may have been
+    /// empty, and any number of coordinators can follow one another in this way, so
+    /// the buckets start empty.
+    AfterRelease,
+    /// The previous coordinator was lost some time before, so the buckets start with
+    /// a share of the tolerated excess.
+    #[default]
+    AfterLoss,
 }
 
 /// The coordinator's answer to a request for tokens.
@@ -137,17 +151,10 @@
 impl QuotaPool {
     /// Creates a pool without workspaces.
     ///
-    /// If `starts_full` is set, nothing can have been granted before, and the
-    /// buckets start full. Otherwise they start nearly empty, because a new
-    /// coordinator has no record of what its predecessor granted.
-    pub fn new(now: Duration, tolerance: QuotaTolerance, starts_full: bool) -> QuotaPool {
-        QuotaPool {
-            advanced_at: now,
-            started_at: now,
-            tolerance,
-            starts_full,
-            ..QuotaPool::default()
-        }
+    /// `start` decides how many tokens the buckets contain, because a new coordinator
+    /// has no record of what its predecessor granted.
+    pub fn new(now: Duration, tolerance: QuotaTolerance, start: PoolStart) -> QuotaPool {
+        QuotaPool { advanced_at: now, started_at: now, tolerance, start, ..QuotaPool::default() }
     }
 
     /// Sets the declared workspaces. Buckets that exist already keep their
@@ -158,10 +165,12 @@
         let mut buckets = HashMap::new();
         for workspace in limited {
             let (rate, burst) = (workspace.tokens_per_s as f64, workspace.burst_tokens as f64);
-            let start = if self.starts_full {
-                burst
-            } else {
-                self.tolerance.max_excess(rate, burst) * INITIAL_LEVEL_SHARE
+            let start = match self.start {
+                PoolStart::First => burst,
+                PoolStart::AfterRelease => 0.0,
+                PoolStart::AfterLoss => {
+                    self.tolerance.max_excess(rate, burst) * INITIAL_LEVEL_SHARE
+                }
             };
             let bucket = self.buckets.remove(&workspace.name);
             let mut bucket = bucket.unwrap_or_else(|| WorkspaceBucket {
@@ -245,8 +254,8 @@
         self.advanced_at = now;
         self.reported_at
             .retain(|_, reported_at| now.saturating_sub(*reported_at) < FALLBACK_DURATION);
-        let (window, started_at, starts_full) =
-            (self.tolerance.window, self.started_at, self.starts_full);
+        let (window, started_at) = (self.tolerance.window, self.started_at);
+        let is_first = self.start == PoolStart::First;
         let reported_at = &self.reported_at;
         let is_silent = |host: &HostId| {
             reported_at.get(host).is_some_and(|at| now.saturating_sub(*at) >= CONTACT_TIMEOUT)
@@ -258,7 +267,7 @@
             let withheld_per_s: f64 = silent_hosts.map(|(_, drawn)| *drawn).sum();
             // Grants of a predecessor are missing from the log, so the burst is
             // refilled only after a whole window has passed.
-            let is_window_logged = starts_full || now.saturating_sub(started_at) >= window;
+            let is_window_logged = is_first || now.saturating_sub(started_at) >= window;
             let burst_refill_per_s = bucket.burst * BURST_REFILL_SHARE / window.as_secs_f64();
             let rate = bucket.rate + if is_window_logged { burst_refill_per_s } else { 0.0 };
             let refill = (rate - withheld_per_s).max(0.0) * elapsed;
--- a/crates/skylarkgw/src/gateway/control.rs
+++ b/crates/skylarkgw/src/gateway/control.rs
@@ -24,6 +24,7 @@
 };
 use crate::decision::directory::EngineDirectory;
 use crate::decision::fleet_planner::{AdapterDecision, PlannerCall};
+use crate::decision::quota_pool::PoolStart;
 use crate::gateway::clock::time_since_boot;
 use crate::gateway::control::exchange::CoordinatorContact;
 use crate::gateway::declaration::ServiceName;
@@ -340,9 +341,15 @@
         }
         match token {
             Some(token) => {
-                let is_first = self.state.settings.is_first_start && token == 1;
+                let start = if self.state.settings.is_first_start && token == 1 {
+                    PoolStart::First
+                } else if lock(&self.lease).follows_release() {
+                    PoolStart::AfterRelease
+                } else {
+                    PoolStart::AfterLoss
+                };
                 let quota = self.state.settings.bounds.quota;
-                let mut coordinator = Coordinator::new(now, token, quota, is_first);
+                let mut coordinator = Coordinator::new(now, token, quota, start);
                 if let Some(declaration) = &self.state.snapshot.load().declaration {
                     coordinator.apply_declaration(now, declaration);
                 }
--- a/crates/skylarkgw/tests/decisions/coordinator.rs
+++ b/crates/skylarkgw/tests/decisions/coordinator.rs
@@ -7,7 +7,7 @@
 use skylarkgw::decision::coordinator::{Coordinator, HostReport};
 use skylarkgw::decision::directory::RegistryStamp;
 use skylarkgw::decision::freshness::exchange_interval;
-use skylarkgw::decision::quota_pool::QuotaTolerance;
+use skylarkgw::decision::quota_pool::{PoolStart, QuotaTolerance};
 use skylarkgw::gateway::declaration::FleetDeclaration;
 use skylarkgw::gateway::ports::EngineReport;
 use skylarkgw::gateway::registry::{EngineEntry, HeldModel};
@@ -63,7 +63,7 @@
     fn new(hosts: usize) -> LargeFleet {
         let tolerance =
             QuotaTolerance { window: ms(8_000), overshoot: 0.1, slack_tokens: 17_000.0 };
-        let mut coordinator = Coordinator::new(ms(0), 1, tolerance, false);
+        let mut coordinator = Coordinator::new(ms(0), 1, tolerance, PoolStart::AfterLoss);
         let workspaces = (0..WORKSPACES)
             .map(|number| workspace(&format!("workspace-{number}"), "key", 10_000))
             .collect();
--- a/crates/skylarkgw/tests/decisions/lease.rs
+++ b/crates/skylarkgw/tests/decisions/lease.rs
@@ -95,6 +95,7 @@
                 first_order.get_or_insert(now);
             }
         }
+        assert!(!second.follows_release());
         let first_order = first_order.expect("the second host should give orders");
         assert!(
             first_order >= last_order + LEASE_DURATION.as_millis() as u64,
@@ -154,6 +155,7 @@
     (8..12).for_each(|step| perform_step(&mut second, &mut store, step * 300));
     assert_eq!(second.token(ms(3_400)), Some(2));
     assert_eq!(second.order_token(ms(3_400)), None);
+    assert!(second.follows_release());
 }
 
 /// Guards against a service that does not return after a restart of all hosts because
--- a/crates/skylarkgw/tests/decisions/quota.rs
+++ b/crates/skylarkgw/tests/decisions/quota.rs
@@ -7,7 +7,9 @@
 
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
-use skylarkgw::decision::quota_pool::{FALLBACK_DURATION, LocalQuota, QuotaPool, QuotaTolerance};
+use skylarkgw::decision::quota_pool::{
+    FALLBACK_DURATION, LocalQuota, PoolStart, QuotaPool, QuotaTolerance,
+};
 
 use crate::samples::{ms, workspace};
 
@@ -40,7 +42,7 @@
 
 impl Fleet {
     fn new(hosts: usize) -> Fleet {
-        let mut pool = QuotaPool::new(ms(0), TOLERANCE, true);
+        let mut pool = QuotaPool::new(ms(0), TOLERANCE, PoolStart::First);
         pool.set_workspaces(ms(0), &[workspace(SHOP, "key", RATE)]);
         let hosts = (0..hosts).map(|host| Arc::from(format!("host-{host}")));
         let quotas = hosts.map(|host| (host, LocalQuota::new(ms(0)))).collect();
@@ -132,7 +134,7 @@
 
 #[test]
 fn request_larger_than_the_burst_requires_a_full_bucket_and_overdraws_it() {
-    let mut pool = QuotaPool::new(ms(0), TOLERANCE, true);
+    let mut pool = QuotaPool::new(ms(0), TOLERANCE, PoolStart::First);
     pool.set_workspaces(ms(0), &[workspace(SHOP, "key", RATE)]);
     let host: Arc<str> = "host".into();
     let draw = |pool: &mut QuotaPool, now| {
@@ -167,7 +169,7 @@
 
 #[test]
 fn pool_withholds_the_tokens_that_a_silent_host_may_spend() {
-    let mut pool = QuotaPool::new(ms(0), TOLERANCE, true);
+    let mut pool = QuotaPool::new(ms(0), TOLERANCE, PoolStart::First);
     pool.set_workspaces(ms(0), &[workspace(SHOP, "key", RATE)]);
     let (silent, live): (Arc<str>, Arc<str>) = ("silent".into(), "live".into());
     let mut fallback_per_s = 0.0;
@@ -193,7 +195,7 @@
         let mut fleet = Fleet::new(12);
         for now in (0..24_000).step_by(10) {
             if now > 8_000 && now < 16_000 && now % interval == 0 {
-                fleet.pool = QuotaPool::new(ms(now), TOLERANCE, false);
+                fleet.pool = QuotaPool::new(ms(now), TOLERANCE, PoolStart::AfterRelease);
                 fleet.pool.set_workspaces(ms(now), &[workspace(SHOP, "key", RATE)]);
             }
             if now % 80 == 0 {
@@ -237,7 +239,7 @@
 
 #[test]
 fn retry_delays_of_refused_requests_are_spread_out() {
-    let mut pool = QuotaPool::new(ms(0), TOLERANCE, true);
+    let mut pool = QuotaPool::new(ms(0), TOLERANCE, PoolStart::First);
     pool.set_workspaces(ms(0), &[workspace(SHOP, "key", RATE)]);
     let host: Arc<str> = "host".into();
     let mut waits = Vec::new();
@@ -257,11 +259,11 @@
 fn overload_stays_within_the_tolerance_when_the_coordinator_changes() {
     for changes in 1..=2 {
         let (host, mut granted): (Arc<str>, Vec<(u64, u64)>) = ("host".into(), Vec::new());
-        let mut pool = QuotaPool::new(ms(0), TOLERANCE, true);
+        let mut pool = QuotaPool::new(ms(0), TOLERANCE, PoolStart::First);
         pool.set_workspaces(ms(0), &[workspace(SHOP, "key", RATE)]);
         for now in (0..24_000).step_by(50) {
             if now >= 12_000 && now < 12_000 + changes * 2_000 && now % 2_000 == 0 {
-                pool = QuotaPool::new(ms(now), TOLERANCE, false);
+                pool = QuotaPool::new(ms(now), TOLERANCE, PoolStart::AfterLoss);
                 pool.set_workspaces(ms(now), &[workspace(SHOP, "key", RATE)]);
             }
             let grant = pool.draw(ms(now), &host, SHOP, 2_000, 2_000).unwrap_or_default();
