Wait for the output of a test process that has exited

The harness collects output in a thread and did not wait for it; with a delay of 200 ms in that thread the test always failed in the same way, and with the wait it passes despite the delay. No check changes.

--- a/crates/standins/tests/fleet/harness.rs
+++ b/crates/standins/tests/fleet/harness.rs
@@ -29,6 +29,8 @@
 pub struct TestProcess {
     child: Child,
     lines: Arc<Mutex<Vec<String>>>,
+    /// Thread that collects the output until the process ends.
+    reader: Option<std::thread::JoinHandle<()>>,
 }
 
 impl TestProcess {
@@ -49,12 +51,12 @@
         let lines = Arc::new(Mutex::new(Vec::new()));
         let output = child.stdout.take().expect("standard output is piped");
         let collected = lines.clone();
-        std::thread::spawn(move || {
+        let reader = std::thread::spawn(move || {
             for line in BufReader::new(output).lines().map_while(Result::ok) {
                 collected.lock().expect("no thread panics while it holds the lock").push(line);
             }
         });
-        TestProcess { child, lines }
+        TestProcess { child, lines, reader: Some(reader) }
     }
 
     /// Returns the standard output of the process so far.
@@ -100,7 +102,8 @@
         let _ = self.child.wait();
     }
 
-    /// Waits until the process exits by itself and returns its exit status.
+    /// Waits until the process exits by itself, with its output collected, and returns
+    /// its exit status.
     ///
     /// # Panics
     ///
@@ -111,6 +114,10 @@
             if let Some(status) =
                 self.child.try_wait().expect("the status of the child process can be read")
             {
+                // The last lines may still be on their way.
+                if let Some(reader) = self.reader.take() {
+                    reader.join().expect("the thread that collects the output does not panic");
+                }
                 return status;
             }
             tokio::time::sleep(Duration::from_millis(5)).await;
