Record which prompt parts were beside the end of an engine

A host now checks whether an engine that broke off an answer before its first event still accepts connections. If not, it logs the parts that no complete answer has proven harmless, and reports them to the coordinator. Attempts are logged and counted by how far the answer came. No decision depends on it yet.

--- a/crates/skylarkgw/src/decision/coordinator.rs
+++ b/crates/skylarkgw/src/decision/coordinator.rs
@@ -13,6 +13,8 @@
 use crate::decision::directory::RegistryStamp;
 use crate::decision::fleet_planner::{EngineNotice, FleetPlanner, PlannerCall};
 use crate::decision::model_demand::{DemandEstimate, ModelUse};
+use crate::decision::prompt_guard::PromptReport;
+use crate::decision::prompt_quarantine::{PromptQuarantine, QuarantineEvent, QuarantineState};
 use crate::decision::quota_pool::{CONTACT_TIMEOUT, PoolStart, QuotaPool, QuotaTolerance};
 use crate::decision::shared_map::{MapDelta, SharedMap};
 use crate::gateway::declaration::{FleetDeclaration, ServiceName};
@@ -49,6 +51,8 @@
     pub notice_version: u64,
     /// Version of the registry that the host has.
     pub registry_version: u64,
+    /// Evidence on prompt parts that crash engines.
+    pub prompts: PromptReport,
 }
 
 /// Decision on the tokens of one request.
@@ -97,6 +101,8 @@
     pub notices: Option<MapDelta<EngineNotice>>,
     /// Changes of the registry, if the host has a different version.
     pub registry: Option<MapDelta<EngineEntry>>,
+    /// State of the prompt quarantine, if the host has a different version.
+    pub prompts: Option<QuarantineState>,
     /// Revision and ages of the coordinator's declaration and registry.
     pub age: KnowledgeAge,
     /// Version of the lease record and the remaining time of the lease, if the
@@ -132,6 +138,7 @@
     notices: SharedMap<EngineNotice>,
     registry: SharedMap<EngineEntry>,
     registry_stamp: RegistryStamp,
+    quarantine: PromptQuarantine,
 }
 
 impl Coordinator {
@@ -158,6 +165,7 @@
             notices: SharedMap::new(token),
             registry: SharedMap::new(token),
             registry_stamp: RegistryStamp::default(),
+            quarantine: PromptQuarantine::new(token),
         }
     }
 
@@ -298,6 +306,8 @@
             Some((workspace, grant.tokens, grant.fallback_per_s))
         });
         let grants = grants.collect();
+        let quarantine_version = report.prompts.version;
+        self.quarantine.record_report(now, report.prompts);
         CoordinatorReply {
             hosts: self.hosts.len() as u32,
             largest_capacity: self.hosts.values().map(|host| host.capacity).fold(0.0, f64::max),
@@ -305,11 +315,17 @@
             grants,
             notices: self.notices.delta_since(report.notice_version),
             registry: self.registry.delta_since(report.registry_version),
+            prompts: self.quarantine.state_since(quarantine_version),
             age: KnowledgeAge::default(),
             lease: None,
         }
     }
 
+    /// Returns what has changed in the prompt quarantine since the last call.
+    pub fn take_quarantine_events(&mut self) -> Vec<QuarantineEvent> {
+        self.quarantine.take_events()
+    }
+
     /// Draws tokens from a workspace's quota for one request.
     pub fn draw(
         &mut self,
--- a/crates/skylarkgw/src/edge/forward.rs
+++ b/crates/skylarkgw/src/edge/forward.rs
@@ -5,6 +5,7 @@
 //! `send` sends it and evaluates the response; `relay` relays an event stream.
 
 mod admit;
+mod crash;
 mod record;
 mod refusal;
 mod relay;
@@ -33,6 +34,8 @@
 use crate::edge::forward::send::serve_admitted;
 use crate::gateway::state::GatewayState;
 
+pub use record::format_parts;
+
 /// Body of a response to a client.
 type ResponseBody = UnsyncBoxBody<Bytes, ResponseAborted>;
 
--- a/crates/skylarkgw/src/edge/forward/admit.rs
+++ b/crates/skylarkgw/src/edge/forward/admit.rs
@@ -16,6 +16,7 @@
 
 use crate::decision::coordinator::QuotaAnswer;
 use crate::decision::freshness::{ABSENCE_MAX_AGE, can_check_keys};
+use crate::decision::prompt_evidence::hash_shared_parts;
 use crate::decision::quota_pool::LocalQuota;
 use crate::edge::forward::record::RequestRecord;
 use crate::edge::forward::refusal::{RefusalReason, RequestRefusal};
@@ -23,7 +24,7 @@
 use crate::gateway::declaration::{RouteRule, ServiceName, WorkspaceRule};
 use crate::gateway::state::{CoordinatorRequest, FleetSnapshot, GatewayState};
 use crate::gateway::wire::ClientHeaders;
-use crate::ids::Tokens;
+use crate::ids::{PartHash, Tokens};
 
 /// Time that a request waits for the coordinator to grant quota tokens.
 const QUOTA_TIMEOUT: Duration = Duration::from_millis(500);
@@ -60,6 +61,8 @@
     pub deadline: Instant,
     /// Quota tokens reserved for the request.
     pub quota: QuotaReservation,
+    /// Parts of the prompt that other prompts may share.
+    pub shared_parts: Vec<PartHash>,
 }
 
 /// Reserved quota tokens, which are refunded on drop unless they were committed.
@@ -110,6 +113,8 @@
     record.model = header.target.as_ref().map(|target| target.model.clone());
     let workspace = find_workspace(state, &snapshot, &route, &header, age)?;
     record.workspace = workspace.as_ref().map(|workspace| workspace.name.clone());
+    let shared_parts = hash_shared_parts(header.prompt.iter().map(|part| &*part.id));
+    record.shared_parts.clone_from(&shared_parts);
     let time_limit = header.time_left.map_or(route.timeout, |left| left.min(route.timeout));
     let deadline = record.started() + time_limit.saturating_sub(RESPONSE_MARGIN);
     let body = read_body(&parts.headers, body, declaration.limits.body_bytes, deadline).await?;
@@ -129,6 +134,7 @@
         workspace,
         deadline,
         quota,
+        shared_parts,
     })
 }
 
--- a/crates/skylarkgw/src/edge/forward/record.rs
+++ b/crates/skylarkgw/src/edge/forward/record.rs
@@ -6,11 +6,15 @@
 use spdlog::info;
 use tokio::time::Instant;
 
+use crate::decision::prompt_evidence::AnswerProgress;
 use crate::gateway::clock::time_since_boot;
 use crate::gateway::state::GatewayState;
-use crate::ids::{EndpointId, ModelName, RequestId, Tokens, WorkspaceId};
+use crate::ids::{EndpointId, ModelName, PartHash, RequestId, Tokens, WorkspaceId};
 use crate::telemetry::{RequestClass, RequestOutcome, allow_request_log};
 
+/// Maximum number of prompt parts in the log line of a request.
+const MAX_LOGGED_PARTS: usize = 8;
+
 /// How a request ended.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum RequestEnd {
@@ -55,6 +59,8 @@
     pub wait_ms: f64,
     /// Label of the outcome.
     pub outcome: &'static str,
+    /// How far the answer had come when the attempt ended.
+    pub progress: AnswerProgress,
 }
 
 /// Record of the decisions of the reverse proxy on one request, which is logged and
@@ -72,6 +78,8 @@
     pub model: Option<ModelName>,
     /// Whether the route responds with an event stream.
     pub is_stream: bool,
+    /// Parts of the prompt that other prompts may share.
+    pub shared_parts: Vec<PartHash>,
     /// Tokens counted against the quota.
     pub tokens: Tokens,
     /// Attempts in chronological order.
@@ -105,6 +113,7 @@
             workspace: None,
             model: None,
             is_stream: false,
+            shared_parts: Vec::new(),
             tokens: 0,
             attempts: Vec::new(),
             status: 0,
@@ -144,14 +153,23 @@
     fn format_attempts(&self) -> String {
         let format_attempt = |attempt: &AttemptRecord| {
             format!(
-                "{}:{} running={} wait_ms={:.0}",
-                attempt.engine, attempt.outcome, attempt.running, attempt.wait_ms
+                "{}:{} running={} wait_ms={:.0} progress={}",
+                attempt.engine,
+                attempt.outcome,
+                attempt.running,
+                attempt.wait_ms,
+                attempt.progress.label()
             )
         };
         self.attempts.iter().map(format_attempt).collect::<Vec<_>>().join("; ")
     }
 }
 
+/// Formats prompt parts for a log line.
+pub fn format_parts(parts: impl Iterator<Item = PartHash>) -> String {
+    parts.take(MAX_LOGGED_PARTS).map(|part| format!("{part:016x}")).collect::<Vec<_>>().join(",")
+}
+
 impl Drop for RequestRecord {
     fn drop(&mut self) {
         let metrics = &self.state.metrics;
@@ -178,6 +196,7 @@
         let (end, reason, status, tokens) =
             (self.end.label(), self.reason, self.status, self.tokens);
         let tries = self.format_attempts();
+        let parts = format_parts(self.shared_parts.iter().copied());
         let first_ms = self.first_latency.map_or(-1, |first| to_millis(first) as i64);
         let retry_after_ms = self.retry_after.map_or(-1, |after| to_millis(after) as i64);
         let (revision, age_ms) = (self.declaration.0, to_millis(self.declaration.1));
@@ -186,8 +205,8 @@
         let (registry_revision, registry_source) = (registry.revision, registry.source.label());
         let (pause_ms, total_ms) = (to_millis(self.longest_pause), to_millis(total));
         info!("request ended", kv: {
-            request = id, route, workspace, model, end, reason, status, tokens, tries, first_ms,
-            pause_ms, total_ms, retry_after_ms, revision, declaration_age_ms = age_ms, registry_age_ms,
+            request = id, route, workspace, model, end, reason, status, tokens, tries, parts,
+            first_ms, pause_ms, total_ms, retry_after_ms, revision, declaration_age_ms = age_ms, registry_age_ms,
             registry_revision, registry_source
         });
     }
--- a/crates/skylarkgw/src/edge/forward/relay.rs
+++ b/crates/skylarkgw/src/edge/forward/relay.rs
@@ -12,7 +12,9 @@
 use tokio::time::{Instant, timeout_at};
 
 use crate::decision::model_demand::ModelUse;
+use crate::decision::prompt_evidence::AnswerProgress;
 use crate::edge::forward::admit::AdmittedRequest;
+use crate::edge::forward::crash::examine_interruption;
 use crate::edge::forward::record::{RequestEnd, RequestRecord};
 use crate::edge::forward::select::select_engine;
 use crate::edge::forward::send::{
@@ -122,6 +124,10 @@
                 }
                 SourceRead::End => {
                     self.record.finish(RequestEnd::Answered);
+                    let admitted = &self.admitted;
+                    let mut guard = admitted.state.lock_prompt_guard();
+                    guard.record_answer(time_since_boot(), &admitted.shared_parts);
+                    drop(guard);
                     self.record_end();
                     self.release_connection();
                     return None;
@@ -144,6 +150,9 @@
     /// one engine.
     fn record_events(&mut self) {
         self.record.record_events();
+        if let Some(last) = self.record.attempts.last_mut() {
+            last.progress = AnswerProgress::Streaming;
+        }
         if self.record.first_latency.is_some() {
             return;
         }
@@ -223,12 +232,15 @@
     /// Records the interruption of the source, drops it, and discards a partial
     /// event.
     fn record_interruption(&mut self, reason: &'static str) {
+        let mut progress = AnswerProgress::Begun;
         if let Some(last) = self.record.attempts.last_mut() {
             last.outcome = reason;
+            progress = last.progress;
         }
         if let Some(source) = self.source.take() {
-            let engine = &source.engine.entry.id;
-            self.admitted.state.lock_traffic().record_outcome(time_since_boot(), engine, true);
+            let entry = &source.engine.entry;
+            self.admitted.state.lock_traffic().record_outcome(time_since_boot(), &entry.id, true);
+            examine_interruption(&self.admitted, entry, progress);
         }
         self.buffer.clear();
     }
--- a/crates/skylarkgw/src/edge/forward/send.rs
+++ b/crates/skylarkgw/src/edge/forward/send.rs
@@ -12,8 +12,10 @@
 use hyper::body::Incoming;
 use tokio::time::{Instant, timeout_at};
 
+use crate::decision::prompt_evidence::AnswerProgress;
 use crate::decision::retry_budget::RetryBudget;
 use crate::edge::forward::admit::AdmittedRequest;
+use crate::edge::forward::crash::examine_interruption;
 use crate::edge::forward::record::{AttemptRecord, RequestEnd, RequestRecord};
 use crate::edge::forward::refusal::{RefusalReason, RequestRefusal};
 use crate::edge::forward::relay::{StreamRelay, relay_stream};
@@ -245,6 +247,7 @@
         running: selected.running,
         wait_ms: selected.wait_ms,
         outcome: "cancelled",
+        progress: AnswerProgress::Waiting,
     });
     let outcome = send_request(admitted, engine, resume_after).await;
     let (label, failed) = match &outcome {
@@ -258,6 +261,12 @@
     admitted.state.lock_traffic().record_outcome(time_since_boot(), &selected.entry.id, failed);
     if let Some(last) = record.attempts.last_mut() {
         last.outcome = label;
+        if matches!(outcome, AttemptOutcome::Answered(_)) {
+            last.progress = AnswerProgress::Begun;
+        }
+    }
+    if let AttemptOutcome::MayHaveRun(_) = outcome {
+        examine_interruption(admitted, &selected.entry, AnswerProgress::Waiting);
     }
     outcome
 }
@@ -406,6 +415,12 @@
     match read.await.unwrap_or(Err("body-silent")) {
         Ok(()) => {
             record.record_first_event();
+            if let Some(last) = record.attempts.last_mut() {
+                last.progress = AnswerProgress::Streaming;
+            }
+            if parts.status.is_success() {
+                state.lock_prompt_guard().record_answer(time_since_boot(), &admitted.shared_parts);
+            }
             if !closes_connection(&parts.headers) {
                 state.pool.release(engine.entry.address, connection, info.idle_limit);
             }
@@ -416,6 +431,7 @@
             if let Some(last) = record.attempts.last_mut() {
                 last.outcome = label;
             }
+            examine_interruption(admitted, &engine.entry, AnswerProgress::Begun);
             BodyOutcome::Incomplete
         }
     }
--- a/crates/skylarkgw/src/gateway/control.rs
+++ b/crates/skylarkgw/src/gateway/control.rs
@@ -7,6 +7,7 @@
 mod exchange;
 mod knowledge;
 mod load;
+mod quarantine;
 
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -27,6 +28,7 @@
 use crate::decision::quota_pool::PoolStart;
 use crate::gateway::clock::time_since_boot;
 use crate::gateway::control::exchange::CoordinatorContact;
+use crate::gateway::control::quarantine::log_quarantine_events;
 use crate::gateway::declaration::ServiceName;
 use crate::gateway::ports::{
     EngineCall, EngineOrder, LeaseAnswer, LeaseCall, OrderAnswer, WatchMode,
@@ -127,11 +129,12 @@
         let now = time_since_boot();
         let lease = lock(&self.lease).remaining(now);
         let declaration = self.state.snapshot.load().declaration.clone();
-        let (reply, stamp) = self.with_coordinator(|now, coordinator| {
+        let (reply, stamp, events) = self.with_coordinator(|now, coordinator| {
             let reply =
                 self.measure_work(CoordinatorWork::Exchange, || coordinator.exchange(now, report));
-            (reply, coordinator.registry_stamp())
+            (reply, coordinator.registry_stamp(), coordinator.take_quarantine_events())
         })?;
+        log_quarantine_events(events);
         let age = KnowledgeAge {
             revision: declaration.map_or(0, |declaration| declaration.revision),
             declaration: self.state.declaration_age(now),
--- a/crates/skylarkgw/src/gateway/control/exchange.rs
+++ b/crates/skylarkgw/src/gateway/control/exchange.rs
@@ -47,6 +47,7 @@
             let contact = lock(&self.contact);
             (contact.notice_version, contact.registry_version)
         };
+        let prompts = self.state.lock_prompt_guard().build_report(now);
         let mut traffic = self.state.lock_traffic();
         let mut local_quotas = self.state.lock_local_quotas();
         HostReport {
@@ -61,6 +62,7 @@
             capacity: self.capacity,
             notice_version,
             registry_version,
+            prompts,
         }
     }
 
@@ -80,6 +82,7 @@
             info!("coordinator lease handed over", kv: { capacity, largest });
         }
         self.apply_fleet_state(sent_at, &reply.age, reply.registry);
+        self.state.lock_prompt_guard().apply_reply(reply.prompts);
         {
             let mut local_quotas = self.state.lock_local_quotas();
             for (workspace, tokens, fallback_per_s) in reply.grants {
--- a/crates/skylarkgw/src/gateway/state.rs
+++ b/crates/skylarkgw/src/gateway/state.rs
@@ -10,6 +10,7 @@
 
 use crate::decision::coordinator::QuotaAnswer;
 use crate::decision::fleet_planner::EngineNotice;
+use crate::decision::prompt_guard::PromptGuard;
 use crate::decision::quota_pool::LocalQuota;
 use crate::decision::route_table::RouteTable;
 use crate::decision::traffic::TrafficStats;
@@ -130,6 +131,7 @@
     pub open_connections: AtomicU32,
     traffic: Mutex<TrafficStats>,
     local_quotas: Mutex<HashMap<WorkspaceId, LocalQuota>>,
+    prompt_guard: Mutex<PromptGuard>,
     declaration_as_of_ms: AtomicU64,
     registry_as_of_ms: AtomicU64,
 }
@@ -158,6 +160,7 @@
             open_connections: AtomicU32::new(0),
             traffic: Mutex::default(),
             local_quotas: Mutex::default(),
+            prompt_guard: Mutex::default(),
             declaration_as_of_ms: AtomicU64::new(0),
             registry_as_of_ms: AtomicU64::new(0),
         }
@@ -174,6 +177,12 @@
         self.local_quotas.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Locks what this host knows about prompt parts that crash engines.
+    pub fn lock_prompt_guard(&self) -> MutexGuard<'_, PromptGuard> {
+        // A panic leaves at most one observation out.
+        self.prompt_guard.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Records that the declaration was current at `as_of`, in time since boot.
     pub fn record_declaration_time(&self, as_of: Duration) {
         self.declaration_as_of_ms.fetch_max(as_of.as_millis() as u64, Ordering::Relaxed);
--- a/crates/skylarkgw/src/ids.rs
+++ b/crates/skylarkgw/src/ids.rs
@@ -17,6 +17,8 @@
 pub type EndpointId = Arc<str>;
 /// Keyed hash of a client's API key, in hexadecimal.
 pub type KeyHash = Arc<str>;
+/// Hash of the identifier of a prompt part.
+pub type PartHash = u64;
 /// Identifier of one request, returned to the client in `X-Request-Id`.
 pub type RequestId = Arc<str>;
 /// Number of an accepted configuration, which increases monotonically.
--- a/crates/skylarkgw/src/telemetry/fleet_metrics.rs
+++ b/crates/skylarkgw/src/telemetry/fleet_metrics.rs
@@ -5,6 +5,8 @@
 
 use prometheus::{CounterVec, IntCounterVec, Opts, Registry};
 
+use crate::decision::prompt_evidence::AnswerProgress;
+
 /// The part of a coordinator's work on which time is spent.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum CoordinatorWork {
@@ -38,6 +40,7 @@
     reply_items: IntCounterVec,
     work: CounterVec,
     connections: IntCounterVec,
+    interruptions: IntCounterVec,
     registry_copies: IntCounterVec,
 }
 
@@ -86,6 +89,11 @@
                 "Connections taken for requests to engines by origin",
                 &["origin"],
             )?,
+            interruptions: counter(
+                "skylark_interrupted_answers_total",
+                "Attempts that ended without a complete answer by how far the answer had come",
+                &["progress"],
+            )?,
             registry_copies: counter(
                 "skylark_registry_copies_total",
                 "Copies of the engine registry by source, and whether they are older than the one in use",
@@ -130,6 +138,11 @@
         self.connections.with_label_values(&[if is_reused { "reused" } else { "opened" }]).inc();
     }
 
+    /// Counts an attempt that ended without a complete answer.
+    pub fn count_interruption(&self, progress: AnswerProgress) {
+        self.interruptions.with_label_values(&[progress.label()]).inc();
+    }
+
     /// Counts a copy of the engine registry that arrived.
     pub fn count_registry_copy(&self, source: &str, is_older: bool) {
         let age = if is_older { "older" } else { "current" };
