Add failing tests for prompt parts that crash engines

The stand-in engine learns to end when it begins to answer a prompt with a given part, in the middle of its first event, and another one starts in its place. Three gateways send such prompts and sound ones with the same first part.

The test without network fails as well: no part is ever refused.

--- a/crates/skylarkgw/src/decision/coordinator.rs
+++ b/crates/skylarkgw/src/decision/coordinator.rs
@@ -321,6 +321,11 @@
         }
     }
 
+    /// Returns the prompt quarantine as it is sent to hosts.
+    pub fn quarantine_state(&self) -> QuarantineState {
+        self.quarantine.state()
+    }
+
     /// Returns what has changed in the prompt quarantine since the last call.
     pub fn take_quarantine_events(&mut self) -> Vec<QuarantineEvent> {
         self.quarantine.take_events()
--- a/crates/skylarkgw/src/decision/prompt_quarantine.rs
+++ b/crates/skylarkgw/src/decision/prompt_quarantine.rs
@@ -105,16 +105,18 @@
 
     /// Returns the state, or `None` if `version` is the current one.
     pub fn state_since(&self, version: u64) -> Option<QuarantineState> {
-        if version == self.version {
-            return None;
-        }
+        (version != self.version).then(|| self.state())
+    }
+
+    /// Returns the state.
+    pub fn state(&self) -> QuarantineState {
         let newest = self.crashes.iter().rev();
         let mut suspects: Vec<PartHash> =
             newest.flat_map(|crash| crash.parts.keys().copied()).collect();
         suspects.sort_unstable();
         suspects.dedup();
         suspects.truncate(MAX_SENT_SUSPECTS);
-        Some(QuarantineState { version: self.version, suspects, refused: Vec::new() })
+        QuarantineState { version: self.version, suspects, refused: Vec::new() }
     }
 
     /// Returns the events since the last call.
--- a/crates/skylarkgw/tests/decisions/main.rs
+++ b/crates/skylarkgw/tests/decisions/main.rs
@@ -7,6 +7,7 @@
 mod freshness;
 mod lease;
 mod placement;
+mod prompts;
 mod quota;
 mod replicas;
 mod retries;
