Refuse prompt parts on which engines crash one after the other

Cause: every host saw one or two of these requests, no host related them, and nothing that a host knew about a crash reached another. The class of fault is evidence that only exists in the sum of what the hosts see.

Evidence: in the record, each of 19 engines ended while one or two requests of one workspace had got a response head and no event; none of these came further.

Change: hosts report the shared prompt parts of the requests that an ended engine had not begun to stream. A complete answer clears its parts of earlier crashes. The coordinator refuses the part that best explains crashes once it is suspect in three and all hosts had time to clear it; a part that only occurs beside it stays allowed until another crash. Refused parts go to all hosts with the next exchange, to the next coordinator from any host, and to new hosts from the lease record. A host without a coordinator decides from its own observations. Callers get 503 with the time to the next trial, at once and before any quota is taken. A refusal ends with a trial of one request. All collections are bounded.

--- a/crates/skylarkgw/src/decision/coordinator.rs
+++ b/crates/skylarkgw/src/decision/coordinator.rs
@@ -12,6 +12,7 @@
 
 use crate::decision::directory::RegistryStamp;
 use crate::decision::fleet_planner::{EngineNotice, FleetPlanner, PlannerCall};
+use crate::decision::freshness::{EXCHANGE_TIMEOUT, exchange_interval};
 use crate::decision::model_demand::{DemandEstimate, ModelUse};
 use crate::decision::prompt_guard::PromptReport;
 use crate::decision::prompt_quarantine::{PromptQuarantine, QuarantineEvent, QuarantineState};
@@ -19,7 +20,9 @@
 use crate::decision::shared_map::{MapDelta, SharedMap};
 use crate::gateway::declaration::{FleetDeclaration, ServiceName};
 use crate::gateway::registry::EngineEntry;
-use crate::ids::{EndpointId, HostId, ModelName, ObjectVersion, Revision, Tokens, WorkspaceId};
+use crate::ids::{
+    EndpointId, HostId, ModelName, ObjectVersion, PartHash, Revision, Tokens, WorkspaceId,
+};
 
 /// Time without a report after which the coordinator evicts a host: it discards
 /// the last report and no longer counts the host.
@@ -103,6 +106,8 @@
     pub registry: Option<MapDelta<EngineEntry>>,
     /// State of the prompt quarantine, if the host has a different version.
     pub prompts: Option<QuarantineState>,
+    /// Refused prompt parts of which the host may forward one request.
+    pub trials: Vec<PartHash>,
     /// Revision and ages of the coordinator's declaration and registry.
     pub age: KnowledgeAge,
     /// Version of the lease record and the remaining time of the lease, if the
@@ -307,7 +312,9 @@
         });
         let grants = grants.collect();
         let quarantine_version = report.prompts.version;
-        self.quarantine.record_report(now, report.prompts);
+        // A host that exchanges a suspect part needs one more exchange to clear it.
+        let clearing_time = exchange_interval(self.hosts.len() as u32) * 2 + EXCHANGE_TIMEOUT;
+        let trials = self.quarantine.record_report(now, report.prompts, clearing_time);
         CoordinatorReply {
             hosts: self.hosts.len() as u32,
             largest_capacity: self.hosts.values().map(|host| host.capacity).fold(0.0, f64::max),
@@ -316,11 +323,18 @@
             notices: self.notices.delta_since(report.notice_version),
             registry: self.registry.delta_since(report.registry_version),
             prompts: self.quarantine.state_since(quarantine_version),
+            trials,
             age: KnowledgeAge::default(),
             lease: None,
         }
     }
 
+    /// Adds prompt parts that a predecessor refused, each with the time until a trial is
+    /// due.
+    pub fn adopt_refused(&mut self, now: Duration, refused: &[(PartHash, Duration)]) {
+        self.quarantine.adopt_refused(now, refused);
+    }
+
     /// Returns the prompt quarantine as it is sent to hosts.
     pub fn quarantine_state(&self) -> QuarantineState {
         self.quarantine.state()
--- a/crates/skylarkgw/src/decision/coordinator_lease.rs
+++ b/crates/skylarkgw/src/decision/coordinator_lease.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use crate::gateway::ports::{LeaseAnswer, LeaseRecord};
-use crate::ids::{HostId, ObjectVersion};
+use crate::ids::{HostId, ObjectVersion, PartHash};
 
 /// Interval between two renewals by the holder.
 const RENEWAL_INTERVAL: Duration = Duration::from_millis(800);
@@ -122,6 +122,8 @@
     is_releasing: bool,
     /// Time of the last handover.
     handed_over_at: Option<Duration>,
+    /// Prompt parts that the holder refuses, each with the time at which a trial is due.
+    refused_parts: Vec<(PartHash, Duration)>,
 }
 
 impl CoordinatorLease {
@@ -147,6 +149,7 @@
             next_call_at: Duration::ZERO,
             is_releasing: false,
             handed_over_at: None,
+            refused_parts: Vec::new(),
         }
     }
 
@@ -202,6 +205,20 @@
         (!record.is_released).then(|| (record.holder.clone(), record.address))
     }
 
+    /// Sets the refused prompt parts that the record holds, each with the time until a
+    /// trial is due. A holder writes a change at once.
+    pub fn set_refused_parts(&mut self, now: Duration, refused: &[(PartHash, Duration)]) {
+        let mut parts: Vec<PartHash> = refused.iter().map(|(part, _)| *part).collect();
+        parts.sort_unstable();
+        let mut known: Vec<PartHash> = self.refused_parts.iter().map(|(part, _)| *part).collect();
+        known.sort_unstable();
+        self.refused_parts =
+            refused.iter().map(|(part, remaining)| (*part, now + *remaining)).collect();
+        if parts != known && self.held.is_some() {
+            self.write_now();
+        }
+    }
+
     /// Releases the lease if hosts of much larger capacity are there to take it.
     ///
     /// `largest` is the largest capacity of any host of the fleet. Returns whether the
@@ -256,7 +273,8 @@
             if now < held.renew_at {
                 return LeaseAction::Wait;
             }
-            let record = self.build_record(held.token, self.is_releasing || held.is_handing_over);
+            let is_released = self.is_releasing || held.is_handing_over;
+            let record = self.build_record(now, held.token, is_released);
             let expected = Some(seen.version);
             self.next_call_at = now + RETRY_DELAY;
             return LeaseAction::Write { expected, record };
@@ -268,13 +286,13 @@
         self.update_free_since(now);
         let may_acquire = self.free_since.is_some_and(|since| now >= since + self.takeover_delay);
         if may_acquire && self.is_missing {
-            return LeaseAction::Write { expected: None, record: self.build_record(1, false) };
+            return LeaseAction::Write { expected: None, record: self.build_record(now, 1, false) };
         }
         match &self.seen {
             Some(seen) if may_acquire => {
                 let token = seen.record.as_ref().map_or(0, |record| record.token) + 1;
                 let expected = Some(seen.version);
-                LeaseAction::Write { expected, record: self.build_record(token, false) }
+                LeaseAction::Write { expected, record: self.build_record(now, token, false) }
             }
             _ => {
                 self.next_call_at = now + RETRY_DELAY * 2;
@@ -311,6 +329,9 @@
         match answer {
             LeaseAnswer::Found { version, record, is_written } => {
                 self.is_missing = false;
+                if let Some(record) = record.as_ref().filter(|_| !is_written) {
+                    self.keep_refused_parts(now, record);
+                }
                 if is_written {
                     self.handle_written(sent_at, record.as_ref());
                 } else if self.held.is_some() && self.seen_version() != Some(version) {
@@ -338,6 +359,16 @@
         }
     }
 
+    /// Adds the refused parts of another holder's record, so that this host keeps them
+    /// if it takes the lease.
+    fn keep_refused_parts(&mut self, now: Duration, record: &LeaseRecord) {
+        if record.holder != self.host || self.refused_parts.is_empty() {
+            let refused = record.refused_parts.iter();
+            self.refused_parts =
+                refused.map(|(part, remaining)| (*part, now + *remaining)).collect();
+        }
+    }
+
     /// Records the lease as held from `sent_at`, or as no longer held if the written
     /// record releases it.
     fn handle_written(&mut self, sent_at: Duration, record: Option<&LeaseRecord>) {
@@ -410,13 +441,17 @@
         self.seen.as_ref().map(|seen| seen.version)
     }
 
-    fn build_record(&self, token: u64, is_released: bool) -> LeaseRecord {
+    fn build_record(&self, now: Duration, token: u64, is_released: bool) -> LeaseRecord {
+        let refused = self.refused_parts.iter();
         LeaseRecord {
             holder: self.host.clone(),
             incarnation: self.incarnation,
             address: self.address,
             token,
             is_released,
+            refused_parts: refused
+                .map(|(part, until)| (*part, until.saturating_sub(now)))
+                .collect(),
         }
     }
 }
--- a/crates/skylarkgw/src/decision/prompt_evidence.rs
+++ b/crates/skylarkgw/src/decision/prompt_evidence.rs
@@ -50,7 +50,7 @@
     pub engine: EndpointId,
     /// Time since the engine ended.
     pub age: Duration,
-    /// Parts of the request that no complete answer has proven harmless.
+    /// Shared parts of the request's prompt.
     pub parts: Vec<SuspectPart>,
 }
 
--- a/crates/skylarkgw/src/decision/prompt_guard.rs
+++ b/crates/skylarkgw/src/decision/prompt_guard.rs
@@ -1,12 +1,14 @@
 //! What one host knows about prompt parts that crash engines.
 
-use std::collections::{HashSet, VecDeque};
+use std::collections::{HashMap, HashSet, VecDeque};
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 
 use crate::decision::prompt_evidence::{CrashObservation, SuspectPart};
-use crate::decision::prompt_quarantine::QuarantineState;
+use crate::decision::prompt_quarantine::{
+    CRASHES_BEFORE_REFUSAL, FIRST_REFUSAL_TIME, QuarantineState,
+};
 use crate::ids::{EndpointId, PartHash};
 
 /// Half of the time for which a complete answer proves the parts of its prompt
@@ -16,6 +18,12 @@
 const MAX_PROVEN_PER_HALF: usize = 8_192;
 /// Maximum number of own observations that are kept for new coordinators.
 const MAX_OBSERVATIONS: usize = 128;
+/// Maximum number of refused parts that a report names as requested.
+const MAX_REQUESTED: usize = 32;
+/// Time without a reply after which a host decides from its own observations.
+const LONE_TIMEOUT: Duration = Duration::from_secs(1);
+/// Shortest retry delay of a refused request.
+const MIN_RETRY_AFTER: Duration = Duration::from_secs(10);
 /// Time for which an observation is kept.
 pub const EVIDENCE_LIFETIME: Duration = Duration::from_secs(3_600);
 
@@ -27,30 +35,38 @@
     pub version: u64,
     /// Observations that the coordinator may not have.
     pub crashes: Vec<CrashObservation>,
-    /// Suspect parts that this host has seen in completely answered prompts.
-    pub proven: Vec<PartHash>,
+    /// Suspect parts that this host has seen in completely answered prompts, each with
+    /// the time since the last such answer.
+    pub proven: Vec<(PartHash, Duration)>,
+    /// Refused parts that were requested since the last report.
+    pub requested: Vec<PartHash>,
+    /// Parts that this host refuses, each with the time until a trial is due, if the
+    /// coordinator may not have them.
+    pub refused: Vec<(PartHash, Duration)>,
 }
 
-/// Parts of completely answered prompts, in two generations of bounded size.
+/// Parts of completely answered prompts with the time of the last answer, in two
+/// generations of bounded size.
 #[derive(Debug, Default)]
 struct ProvenParts {
-    newer: HashSet<PartHash>,
-    older: HashSet<PartHash>,
+    newer: HashMap<PartHash, Duration>,
+    older: HashMap<PartHash, Duration>,
     rotated_at: Duration,
 }
 
 impl ProvenParts {
     fn insert(&mut self, now: Duration, part: PartHash) {
         self.rotate(now);
-        if self.newer.len() >= MAX_PROVEN_PER_HALF && !self.newer.contains(&part) {
+        if self.newer.len() >= MAX_PROVEN_PER_HALF && !self.newer.contains_key(&part) {
             self.older = std::mem::take(&mut self.newer);
         }
-        self.newer.insert(part);
+        self.newer.insert(part, now);
     }
 
-    fn contains(&mut self, now: Duration, part: PartHash) -> bool {
+    /// Returns the time of the last complete answer to a prompt with this part.
+    fn last_answer(&mut self, now: Duration, part: PartHash) -> Option<Duration> {
         self.rotate(now);
-        self.newer.contains(&part) || self.older.contains(&part)
+        self.newer.get(&part).or(self.older.get(&part)).copied()
     }
 
     fn rotate(&mut self, now: Duration) {
@@ -86,6 +102,19 @@
     version: u64,
     /// Number of observations that the last report covers.
     reported: usize,
+    /// Refused parts, each with the time at which a trial is due.
+    refused: HashMap<PartHash, Duration>,
+    /// Refused parts that were requested since the last report.
+    requested: HashSet<PartHash>,
+    /// Refused parts of which this host may forward one request.
+    trials: HashSet<PartHash>,
+    /// Whether the coordinator has all refused parts of this host.
+    is_synced: bool,
+    /// Whether the last report contains all refused parts of this host, or the
+    /// coordinator had them before.
+    is_reported: bool,
+    /// Time of the last reply.
+    replied_at: Duration,
 }
 
 impl PromptGuard {
@@ -98,25 +127,14 @@
 
     /// Returns whether all parts were in completely answered prompts of late.
     pub fn is_proven(&mut self, now: Duration, parts: &[PartHash]) -> bool {
-        parts.iter().all(|part| self.proven.contains(now, *part))
+        parts.iter().all(|part| self.proven.last_answer(now, *part).is_some())
     }
 
-    /// Records that an engine ended before it streamed the answer to a prompt, and
-    /// returns the parts that are not proven.
-    pub fn record_crash(
-        &mut self,
-        now: Duration,
-        engine: &EndpointId,
-        parts: &[PartHash],
-    ) -> Vec<SuspectPart> {
+    /// Records that an engine ended before it streamed the answer to a prompt.
+    pub fn record_crash(&mut self, now: Duration, engine: &EndpointId, parts: &[PartHash]) {
         let positions = (0_u32..).zip(parts);
-        let parts: Vec<SuspectPart> = positions
-            .filter(|(_, part)| !self.proven.contains(now, **part))
-            .map(|(position, part)| SuspectPart { part: *part, position })
-            .collect();
-        if parts.is_empty() {
-            return parts;
-        }
+        let parts = positions.map(|(position, part)| SuspectPart { part: *part, position });
+        let parts: Vec<SuspectPart> = parts.collect();
         if self.observations.len() >= MAX_OBSERVATIONS {
             self.observations.pop_front();
             self.reported = self.reported.saturating_sub(1);
@@ -128,7 +146,71 @@
             is_confirmed: false,
         };
         self.observations.push_back(observation);
-        parts
+        if now.saturating_sub(self.replied_at) > LONE_TIMEOUT {
+            self.refuse_alone(now, &parts);
+        }
+    }
+
+    /// Refuses the last part of a prompt that is suspect in enough crashes that this host
+    /// has seen, unless a refused part explains the crash.
+    fn refuse_alone(&mut self, now: Duration, parts: &[SuspectPart]) {
+        if parts.iter().any(|suspect| self.refused.contains_key(&suspect.part)) {
+            return;
+        }
+        let has_crashed = |suspect: &&SuspectPart| {
+            let proven_at = self.proven.last_answer(now, suspect.part).unwrap_or_default();
+            let observations = self.observations.iter().filter(|own| own.at > proven_at);
+            let engines: HashSet<&EndpointId> = observations
+                .filter(|own| own.parts.iter().any(|other| other.part == suspect.part))
+                .map(|own| &own.engine)
+                .collect();
+            engines.len() >= CRASHES_BEFORE_REFUSAL
+        };
+        if let Some(suspect) = parts.iter().rev().find(has_crashed) {
+            self.adopt_refused(now, &[(suspect.part, FIRST_REFUSAL_TIME)]);
+        }
+    }
+
+    /// Returns the retry delay if a prompt with these parts is refused.
+    pub fn find_refusal(&mut self, now: Duration, parts: &[PartHash]) -> Option<Duration> {
+        let is_refused =
+            |part: &&PartHash| self.refused.contains_key(part) && !self.trials.contains(part);
+        let part = parts.iter().find(is_refused)?;
+        if self.requested.len() < MAX_REQUESTED {
+            self.requested.insert(*part);
+        }
+        let until = self.refused.get(part).copied().unwrap_or_default();
+        Some(until.saturating_sub(now).max(MIN_RETRY_AFTER))
+    }
+
+    /// Returns the retry delay if a request with these parts must not be sent to an
+    /// engine now. A trial allows one request.
+    pub fn begin_attempt(&mut self, now: Duration, parts: &[PartHash]) -> Option<Duration> {
+        let refusal = self.find_refusal(now, parts);
+        if refusal.is_none() {
+            parts.iter().for_each(|part| {
+                self.trials.remove(part);
+            });
+        }
+        refusal
+    }
+
+    /// Adds refused parts from the lease record, each with the time until a trial is
+    /// due.
+    pub fn adopt_refused(&mut self, now: Duration, refused: &[(PartHash, Duration)]) {
+        for (part, remaining) in refused {
+            if !self.refused.contains_key(part) {
+                self.refused.insert(*part, now + *remaining);
+                self.is_synced = false;
+                self.is_reported = false;
+            }
+        }
+    }
+
+    /// Returns the refused parts, each with the time until a trial is due.
+    pub fn refused_parts(&self, now: Duration) -> Vec<(PartHash, Duration)> {
+        let refused = self.refused.iter();
+        refused.map(|(part, until)| (*part, until.saturating_sub(now))).collect()
     }
 
     /// Builds the report of the next exchange.
@@ -148,24 +230,50 @@
             parts: own.parts.clone(),
         });
         let crashes = crashes.collect();
-        let suspects = self.suspects.iter().copied();
-        let proven = suspects.filter(|part| self.proven.contains(now, *part)).collect();
-        PromptReport { version: self.version, crashes, proven }
+        let suspects = self.suspects.iter().chain(self.refused.keys()).copied();
+        let proven = suspects.filter_map(|part| {
+            let proven_at = self.proven.last_answer(now, part)?;
+            Some((part, now.saturating_sub(proven_at)))
+        });
+        let proven = proven.collect();
+        let requested = std::mem::take(&mut self.requested).into_iter().collect();
+        let refused = if self.is_synced { Vec::new() } else { self.refused_parts(now) };
+        self.is_reported = true;
+        PromptReport { version: self.version, crashes, proven, requested, refused }
     }
 
     /// Applies the coordinator's reply to the last report.
     ///
-    /// `state` is `None` if the host has the current version.
-    pub fn apply_reply(&mut self, state: Option<QuarantineState>) {
+    /// `state` is `None` if the host has the current version. `trials` are the refused
+    /// parts of which this host may forward one request.
+    pub fn apply_reply(
+        &mut self,
+        now: Duration,
+        state: Option<QuarantineState>,
+        trials: Vec<PartHash>,
+    ) {
+        self.replied_at = now;
+        self.trials.extend(trials);
         for own in self.observations.iter_mut().take(self.reported) {
             own.is_confirmed = true;
         }
+        let has_same_term = state
+            .as_ref()
+            .is_none_or(|state| state.term() == QuarantineState::term_of(self.version));
+        self.is_synced = has_same_term && self.is_reported;
         let Some(state) = state else { return };
-        if state.term() != QuarantineState::term_of(self.version) {
-            // A new coordinator has none of the evidence.
-            self.observations.iter_mut().for_each(|own| own.is_confirmed = false);
-        }
         self.version = state.version;
         self.suspects = state.suspects.into_iter().collect();
+        if self.is_synced {
+            self.refused.clear();
+        }
+        if !has_same_term {
+            // A new coordinator has none of this host's evidence yet.
+            self.observations.iter_mut().for_each(|own| own.is_confirmed = false);
+        }
+        self.refused
+            .extend(state.refused.iter().map(|(part, remaining)| (*part, now + *remaining)));
+        let refused = &self.refused;
+        self.trials.retain(|part| refused.contains_key(part));
     }
 }
--- a/crates/skylarkgw/src/edge/forward/admit.rs
+++ b/crates/skylarkgw/src/edge/forward/admit.rs
@@ -115,6 +115,15 @@
     record.workspace = workspace.as_ref().map(|workspace| workspace.name.clone());
     let shared_parts = hash_shared_parts(header.prompt.iter().map(|part| &*part.id));
     record.shared_parts.clone_from(&shared_parts);
+    if !shared_parts.is_empty() {
+        let refusal = state.lock_prompt_guard().find_refusal(time_since_boot(), &shared_parts);
+        if let Some(retry_after) = refusal {
+            return Err(RequestRefusal::with_retry_after(
+                RefusalReason::PromptRefused,
+                retry_after,
+            ));
+        }
+    }
     let time_limit = header.time_left.map_or(route.timeout, |left| left.min(route.timeout));
     let deadline = record.started() + time_limit.saturating_sub(RESPONSE_MARGIN);
     let body = read_body(&parts.headers, body, declaration.limits.body_bytes, deadline).await?;
--- a/crates/skylarkgw/src/edge/forward/crash.rs
+++ b/crates/skylarkgw/src/edge/forward/crash.rs
@@ -28,9 +28,7 @@
     let state = &admitted.state;
     state.metrics.fleet.count_interruption(progress);
     let parts = &admitted.shared_parts;
-    if progress == AnswerProgress::Streaming
-        || state.lock_prompt_guard().is_proven(time_since_boot(), parts)
-    {
+    if progress == AnswerProgress::Streaming || parts.is_empty() {
         return;
     }
     let (state, entry, parts) = (state.clone(), entry.clone(), parts.clone());
@@ -51,10 +49,9 @@
     match HttpConnection::connect(entry.address, CONNECT_TIMEOUT).await {
         Ok(connection) => state.pool.release(entry.address, connection, None),
         Err(ConnectionError::Connect { .. }) => {
-            let suspects =
-                state.lock_prompt_guard().record_crash(time_since_boot(), &entry.id, &parts);
+            state.lock_prompt_guard().record_crash(time_since_boot(), &entry.id, &parts);
             let (engine, request) = (entry.id.to_string(), request.unwrap_or_default().to_string());
-            let parts = format_parts(suspects.into_iter().map(|suspect| suspect.part));
+            let parts = format_parts(parts.into_iter());
             info!("engine ended before an answer", kv: { engine, request, parts });
         }
         Err(_) => {}
--- a/crates/skylarkgw/src/edge/forward/refusal.rs
+++ b/crates/skylarkgw/src/edge/forward/refusal.rs
@@ -30,6 +30,8 @@
     BodyIncomplete,
     /// The workspace has used up its quota.
     OverQuota,
+    /// Engines have crashed on a part of the prompt.
+    PromptRefused,
     /// No available engine holds the model.
     NoEngine,
     /// No engine that holds the model has the adapter, and none was assigned to load
@@ -60,6 +62,7 @@
             RefusalReason::BodyTooLarge => "body-too-long",
             RefusalReason::BodyIncomplete => "body-broken",
             RefusalReason::OverQuota => "over-quota",
+            RefusalReason::PromptRefused => "prompt-refused",
             RefusalReason::NoEngine => "no-engine",
             RefusalReason::NoAdapter => "no-adapter",
             RefusalReason::Overloaded => "overloaded",
@@ -74,6 +77,7 @@
         match self {
             RefusalReason::NoDeclaration
             | RefusalReason::StaleKeys
+            | RefusalReason::PromptRefused
             | RefusalReason::NoEngine
             | RefusalReason::NoAdapter
             | RefusalReason::Overloaded
--- a/crates/skylarkgw/src/edge/forward/relay.rs
+++ b/crates/skylarkgw/src/edge/forward/relay.rs
@@ -18,8 +18,8 @@
 use crate::edge::forward::record::{RequestEnd, RequestRecord};
 use crate::edge::forward::select::select_engine;
 use crate::edge::forward::send::{
-    AttemptOutcome, EngineRequestGuard, PendingResponse, closes_connection, may_run_again,
-    remove_hop_by_hop_headers, send_once, spend_retry_budget,
+    AttemptOutcome, EngineRequestGuard, PendingResponse, begin_attempt, closes_connection,
+    may_run_again, remove_hop_by_hop_headers, send_once, spend_retry_budget,
 };
 use crate::edge::forward::{ResponseAborted, ResponseBody};
 use crate::endpoint::HttpConnection;
@@ -255,6 +255,9 @@
         }
         loop {
             let Ok(selected) = select_engine(admitted, &self.tried).await else { return false };
+            if begin_attempt(admitted).is_some() {
+                return false;
+            }
             if !spend_retry_budget(admitted, self.record.attempts.len()) {
                 return false;
             }
--- a/crates/skylarkgw/src/edge/forward/send.rs
+++ b/crates/skylarkgw/src/edge/forward/send.rs
@@ -137,6 +137,10 @@
                 break;
             }
         };
+        if let Some(retry_after) = begin_attempt(&admitted) {
+            refusal = RequestRefusal::with_retry_after(RefusalReason::PromptRefused, retry_after);
+            break;
+        }
         if !spend_retry_budget(&admitted, record.attempts.len()) {
             break;
         }
@@ -195,6 +199,15 @@
     is_repeatable && has_time && runs < admitted.route.attempt_limit
 }
 
+/// Returns the retry delay if the request must not be sent to an engine now, because of
+/// a part of its prompt.
+pub fn begin_attempt(admitted: &AdmittedRequest) -> Option<Duration> {
+    if admitted.shared_parts.is_empty() {
+        return None;
+    }
+    admitted.state.lock_prompt_guard().begin_attempt(time_since_boot(), &admitted.shared_parts)
+}
+
 /// Returns the refusal of a request that may have been executed, but for which
 /// there is no complete response.
 fn refuse_without_response(admitted: &AdmittedRequest) -> RequestRefusal {
--- a/crates/skylarkgw/src/gateway/control.rs
+++ b/crates/skylarkgw/src/gateway/control.rs
@@ -134,7 +134,10 @@
                 self.measure_work(CoordinatorWork::Exchange, || coordinator.exchange(now, report));
             (reply, coordinator.registry_stamp(), coordinator.take_quarantine_events())
         })?;
-        log_quarantine_events(events);
+        if !events.is_empty() {
+            self.record_refused_parts();
+            log_quarantine_events(events);
+        }
         let age = KnowledgeAge {
             revision: declaration.map_or(0, |declaration| declaration.revision),
             declaration: self.state.declaration_age(now),
@@ -325,6 +328,9 @@
         }
         let answer = answer.await.unwrap_or(LeaseAnswer::Unknown);
         let now = time_since_boot();
+        if let LeaseAnswer::Found { record: Some(record), .. } = &answer {
+            control.state.lock_prompt_guard().adopt_refused(now, &record.refused_parts);
+        }
         let token = {
             let mut lease = lock(&control.lease);
             lease.handle_answer(now, sent_at, answer);
@@ -356,6 +362,8 @@
                 if let Some(declaration) = &self.state.snapshot.load().declaration {
                     coordinator.apply_declaration(now, declaration);
                 }
+                let refused = self.state.lock_prompt_guard().refused_parts(now);
+                coordinator.adopt_refused(now, &refused);
                 let engines: Vec<_> = lock(&self.directory).engines(now).cloned().collect();
                 coordinator.update_registry(lock(&self.directory).stamp(), &engines);
                 *lock(&self.coordinator) = Some(coordinator);
--- a/crates/skylarkgw/src/gateway/control/exchange.rs
+++ b/crates/skylarkgw/src/gateway/control/exchange.rs
@@ -82,7 +82,7 @@
             info!("coordinator lease handed over", kv: { capacity, largest });
         }
         self.apply_fleet_state(sent_at, &reply.age, reply.registry);
-        self.state.lock_prompt_guard().apply_reply(reply.prompts);
+        self.state.lock_prompt_guard().apply_reply(now, reply.prompts, reply.trials);
         {
             let mut local_quotas = self.state.lock_local_quotas();
             for (workspace, tokens, fallback_per_s) in reply.grants {
--- a/crates/skylarkgw/src/gateway/ports.rs
+++ b/crates/skylarkgw/src/gateway/ports.rs
@@ -12,7 +12,7 @@
 
 use crate::gateway::declaration::FleetDeclaration;
 use crate::gateway::registry::EngineEntry;
-use crate::ids::{EndpointId, ModelName, ObjectVersion};
+use crate::ids::{EndpointId, ModelName, ObjectVersion, PartHash};
 
 /// Result of one read or watch of the store.
 #[derive(Clone, Debug)]
@@ -56,6 +56,9 @@
     pub token: u64,
     /// Whether the holder has released the lease.
     pub is_released: bool,
+    /// Prompt parts that are refused, each with the time from the write until a trial
+    /// is due.
+    pub refused_parts: Vec<(PartHash, Duration)>,
 }
 
 /// Result of a read or a conditional write of the lease record.
--- a/crates/skylarkgw/tests/decisions/prompts.rs
+++ b/crates/skylarkgw/tests/decisions/prompts.rs
@@ -47,7 +47,7 @@
                     ..HostReport::default()
                 };
                 let reply = self.coordinator.exchange(ms(self.now), report);
-                guard.apply_reply(reply.prompts);
+                guard.apply_reply(ms(self.now), reply.prompts, reply.trials);
             }
         }
     }
@@ -84,3 +84,147 @@
     fleet.exchange_for(3_000);
     assert_eq!(fleet.refused_parts(&["bad", "system", "subject", "new-0", "new-4"]), ["bad"]);
 }
+
+/// Reports a crash of each of `count` engines on a prompt with these parts.
+fn crash_engines(fleet: &mut PromptFleet, count: usize, parts: &[&str]) {
+    for crash in 0..count {
+        let (host, engine) = (crash % fleet.hosts.len(), format!("i-{}-{crash}", fleet.now));
+        fleet.crash(host, &engine, parts);
+        fleet.exchange_for(200);
+    }
+    fleet.exchange_for(1_000);
+}
+
+impl PromptFleet {
+    /// Returns the hosts that would forward a prompt with this part now.
+    fn forwarding_hosts(&mut self, part: &str) -> usize {
+        let now = ms(self.now);
+        let parts = prompt(&["system", part]);
+        self.hosts
+            .iter_mut()
+            .map(|guard| usize::from(guard.begin_attempt(now, &parts).is_none()))
+            .sum()
+    }
+
+    /// Replaces the coordinator by one that knows nothing.
+    fn replace_coordinator(&mut self, token: u64) {
+        self.coordinator = new_coordinator(self.now, token);
+    }
+}
+
+// Guards against the refusal of sound requests that share the other parts.
+#[test]
+fn part_of_answered_prompts_is_not_refused() {
+    let mut fleet = PromptFleet::new(4);
+    for _ in 0..8 {
+        fleet.answer(3, &["system"]);
+        crash_engines(&mut fleet, 1, &["system", "bad"]);
+    }
+    assert_eq!(fleet.refused_parts(&["bad", "system"]), ["bad"]);
+    assert_eq!(fleet.forwarding_hosts("sound"), 4);
+    assert_eq!(fleet.forwarding_hosts("bad"), 0);
+}
+
+// Guards against the refusal of parts that were only beside engines that ended for
+// another reason.
+#[test]
+fn crashes_without_a_common_part_refuse_nothing() {
+    let mut fleet = PromptFleet::new(4);
+    for crash in 0..12 {
+        crash_engines(&mut fleet, 1, &["system", &format!("new-{crash}")]);
+        fleet.answer(crash % 4, &["system"]);
+    }
+    assert!(fleet.coordinator.quarantine_state().refused.is_empty());
+}
+
+// Guards against the refusal of a part that occurs only beside the one that crashes
+// engines, and of neither.
+#[test]
+fn of_parts_that_occur_together_one_is_refused_and_the_next_after_another_crash() {
+    let mut fleet = PromptFleet::new(4);
+    crash_engines(&mut fleet, 3, &["bad", "beside"]);
+    let refused = fleet.refused_parts(&["bad", "beside"]);
+    assert_eq!(refused, ["beside"]);
+    crash_engines(&mut fleet, 1, &["bad", "other"]);
+    assert_eq!(fleet.refused_parts(&["bad", "beside", "other"]), ["bad", "beside"]);
+}
+
+// Guards against forgetting refused parts and evidence with the coordinator.
+#[test]
+fn next_coordinator_and_new_hosts_keep_the_evidence() {
+    let mut fleet = PromptFleet::new(4);
+    crash_engines(&mut fleet, 2, &["system", "bad"]);
+    fleet.replace_coordinator(2);
+    fleet.exchange_for(300);
+    crash_engines(&mut fleet, 1, &["system", "bad"]);
+    assert_eq!(fleet.refused_parts(&["bad"]), ["bad"]);
+    fleet.replace_coordinator(3);
+    fleet.hosts.push(PromptGuard::default());
+    fleet.exchange_for(300);
+    assert_eq!(fleet.refused_parts(&["bad"]), ["bad"]);
+    assert_eq!(fleet.forwarding_hosts("bad"), 0);
+}
+
+// Guards against engines that end while no coordinator replies.
+#[test]
+fn host_without_a_coordinator_refuses_a_part_on_its_own_evidence() {
+    let mut fleet = PromptFleet::new(2);
+    fleet.now = 10_000;
+    for crash in 0..3 {
+        assert_eq!(fleet.forwarding_hosts("bad"), 2, "after {crash} crashes");
+        fleet.crash(0, &format!("i-{crash}"), &["system", "bad"]);
+    }
+    assert_eq!(fleet.forwarding_hosts("bad"), 1);
+    assert_eq!(fleet.forwarding_hosts("sound"), 2);
+    fleet.exchange_for(300);
+    assert_eq!(fleet.forwarding_hosts("bad"), 0);
+}
+
+// Guards against a refusal without end, and against trials that cost several engines.
+#[test]
+fn expired_refusal_ends_with_a_trial_of_one_request() {
+    let mut fleet = PromptFleet::new(4);
+    crash_engines(&mut fleet, 3, &["system", "bad"]);
+    for term in [600_000, 1_200_000] {
+        fleet.now += term - 10_000;
+        fleet.exchange_for(300);
+        assert_eq!(fleet.forwarding_hosts("bad"), 0);
+        fleet.exchange_for(300);
+        assert_eq!(fleet.forwarding_hosts("bad"), 0, "before the end of {term} ms");
+        fleet.now += 20_000;
+        assert_eq!(fleet.forwarding_hosts("bad"), 0);
+        fleet.exchange_for(300);
+        assert_eq!(fleet.forwarding_hosts("bad"), 1);
+        fleet.exchange_for(300);
+        assert_eq!(fleet.forwarding_hosts("bad"), 0);
+        let engine = format!("i-{}", fleet.now);
+        fleet.crash(0, &engine, &["system", "bad"]);
+        fleet.exchange_for(300);
+    }
+    fleet.now += 2_400_000;
+    fleet.exchange_for(300);
+    assert_eq!(fleet.forwarding_hosts("bad"), 0);
+    fleet.exchange_for(300);
+    assert_eq!(fleet.forwarding_hosts("bad"), 1);
+    fleet.answer(1, &["system", "bad"]);
+    fleet.exchange_for(300);
+    assert_eq!(fleet.forwarding_hosts("bad"), 4);
+}
+
+// Guards against memory that grows with the number of invented parts.
+#[test]
+fn reports_and_state_are_bounded_with_invented_parts() {
+    let mut fleet = PromptFleet::new(2);
+    for crash in 0..400 {
+        let names: Vec<String> = (0..300).map(|part| format!("p{crash}-{part}")).collect();
+        let names: Vec<&str> = names.iter().map(String::as_str).collect();
+        fleet.crash(0, &format!("i-{crash}"), &names);
+        fleet.answer(1, &names);
+    }
+    let report = fleet.hosts[0].build_report(ms(0));
+    assert!(report.crashes.len() <= 128, "{}", report.crashes.len());
+    assert!(report.crashes.iter().all(|crash| crash.parts.len() <= 64));
+    fleet.exchange_for(300);
+    let state = fleet.coordinator.quarantine_state();
+    assert!(state.suspects.len() <= 256, "{}", state.suspects.len());
+}
