Do not repeat a request that may have ended its engine

Cause: an interrupted stream without an event was resumed at once, like one that had run for seconds. While nothing is known of a prompt, this doubles what one request may cost.

Change: if the head of an answer has arrived and no event, and the engine then refuses connections, the request is not sent again, unless all parts of its prompt were answered within a minute. Streams that have begun, requests that were still queued and requests at engines that are alive are repeated as before, within the same budgets.

--- a/crates/skylarkgw/src/edge/forward/relay.rs
+++ b/crates/skylarkgw/src/edge/forward/relay.rs
@@ -134,8 +134,8 @@
                 }
                 SourceRead::Interrupted(reason) => reason,
             };
-            self.record_interruption(reason);
-            if !self.resume().await {
+            let is_suspect = self.record_interruption(reason).await;
+            if is_suspect || !self.resume().await {
                 self.record.reason = reason;
                 self.record.finish(RequestEnd::Failed);
                 return Some(Err(ResponseAborted::CutOff));
@@ -231,18 +231,21 @@
 
     /// Records the interruption of the source, drops it, and discards a partial
     /// event.
-    fn record_interruption(&mut self, reason: &'static str) {
+    ///
+    /// Returns whether the request must not be sent to another engine, because it may
+    /// have ended this one.
+    async fn record_interruption(&mut self, reason: &'static str) -> bool {
+        self.buffer.clear();
         let mut progress = AnswerProgress::Begun;
         if let Some(last) = self.record.attempts.last_mut() {
             last.outcome = reason;
             progress = last.progress;
         }
-        if let Some(source) = self.source.take() {
-            let entry = &source.engine.entry;
-            self.admitted.state.lock_traffic().record_outcome(time_since_boot(), &entry.id, true);
-            examine_interruption(&self.admitted, entry, progress);
-        }
-        self.buffer.clear();
+        let Some(source) = self.source.take() else { return false };
+        let entry = source.engine.entry.clone();
+        drop(source);
+        self.admitted.state.lock_traffic().record_outcome(time_since_boot(), &entry.id, true);
+        examine_interruption(&self.admitted, &entry, progress).await
     }
 
     /// Resumes the stream at another engine after the last relayed event, and returns
--- a/crates/skylarkgw/src/edge/forward/send.rs
+++ b/crates/skylarkgw/src/edge/forward/send.rs
@@ -173,8 +173,8 @@
                 }
                 return Ok(build_whole_response(parts, body, record));
             }
-            BodyOutcome::Incomplete => {
-                if may_run_again(&admitted, runs) {
+            BodyOutcome::Incomplete { is_suspect } => {
+                if !is_suspect && may_run_again(&admitted, runs) {
                     continue;
                 }
                 refusal = refuse_without_response(&admitted);
@@ -279,7 +279,7 @@
         }
     }
     if let AttemptOutcome::MayHaveRun(_) = outcome {
-        examine_interruption(admitted, &selected.entry, AnswerProgress::Waiting);
+        examine_interruption(admitted, &selected.entry, AnswerProgress::Waiting).await;
     }
     outcome
 }
@@ -402,7 +402,11 @@
 /// Outcome of reading a response body.
 enum BodyOutcome {
     Complete(Parts, Bytes),
-    Incomplete,
+    Incomplete {
+        /// Whether the request must not be sent to another engine, because it may have
+        /// ended this one.
+        is_suspect: bool,
+    },
 }
 
 /// Reads a response body completely and returns the connection to the pool.
@@ -444,8 +448,9 @@
             if let Some(last) = record.attempts.last_mut() {
                 last.outcome = label;
             }
-            examine_interruption(admitted, &engine.entry, AnswerProgress::Begun);
-            BodyOutcome::Incomplete
+            let is_suspect =
+                examine_interruption(admitted, &engine.entry, AnswerProgress::Begun).await;
+            BodyOutcome::Incomplete { is_suspect }
         }
     }
 }
