Treat a stream without length and events as broken off

What callers would see: a 200 with an empty stream that looks complete, if an engine ends before its first event and the answer has neither a length nor chunks. The prompt would also count as answered, which clears it of the crash.

Cause: the end of the connection was taken as the end of the stream wherever no event was incomplete.

Change: an answer without a length that ends before its first event is broken off. Only an engine that sent an event proves a prompt.

--- a/crates/skylarkgw/src/edge/forward/relay.rs
+++ b/crates/skylarkgw/src/edge/forward/relay.rs
@@ -59,6 +59,9 @@
     engine: EngineRequestGuard,
     idle_limit: Option<Duration>,
     closes_after_response: bool,
+    /// Whether the response has a length or is sent in chunks. Otherwise it ends with
+    /// its connection.
+    is_delimited: bool,
 }
 
 /// Result of reading from a source.
@@ -73,13 +76,17 @@
 
 impl StreamSource {
     fn new(pending: PendingResponse) -> (http::response::Parts, StreamSource) {
-        let closes_after_response = closes_connection(&pending.parts.headers);
+        let headers = &pending.parts.headers;
+        let closes_after_response = closes_connection(headers);
+        let is_delimited = headers.contains_key(header::CONTENT_LENGTH)
+            || headers.contains_key(header::TRANSFER_ENCODING);
         let source = StreamSource {
             body: pending.body,
             connection: pending.connection,
             engine: pending.engine,
             idle_limit: pending.info.idle_limit,
             closes_after_response,
+            is_delimited,
         };
         (pending.parts, source)
     }
@@ -124,10 +131,7 @@
                 }
                 SourceRead::End => {
                     self.record.finish(RequestEnd::Answered);
-                    let admitted = &self.admitted;
-                    let mut guard = admitted.state.lock_prompt_guard();
-                    guard.record_answer(time_since_boot(), &admitted.shared_parts);
-                    drop(guard);
+                    self.record_proof();
                     self.record_end();
                     self.release_connection();
                     return None;
@@ -167,6 +171,15 @@
         }
     }
 
+    /// Records that the last engine has answered the prompt, if it sent any event.
+    fn record_proof(&self) {
+        let last = self.record.attempts.last();
+        if last.is_some_and(|last| last.progress == AnswerProgress::Streaming) {
+            let mut guard = self.admitted.state.lock_prompt_guard();
+            guard.record_answer(time_since_boot(), &self.admitted.shared_parts);
+        }
+    }
+
     /// Adds the time since the first event to the generating time of the model, at the
     /// end of a stream that no more than one engine may have executed.
     fn record_end(&mut self) {
@@ -208,7 +221,15 @@
             let frame = match timeout_at(read_deadline, source.body.frame()).await {
                 Ok(Some(Ok(frame))) => frame,
                 Ok(Some(Err(_))) => return SourceRead::Interrupted("stream-broken"),
-                Ok(None) if self.buffer.is_empty() => return SourceRead::End,
+                Ok(None) if self.buffer.is_empty() => {
+                    // An engine that ends also closes its connections.
+                    let is_empty = !source.is_delimited && self.last_id.is_none();
+                    return if is_empty && self.record.first_latency.is_none() {
+                        SourceRead::Interrupted("stream-empty")
+                    } else {
+                        SourceRead::End
+                    };
+                }
                 Ok(None) => return SourceRead::Interrupted("event-cut"),
                 Err(_) => return SourceRead::Interrupted("stream-silent"),
             };
