Log and count the request rates that engines name

The adapter now decodes it, and a host logs each change, the limit that was known at each attempt, and counts requests to such engines. No decision depends on it yet.

--- a/crates/skylarkgw/src/decision.rs
+++ b/crates/skylarkgw/src/decision.rs
@@ -12,6 +12,7 @@
 pub mod coordinator_lease;
 pub mod directory;
 pub mod engine_choice;
+pub mod engine_limits;
 pub mod fencing;
 pub mod fleet_planner;
 pub mod freshness;
--- a/crates/skylarkgw/src/edge/forward/record.rs
+++ b/crates/skylarkgw/src/edge/forward/record.rs
@@ -61,6 +61,9 @@
     pub outcome: &'static str,
     /// How far the answer had come when the attempt ended.
     pub progress: AnswerProgress,
+    /// Requests per second that the engine took from all hosts together, if it had
+    /// named a limit.
+    pub limit: Option<f64>,
 }
 
 /// Record of the decisions of the reverse proxy on one request, which is logged and
@@ -152,8 +155,9 @@
     /// Formats the attempts for the log line.
     fn format_attempts(&self) -> String {
         let format_attempt = |attempt: &AttemptRecord| {
+            let limit = attempt.limit.map(|limit| format!(" limit={limit}")).unwrap_or_default();
             format!(
-                "{}:{} running={} wait_ms={:.0} progress={}",
+                "{}:{} running={} wait_ms={:.0} progress={}{limit}",
                 attempt.engine,
                 attempt.outcome,
                 attempt.running,
--- a/crates/skylarkgw/src/edge/forward/send.rs
+++ b/crates/skylarkgw/src/edge/forward/send.rs
@@ -10,6 +10,7 @@
 use http::{HeaderMap, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
+use spdlog::info;
 use tokio::time::{Instant, timeout_at};
 
 use crate::decision::prompt_evidence::AnswerProgress;
@@ -27,6 +28,7 @@
 use crate::gateway::registry::EngineEntry;
 use crate::gateway::state::GatewayState;
 use crate::gateway::wire::{EngineHeaders, ResponseMetadata};
+use crate::ids::EndpointId;
 
 /// Maximum size of a response body that is not an event stream. It is held until it
 /// is complete; a longer one is treated as incomplete, as is one that exceeds the
@@ -255,12 +257,17 @@
             adapter,
         );
     }
+    let limit = admitted.state.lock_engine_limits().limit(&selected.entry.id);
+    if limit.is_some() {
+        admitted.state.metrics.fleet.count_limited_request();
+    }
     record.attempts.push(AttemptRecord {
         engine: selected.entry.id.clone(),
         running: selected.running,
         wait_ms: selected.wait_ms,
         outcome: "cancelled",
         progress: AnswerProgress::Waiting,
+        limit,
     });
     let outcome = send_request(admitted, engine, resume_after).await;
     let (label, failed) = match &outcome {
@@ -315,6 +322,7 @@
     if info.request_id.is_some() && info.request_id != admitted.header.request_id {
         return AttemptOutcome::MayHaveRun("other-answer");
     }
+    record_limit(admitted, &engine.entry.id, info.request_limit, parts.status.is_success());
     if info.is_not_executed {
         return AttemptOutcome::NotRun("refused");
     }
@@ -324,6 +332,20 @@
     AttemptOutcome::Answered(Box::new(PendingResponse { parts, info, body, connection, engine }))
 }
 
+/// Records the request rate that an engine names in an answer, and logs a change.
+fn record_limit(
+    admitted: &AdmittedRequest,
+    engine: &EndpointId,
+    limit: Option<f64>,
+    is_success: bool,
+) {
+    let has_changed = admitted.state.lock_engine_limits().record_answer(engine, limit, is_success);
+    if has_changed {
+        let (engine, limit) = (engine.to_string(), limit.unwrap_or(-1.0));
+        info!("engine limit changed", kv: { engine, limit });
+    }
+}
+
 /// Computes the time until which an attempt waits for the response head.
 ///
 /// Only an attempt of a repeatable request ends before the deadline of the request.
--- a/crates/skylarkgw/src/gateway/state.rs
+++ b/crates/skylarkgw/src/gateway/state.rs
@@ -9,6 +9,7 @@
 use tokio::sync::{mpsc, oneshot};
 
 use crate::decision::coordinator::QuotaAnswer;
+use crate::decision::engine_limits::EngineLimits;
 use crate::decision::fleet_planner::EngineNotice;
 use crate::decision::prompt_guard::PromptGuard;
 use crate::decision::quota_pool::LocalQuota;
@@ -132,6 +133,7 @@
     traffic: Mutex<TrafficStats>,
     local_quotas: Mutex<HashMap<WorkspaceId, LocalQuota>>,
     prompt_guard: Mutex<PromptGuard>,
+    engine_limits: Mutex<EngineLimits>,
     declaration_as_of_ms: AtomicU64,
     registry_as_of_ms: AtomicU64,
 }
@@ -161,6 +163,7 @@
             traffic: Mutex::default(),
             local_quotas: Mutex::default(),
             prompt_guard: Mutex::default(),
+            engine_limits: Mutex::default(),
             declaration_as_of_ms: AtomicU64::new(0),
             registry_as_of_ms: AtomicU64::new(0),
         }
@@ -183,6 +186,12 @@
         self.prompt_guard.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Locks the request rates that engines have named.
+    pub fn lock_engine_limits(&self) -> MutexGuard<'_, EngineLimits> {
+        // Every change is a single call, so a panic leaves none half done.
+        self.engine_limits.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Records that the declaration was current at `as_of`, in time since boot.
     pub fn record_declaration_time(&self, as_of: Duration) {
         self.declaration_as_of_ms.fetch_max(as_of.as_millis() as u64, Ordering::Relaxed);
--- a/crates/skylarkgw/src/gateway/wire.rs
+++ b/crates/skylarkgw/src/gateway/wire.rs
@@ -59,7 +59,7 @@
 }
 
 /// Information about a response, taken from its status and headers.
-#[derive(Clone, Debug, Default, Eq, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct ResponseMetadata {
     /// Identifier of the request to which the response belongs.
     pub request_id: Option<RequestId>,
@@ -69,6 +69,9 @@
     pub is_signed: bool,
     /// Time after which the engine closes the connection if it stays idle.
     pub idle_limit: Option<Duration>,
+    /// Requests per second that the engine takes from all hosts together, if it names a
+    /// limit.
+    pub request_limit: Option<f64>,
 }
 
 /// Conversion of a platform's headers.
--- a/crates/skylarkgw/src/telemetry/fleet_metrics.rs
+++ b/crates/skylarkgw/src/telemetry/fleet_metrics.rs
@@ -3,7 +3,7 @@
 
 use std::time::Duration;
 
-use prometheus::{CounterVec, IntCounterVec, Opts, Registry};
+use prometheus::{CounterVec, IntCounter, IntCounterVec, Opts, Registry};
 
 use crate::decision::prompt_evidence::AnswerProgress;
 
@@ -41,6 +41,7 @@
     work: CounterVec,
     connections: IntCounterVec,
     interruptions: IntCounterVec,
+    limited_requests: IntCounter,
     registry_copies: IntCounterVec,
 }
 
@@ -62,6 +63,11 @@
             &["work"],
         )?;
         registry.register(Box::new(work.clone()))?;
+        let limited_requests = IntCounter::new(
+            "skylark_limited_engine_requests_total",
+            "Requests sent to engines that had named a request rate",
+        )?;
+        registry.register(Box::new(limited_requests.clone()))?;
         Ok(FleetMetrics {
             store_calls: counter(
                 "skylark_store_calls_total",
@@ -84,6 +90,7 @@
                 &["part"],
             )?,
             work,
+            limited_requests,
             connections: counter(
                 "skylark_engine_connections_total",
                 "Connections taken for requests to engines by origin",
@@ -143,6 +150,11 @@
         self.interruptions.with_label_values(&[progress.label()]).inc();
     }
 
+    /// Counts a request that was sent to an engine with a limit.
+    pub fn count_limited_request(&self) {
+        self.limited_requests.inc();
+    }
+
     /// Counts a copy of the engine registry that arrived.
     pub fn count_registry_copy(&self, source: &str, is_older: bool) {
         let age = if is_older { "older" } else { "current" };
