Keep the request rate that an engine names, over all hosts together

Cause: no host read the limit. The class of fault is a bound on the sum over all hosts that each host sees only in part.

Evidence: engines with a limit get as many requests a second in the record as those without.

Change: hosts report the limits that engines name to the coordinator, which sends them to all hosts; the newest answer applies, and a new coordinator gets them from any host. The quota pool has a bucket for each such engine, from which a host draws every request. Nothing is drawn ahead, because twenty hosts with a token in reserve would exceed the rate. If none is left, the request goes to another engine that holds the model, and is refused at once with the time until the next token if there is none. A host that has lost the coordinator sends an equal share, from zero; the pool withholds that share.

--- a/crates/skylarkgw/src/decision/coordinator.rs
+++ b/crates/skylarkgw/src/decision/coordinator.rs
@@ -11,6 +11,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::decision::directory::RegistryStamp;
+use crate::decision::engine_limits::{LimitBook, LimitReport};
 use crate::decision::fleet_planner::{EngineNotice, FleetPlanner, PlannerCall};
 use crate::decision::freshness::{EXCHANGE_TIMEOUT, exchange_interval};
 use crate::decision::model_demand::{DemandEstimate, ModelUse};
@@ -56,6 +57,8 @@
     pub registry_version: u64,
     /// Evidence on prompt parts that crash engines.
     pub prompts: PromptReport,
+    /// Request rates that engines named.
+    pub limits: LimitReport,
 }
 
 /// Decision on the tokens of one request.
@@ -106,6 +109,9 @@
     pub registry: Option<MapDelta<EngineEntry>>,
     /// State of the prompt quarantine, if the host has a different version.
     pub prompts: Option<QuarantineState>,
+    /// Changes of the request rates that engines named, in requests per second, if the
+    /// host has a different version.
+    pub limits: Option<MapDelta<f64>>,
     /// Refused prompt parts of which the host may forward one request.
     pub trials: Vec<PartHash>,
     /// Revision and ages of the coordinator's declaration and registry.
@@ -144,6 +150,7 @@
     registry: SharedMap<EngineEntry>,
     registry_stamp: RegistryStamp,
     quarantine: PromptQuarantine,
+    limits: LimitBook,
 }
 
 impl Coordinator {
@@ -171,6 +178,7 @@
             registry: SharedMap::new(token),
             registry_stamp: RegistryStamp::default(),
             quarantine: PromptQuarantine::new(token),
+            limits: LimitBook::new(token),
         }
     }
 
@@ -199,6 +207,9 @@
                 host.running.retain(|(name, _)| *name != engine);
             }
         }
+        for engine in self.limits.retain(|engine| self.registry.contains(engine)) {
+            self.quota_pool.set_engine_limit(stamp.as_of, &engine, None);
+        }
         self.planner.update_registry(engines);
         self.refresh_notices();
     }
@@ -305,6 +316,10 @@
         }
         let running_elsewhere =
             self.record_running(now, &report.host, report.capacity, report.running);
+        for observation in report.limits.observations {
+            let at = now.saturating_sub(observation.age);
+            self.record_limit(now, &observation.engine, at, observation.limit);
+        }
         let wanted = report.wanted.into_iter();
         let grants = wanted.filter_map(|(workspace, wanted)| {
             let grant = self.quota_pool.draw(now, &report.host, &workspace, wanted, 0)?;
@@ -324,6 +339,7 @@
             registry: self.registry.delta_since(report.registry_version),
             prompts: self.quarantine.state_since(quarantine_version),
             trials,
+            limits: self.limits.delta_since(report.limits.version),
             age: KnowledgeAge::default(),
             lease: None,
         }
@@ -345,6 +361,43 @@
         self.quarantine.take_events()
     }
 
+    /// Records the limit, in requests per second, that an engine in the registry named
+    /// or dropped at `at`.
+    fn record_limit(
+        &mut self,
+        now: Duration,
+        engine: &EndpointId,
+        at: Duration,
+        limit: Option<f64>,
+    ) {
+        if self.registry.contains(engine) && self.limits.record(engine, at, limit) {
+            self.quota_pool.set_engine_limit(now, engine, self.limits.limit(engine));
+        }
+    }
+
+    /// Draws one request to an engine from the limit that it named.
+    ///
+    /// `limit` is the limit that the host knows, in requests per second. It applies if
+    /// this coordinator has not heard of the engine's limit yet.
+    pub fn draw_request(
+        &mut self,
+        now: Duration,
+        host: &HostId,
+        engine: &EndpointId,
+        limit: f64,
+    ) -> QuotaAnswer {
+        if !self.limits.has_observed(engine) {
+            self.record_limit(now, engine, Duration::ZERO, Some(limit));
+        }
+        match self.quota_pool.draw_request(now, host, engine) {
+            Some(grant) if grant.tokens == 0 => {
+                QuotaAnswer::Refused { retry_after: grant.retry_after }
+            }
+            // An engine without a token bucket has no limit any more.
+            _ => QuotaAnswer::Granted,
+        }
+    }
+
     /// Draws tokens from a workspace's quota for one request.
     pub fn draw(
         &mut self,
--- a/crates/skylarkgw/src/decision/quota_pool.rs
+++ b/crates/skylarkgw/src/decision/quota_pool.rs
@@ -8,6 +8,10 @@
 //! and the pool withholds these tokens. This limits a noisy neighbour without a
 //! static split, which would starve small workspaces.
 //!
+//! An engine that names a request rate has a bucket of its own in the same pool. Hosts
+//! draw its tokens one request at a time, because twenty hosts that each kept a token
+//! in reserve would exceed a rate of a few requests per second.
+//!
 //! A workspace may use rate x window + burst in any window. A plain token
 //! bucket grants its burst only once, so the bucket also refills by a part of
 //! the burst, and a log of the grants in the window enforces the bound.
@@ -18,7 +22,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::gateway::declaration::WorkspaceRule;
-use crate::ids::{HostId, Tokens, WorkspaceId};
+use crate::ids::{EndpointId, HostId, Tokens, WorkspaceId};
 
 /// Time since the coordinator's last answer up to which a host may spend at its
 /// last rate, and since a host's last report up to which the coordinator
@@ -47,14 +51,19 @@
 const BURST_REFILL_SHARE: f64 = 0.75;
 /// Number of intervals that the log of a window is divided into.
 const WINDOW_INTERVALS: u32 = 32;
+/// Tokens that one request to an engine takes from the engine's bucket.
+const TOKENS_PER_REQUEST: Tokens = 1_000;
+/// Capacity of the bucket of an engine, in seconds of its rate. It holds one request at
+/// least.
+const ENGINE_BURST_S: f64 = 0.5;
 /// Longest retry delay returned to a client.
 const MAX_RETRY_AFTER: Duration = Duration::from_secs(6);
 /// Shortest retry delay. A client that retried at once would be refused again.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(150);
 
-/// The token bucket of one workspace, with a log of its grants.
+/// The token bucket of one workspace or engine, with a log of its grants.
 #[derive(Debug)]
-struct WorkspaceBucket {
+struct RateBucket {
     /// Refill rate in tokens per second.
     rate: f64,
     /// Capacity in tokens.
@@ -72,7 +81,18 @@
     total_drawn_per_s: f64,
 }
 
-impl WorkspaceBucket {
+impl RateBucket {
+    fn new(rate: f64, burst: f64, level: f64) -> RateBucket {
+        RateBucket {
+            rate,
+            burst,
+            level,
+            backlog: 0.0,
+            granted: VecDeque::new(),
+            drawn_per_s: HashMap::new(),
+            total_drawn_per_s: 0.0,
+        }
+    }
     /// Returns the number of tokens that may still be granted in the window.
     fn remaining_tokens(&self, window: Duration) -> f64 {
         let granted: f64 = self.granted.iter().map(|(_, tokens)| tokens).sum();
@@ -87,6 +107,61 @@
             _ => self.granted.push_back((now, tokens)),
         }
     }
+
+    /// Refills the bucket for `elapsed` seconds and drops grants that have left the
+    /// window. Rates are in tokens per second.
+    fn refill(
+        &mut self,
+        now: Duration,
+        elapsed: f64,
+        rate: f64,
+        withheld_per_s: f64,
+        window: Duration,
+    ) {
+        self.backlog = (self.backlog - rate * elapsed).max(0.0);
+        while self.granted.front().is_some_and(|(since, _)| {
+            now.saturating_sub(*since) > window + window / WINDOW_INTERVALS
+        }) {
+            self.granted.pop_front();
+        }
+        let refill = (rate - withheld_per_s).max(0.0) * elapsed;
+        self.level = (self.level + refill).min(self.burst);
+    }
+
+    /// Grants up to `wanted` tokens, or none if fewer than `min_tokens` are available.
+    fn draw(
+        &mut self,
+        now: Duration,
+        window: Duration,
+        host: &HostId,
+        wanted: Tokens,
+        min_tokens: Tokens,
+    ) -> QuotaGrant {
+        let required = (min_tokens as f64).min(self.burst);
+        let remaining_tokens = self.remaining_tokens(window);
+        let granted =
+            if self.level < required || self.level <= 0.0 || remaining_tokens < min_tokens as f64 {
+                0.0
+            } else {
+                (wanted as f64).min(self.level).min(remaining_tokens).max(min_tokens as f64).floor()
+            };
+        self.level -= granted;
+        self.record_grant(now, window, granted);
+        let drawn = self.drawn_per_s.entry(host.clone()).or_default();
+        *drawn += granted / DEMAND_TIME_CONSTANT_S;
+        let drawn = *drawn;
+        self.total_drawn_per_s += granted / DEMAND_TIME_CONSTANT_S;
+        let fallback_per_s = drawn.min(self.rate * drawn / self.total_drawn_per_s.max(1.0));
+        let mut retry_after = Duration::ZERO;
+        if granted < min_tokens as f64 {
+            // Requests refused earlier are expected to be retried before this one.
+            self.backlog += min_tokens as f64;
+            let missing = (self.backlog - self.level).max(0.0) / self.rate.max(1.0);
+            let wait = Duration::from_secs_f64(missing.min(MAX_RETRY_AFTER.as_secs_f64()));
+            retry_after = wait.max(MIN_RETRY_AFTER);
+        }
+        QuotaGrant { tokens: granted as Tokens, fallback_per_s, retry_after }
+    }
 }
 
 /// The window over which quotas are counted, and the excess that is tolerated.
@@ -112,7 +187,9 @@
 /// The token buckets of all workspaces, held by the coordinator.
 #[derive(Debug, Default)]
 pub struct QuotaPool {
-    buckets: HashMap<WorkspaceId, WorkspaceBucket>,
+    buckets: HashMap<WorkspaceId, RateBucket>,
+    /// Buckets of engines that have named a request rate.
+    engine_buckets: HashMap<EndpointId, RateBucket>,
     advanced_at: Duration,
     /// Local time of the last report of each host.
     reported_at: HashMap<HostId, Duration>,
@@ -173,15 +250,8 @@
                 }
             };
             let bucket = self.buckets.remove(&workspace.name);
-            let mut bucket = bucket.unwrap_or_else(|| WorkspaceBucket {
-                rate,
-                burst,
-                level: start.min(burst),
-                backlog: 0.0,
-                granted: VecDeque::new(),
-                drawn_per_s: HashMap::new(),
-                total_drawn_per_s: 0.0,
-            });
+            let mut bucket =
+                bucket.unwrap_or_else(|| RateBucket::new(rate, burst, start.min(burst)));
             bucket.rate = rate;
             bucket.burst = burst;
             bucket.level = bucket.level.min(burst);
@@ -211,32 +281,41 @@
     ) -> Option<QuotaGrant> {
         self.advance(now);
         let bucket = self.buckets.get_mut(workspace)?;
-        let required = (min_tokens as f64).min(bucket.burst);
-        let remaining_tokens = bucket.remaining_tokens(self.tolerance.window);
-        let granted = if bucket.level < required
-            || bucket.level <= 0.0
-            || remaining_tokens < min_tokens as f64
-        {
-            0.0
-        } else {
-            (wanted as f64).min(bucket.level).min(remaining_tokens).max(min_tokens as f64).floor()
+        Some(bucket.draw(now, self.tolerance.window, host, wanted, min_tokens))
+    }
+
+    /// Grants one request to an engine, or none.
+    ///
+    /// Returns `None` if the engine has no limit.
+    pub fn draw_request(
+        &mut self,
+        now: Duration,
+        host: &HostId,
+        engine: &EndpointId,
+    ) -> Option<QuotaGrant> {
+        self.advance(now);
+        let bucket = self.engine_buckets.get_mut(engine)?;
+        let tokens = TOKENS_PER_REQUEST;
+        Some(bucket.draw(now, self.tolerance.window, host, tokens, tokens))
+    }
+
+    /// Sets or removes the limit of an engine, in requests per second.
+    ///
+    /// The bucket of an engine starts empty, since nothing is known about earlier
+    /// requests, and keeps its level when the limit changes.
+    pub fn set_engine_limit(&mut self, now: Duration, engine: &EndpointId, limit: Option<f64>) {
+        self.advance(now);
+        let Some(limit) = limit else {
+            self.engine_buckets.remove(engine);
+            return;
         };
-        bucket.level -= granted;
-        bucket.record_grant(now, self.tolerance.window, granted);
-        let drawn = bucket.drawn_per_s.entry(host.clone()).or_default();
-        *drawn += granted / DEMAND_TIME_CONSTANT_S;
-        let drawn = *drawn;
-        bucket.total_drawn_per_s += granted / DEMAND_TIME_CONSTANT_S;
-        let fallback_per_s = drawn.min(bucket.rate * drawn / bucket.total_drawn_per_s.max(1.0));
-        let mut retry_after = Duration::ZERO;
-        if granted < min_tokens as f64 {
-            // Requests refused earlier are expected to be retried before this one.
-            bucket.backlog += min_tokens as f64;
-            let missing = (bucket.backlog - bucket.level).max(0.0) / bucket.rate.max(1.0);
-            let wait = Duration::from_secs_f64(missing.min(MAX_RETRY_AFTER.as_secs_f64()));
-            retry_after = wait.max(MIN_RETRY_AFTER);
-        }
-        Some(QuotaGrant { tokens: granted as Tokens, fallback_per_s, retry_after })
+        let tokens = TOKENS_PER_REQUEST as f64;
+        let (rate, burst) = (limit * tokens, (limit * ENGINE_BURST_S).max(1.0) * tokens);
+        let bucket = self.engine_buckets.entry(engine.clone());
+        let bucket = bucket.or_insert_with(|| RateBucket::new(rate, burst, 0.0));
+        bucket.rate = rate;
+        bucket.burst = burst;
+        bucket.level = bucket.level.min(burst);
     }
 
     /// Returns the level of a workspace's bucket, in tokens.
@@ -270,14 +349,7 @@
             let is_window_logged = is_first || now.saturating_sub(started_at) >= window;
             let burst_refill_per_s = bucket.burst * BURST_REFILL_SHARE / window.as_secs_f64();
             let rate = bucket.rate + if is_window_logged { burst_refill_per_s } else { 0.0 };
-            let refill = (rate - withheld_per_s).max(0.0) * elapsed;
-            bucket.backlog = (bucket.backlog - rate * elapsed).max(0.0);
-            while bucket.granted.front().is_some_and(|(since, _)| {
-                now.saturating_sub(*since) > window + window / WINDOW_INTERVALS
-            }) {
-                bucket.granted.pop_front();
-            }
-            bucket.level = (bucket.level + refill).min(bucket.burst);
+            bucket.refill(now, elapsed, rate, withheld_per_s, window);
             let decay = (-elapsed / DEMAND_TIME_CONSTANT_S).exp();
             bucket.drawn_per_s.retain(|host, drawn| {
                 if !is_silent(host) {
@@ -287,6 +359,15 @@
             });
             bucket.total_drawn_per_s = bucket.drawn_per_s.values().sum();
         }
+        // A silent host may be sending its share of the limit of an engine.
+        let silent_hosts = reported_at.keys().filter(|host| is_silent(host)).count();
+        let silent_share = silent_hosts as f64 / reported_at.len().max(1) as f64;
+        for bucket in self.engine_buckets.values_mut() {
+            let rate = bucket.rate;
+            bucket.refill(now, elapsed, rate, rate * silent_share, window);
+            bucket.drawn_per_s.clear();
+            bucket.total_drawn_per_s = 0.0;
+        }
     }
 }
 
--- a/crates/skylarkgw/src/decision/shared_map.rs
+++ b/crates/skylarkgw/src/decision/shared_map.rs
@@ -66,6 +66,11 @@
         }
     }
 
+    /// Returns the fencing token of the holder that issued a version.
+    pub fn term_of(version: u64) -> u64 {
+        version >> 32
+    }
+
     /// Replaces all entries, and returns the keys that were removed.
     ///
     /// The version increases if anything changes.
--- a/crates/skylarkgw/src/edge/forward/refusal.rs
+++ b/crates/skylarkgw/src/edge/forward/refusal.rs
@@ -37,6 +37,9 @@
     /// No engine that holds the model has the adapter, and none was assigned to load
     /// it in time, for example because none has room for it.
     NoAdapter,
+    /// Every available engine that holds the model has named a request rate that is used
+    /// up.
+    EngineLimited,
     /// The estimated wait at the selected engine exceeds what the latency objective
     /// or the deadline allows.
     Overloaded,
@@ -65,6 +68,7 @@
             RefusalReason::PromptRefused => "prompt-refused",
             RefusalReason::NoEngine => "no-engine",
             RefusalReason::NoAdapter => "no-adapter",
+            RefusalReason::EngineLimited => "engine-limited",
             RefusalReason::Overloaded => "overloaded",
             RefusalReason::NotRun => "not-run",
             RefusalReason::DeadlinePassed => "deadline-passed",
@@ -80,6 +84,7 @@
             | RefusalReason::PromptRefused
             | RefusalReason::NoEngine
             | RefusalReason::NoAdapter
+            | RefusalReason::EngineLimited
             | RefusalReason::Overloaded
             | RefusalReason::NotRun
             | RefusalReason::DeadlinePassed => StatusCode::SERVICE_UNAVAILABLE,
--- a/crates/skylarkgw/src/edge/forward/select.rs
+++ b/crates/skylarkgw/src/edge/forward/select.rs
@@ -8,6 +8,7 @@
 use tokio::sync::oneshot;
 use tokio::time::{Instant, timeout};
 
+use crate::decision::coordinator::QuotaAnswer;
 use crate::decision::engine_choice::{
     EngineCandidate, choose_engine, compute_retry_after, should_queue,
 };
@@ -21,6 +22,10 @@
 /// Time that a request waits for the coordinator to assign its adapter to an
 /// engine.
 const ADAPTER_TIMEOUT: Duration = Duration::from_millis(220);
+/// Time that a request waits for the coordinator to draw it from the limit of an engine.
+const LIMIT_TIMEOUT: Duration = Duration::from_millis(150);
+/// Retry delay after a draw without an answer.
+const LIMIT_RETRY_DELAY: Duration = Duration::from_millis(500);
 /// Expected time until a missing model or adapter is available, in milliseconds;
 /// the retry delay reported to the client is derived from it.
 const LOAD_WAIT_MS: f64 = 900.0;
@@ -56,26 +61,85 @@
     if usable.is_empty() {
         return Err(refuse(RefusalReason::NoEngine, LOAD_WAIT_MS));
     }
+    // Shortest time until an engine may take a request again.
+    let mut limit_wait = remove_exhausted_engines(admitted, &mut usable);
     let adapter = admitted.header.target.as_ref().and_then(|target| target.adapter.as_ref());
     if adapter.is_some() && !usable.iter().any(|entry| has_adapter(&snapshot, admitted, entry)) {
         let engine = request_adapter(admitted).await;
         usable.retain(|entry| Some(&entry.id) == engine.as_ref());
-        if usable.is_empty() {
+        if usable.is_empty() && limit_wait.is_none() {
             return Err(refuse(RefusalReason::NoAdapter, LOAD_WAIT_MS));
         }
     } else if adapter.is_some() {
         usable.retain(|entry| has_adapter(&snapshot, admitted, entry));
     }
-    let candidates: Vec<EngineCandidate> =
-        usable.iter().map(|entry| build_candidate(&snapshot, admitted, entry)).collect();
-    let selected = choose_engine(&candidates, rand::rng().random());
-    let index = selected.ok_or_else(|| refuse(RefusalReason::NoEngine, LOAD_WAIT_MS))?;
-    let candidate = &candidates[index];
-    let wait_ms = candidate.estimate_wait_ms();
-    if !should_queue(wait_ms, admitted.route.latency_objective, time_left) {
-        return Err(refuse(RefusalReason::Overloaded, wait_ms));
+    loop {
+        let candidates: Vec<EngineCandidate> =
+            usable.iter().map(|entry| build_candidate(&snapshot, admitted, entry)).collect();
+        let Some(index) = choose_engine(&candidates, rand::rng().random()) else {
+            let wait_ms = limit_wait.map_or(LOAD_WAIT_MS, |wait| wait.as_secs_f64() * 1_000.0);
+            return Err(refuse(RefusalReason::EngineLimited, wait_ms));
+        };
+        let running = candidates[index].running;
+        let wait_ms = candidates[index].estimate_wait_ms();
+        if !should_queue(wait_ms, admitted.route.latency_objective, time_left) {
+            return Err(refuse(RefusalReason::Overloaded, wait_ms));
+        }
+        let entry = usable.swap_remove(index);
+        match draw_request(admitted, &entry).await {
+            None => return Ok(SelectedEngine { entry, running, wait_ms }),
+            wait => limit_wait = limit_wait.into_iter().chain(wait).min(),
+        }
+    }
+}
+
+/// Removes the engines that have used up the request rate that they named, and returns
+/// the shortest time until one of them may take a request again.
+fn remove_exhausted_engines(
+    admitted: &AdmittedRequest,
+    usable: &mut Vec<Arc<EngineEntry>>,
+) -> Option<Duration> {
+    let (now, limits) = (time_since_boot(), admitted.state.lock_engine_limits());
+    let mut shortest = None;
+    usable.retain(|entry| {
+        let wait = limits.find_wait(now, &entry.id);
+        shortest = shortest.into_iter().chain(wait).min();
+        wait.is_none()
+    });
+    shortest
+}
+
+/// Draws one request from the limit of an engine, if it has named one.
+///
+/// Returns the time until another request may be drawn, or `None` if the request may be
+/// sent.
+async fn draw_request(admitted: &AdmittedRequest, entry: &EngineEntry) -> Option<Duration> {
+    let state = &admitted.state;
+    let (limit, is_alone) = {
+        let limits = state.lock_engine_limits();
+        (limits.limit(&entry.id)?, limits.is_alone(time_since_boot()))
+    };
+    if is_alone {
+        let (now, hosts) = (time_since_boot(), state.host_count());
+        let is_allowed = state.lock_engine_limits().try_spend_share(now, &entry.id, hosts);
+        return (!is_allowed).then_some(LIMIT_RETRY_DELAY);
+    }
+    let (reply, answer) = oneshot::channel();
+    let request = CoordinatorRequest::EngineRequest { engine: entry.id.clone(), limit, reply };
+    let answer = match state.coordinator_requests.try_send(request) {
+        Ok(()) => timeout(LIMIT_TIMEOUT, answer).await.ok().and_then(Result::ok),
+        // The queue of requests to the coordinator is full.
+        Err(_) => None,
+    };
+    match answer {
+        Some(QuotaAnswer::Granted) => None,
+        Some(QuotaAnswer::Refused { retry_after }) => {
+            let now = time_since_boot();
+            state.lock_engine_limits().record_exhausted(now, &entry.id, retry_after);
+            Some(retry_after)
+        }
+        None => Some(LIMIT_RETRY_DELAY),
     }
-    Ok(SelectedEngine { entry: usable.swap_remove(index), running: candidate.running, wait_ms })
 }
 
 /// Returns the engines of the service that are ready, are not due for termination
--- a/crates/skylarkgw/src/edge/forward/send.rs
+++ b/crates/skylarkgw/src/edge/forward/send.rs
@@ -339,7 +339,12 @@
     limit: Option<f64>,
     is_success: bool,
 ) {
-    let has_changed = admitted.state.lock_engine_limits().record_answer(engine, limit, is_success);
+    let has_changed = admitted.state.lock_engine_limits().record_answer(
+        time_since_boot(),
+        engine,
+        limit,
+        is_success,
+    );
     if has_changed {
         let (engine, limit) = (engine.to_string(), limit.unwrap_or(-1.0));
         info!("engine limit changed", kv: { engine, limit });
--- a/crates/skylarkgw/src/gateway/control.rs
+++ b/crates/skylarkgw/src/gateway/control.rs
@@ -163,6 +163,21 @@
         })
     }
 
+    /// Draws one request to an engine from the limit that it named, or returns `None` if
+    /// this host is not the coordinator.
+    pub fn draw_request(
+        &self,
+        host: &HostId,
+        engine: &EndpointId,
+        limit: f64,
+    ) -> Option<QuotaAnswer> {
+        self.with_coordinator(|now, coordinator| {
+            self.measure_work(CoordinatorWork::Draw, || {
+                coordinator.draw_request(now, host, engine, limit)
+            })
+        })
+    }
+
     /// Returns an engine that holds an adapter, after ordering an engine to load
     /// it where necessary.
     ///
@@ -422,6 +437,25 @@
                     let _ = reply.send(answer);
                 }
             }
+            CoordinatorRequest::EngineRequest { engine, limit, reply } => {
+                let host = self.state.settings.host.clone();
+                let answer = match self.draw_request(&host, &engine, limit) {
+                    Some(answer) => Some(answer),
+                    None => match self.connect_coordinator().await {
+                        Some(client) => client.draw_request(host, engine, limit).await,
+                        None => None,
+                    },
+                };
+                self.state.metrics.fleet.count_engine_draw(match &answer {
+                    Some(QuotaAnswer::Granted) => "granted",
+                    Some(QuotaAnswer::Refused { .. }) => "refused",
+                    None => "no-reply",
+                });
+                if let Some(answer) = answer {
+                    // If the client request has been abandoned, its token is lost.
+                    let _ = reply.send(answer);
+                }
+            }
             CoordinatorRequest::Adapter { service, model, adapter, reply } => {
                 let is_coordinator = lock(&self.lease).token(time_since_boot()).is_some();
                 let engine = if is_coordinator {
--- a/crates/skylarkgw/src/gateway/peers.rs
+++ b/crates/skylarkgw/src/gateway/peers.rs
@@ -45,6 +45,9 @@
     async fn declaration() -> Option<Arc<FleetDeclaration>>;
     /// Draws quota tokens for one client request.
     async fn draw(host: HostId, workspace: WorkspaceId, tokens: Tokens) -> Option<QuotaAnswer>;
+    /// Draws one request to an engine from the limit that it named, in requests per
+    /// second.
+    async fn draw_request(host: HostId, engine: EndpointId, limit: f64) -> Option<QuotaAnswer>;
     /// Returns an engine that holds an adapter, having it loaded if necessary.
     async fn adapter(
         service: ServiceName,
@@ -77,6 +80,16 @@
         self.control.draw_tokens(&host, &workspace, tokens)
     }
 
+    async fn draw_request(
+        self,
+        _: context::Context,
+        host: HostId,
+        engine: EndpointId,
+        limit: f64,
+    ) -> Option<QuotaAnswer> {
+        self.control.draw_request(&host, &engine, limit)
+    }
+
     async fn adapter(
         self,
         _: context::Context,
@@ -160,6 +173,23 @@
             .ok()?
     }
 
+    /// Draws one request to an engine from the limit that it named, in requests per
+    /// second.
+    ///
+    /// `None` means that the outcome is unknown, or that the host is not the
+    /// coordinator.
+    pub async fn draw_request(
+        &self,
+        host: HostId,
+        engine: EndpointId,
+        limit: f64,
+    ) -> Option<QuotaAnswer> {
+        self.client
+            .draw_request(context_with_timeout(QUOTA_CALL_TIMEOUT), host, engine, limit)
+            .await
+            .ok()?
+    }
+
     /// Returns an engine that holds an adapter, having it loaded if necessary.
     ///
     /// `None` means that no engine was found, that no answer arrived, or that the
--- a/crates/skylarkgw/src/gateway/state.rs
+++ b/crates/skylarkgw/src/gateway/state.rs
@@ -95,6 +95,15 @@
         /// Receives the answer; dropped if no coordinator is reachable in time.
         reply: oneshot::Sender<QuotaAnswer>,
     },
+    /// Draws one request to an engine from the limit that it named.
+    EngineRequest {
+        /// Engine to which the request is to be sent.
+        engine: EndpointId,
+        /// Limit that this host knows, in requests per second.
+        limit: f64,
+        /// Receives the answer; dropped if no coordinator is reachable in time.
+        reply: oneshot::Sender<QuotaAnswer>,
+    },
     /// Finds an engine that holds an adapter, having it loaded if necessary.
     Adapter {
         /// Service whose engines are considered.
--- a/crates/skylarkgw/src/telemetry/fleet_metrics.rs
+++ b/crates/skylarkgw/src/telemetry/fleet_metrics.rs
@@ -37,6 +37,7 @@
     store_calls: IntCounterVec,
     exchanges: IntCounterVec,
     quota_draws: IntCounterVec,
+    engine_draws: IntCounterVec,
     reply_items: IntCounterVec,
     work: CounterVec,
     connections: IntCounterVec,
@@ -84,6 +85,11 @@
                 "Draws of quota tokens for single requests by outcome",
                 &["outcome"],
             )?,
+            engine_draws: counter(
+                "skylark_engine_draws_total",
+                "Draws of single requests to engines that named a request rate by outcome",
+                &["outcome"],
+            )?,
             reply_items: counter(
                 "skylark_coordinator_reply_items_total",
                 "Entries in replies of this host as coordinator by part of the reply",
@@ -124,6 +130,11 @@
         self.quota_draws.with_label_values(&[outcome]).inc();
     }
 
+    /// Counts a draw of one request to an engine with a limit.
+    pub fn count_engine_draw(&self, outcome: &str) {
+        self.engine_draws.with_label_values(&[outcome]).inc();
+    }
+
     /// Counts entries in a part of a reply.
     pub fn count_reply_items(&self, part: &str, items: usize) {
         self.reply_items.with_label_values(&[part]).inc_by(items as u64);
--- a/crates/skylarkgw/tests/decisions/main.rs
+++ b/crates/skylarkgw/tests/decisions/main.rs
@@ -6,6 +6,7 @@
 mod directory;
 mod freshness;
 mod lease;
+mod limits;
 mod placement;
 mod prompts;
 mod quota;
