Plan replicas by the request rate that an engine takes

What callers would see: a model whose only replica is on an engine that takes one request a second is refused beyond that, for as long as the engine says so, because the plan counts the replica as a whole one.

Change: a replica on such an engine counts with the share of its slots that the rate keeps busy. The model's need rises, so it gets a replica elsewhere; the other replica is not displaced; further replicas and adapters go to engines without a limit, and a model without any replica still goes to any engine. Engines without a limit are planned as before: the tests compare both.

--- a/crates/skylarkgw/src/decision/coordinator.rs
+++ b/crates/skylarkgw/src/decision/coordinator.rs
@@ -371,7 +371,9 @@
         limit: Option<f64>,
     ) {
         if self.registry.contains(engine) && self.limits.record(engine, at, limit) {
-            self.quota_pool.set_engine_limit(now, engine, self.limits.limit(engine));
+            let limit = self.limits.limit(engine);
+            self.quota_pool.set_engine_limit(now, engine, limit);
+            self.planner.set_engine_limit(engine, limit);
         }
     }
 
--- a/crates/skylarkgw/src/decision/fleet_planner.rs
+++ b/crates/skylarkgw/src/decision/fleet_planner.rs
@@ -45,6 +45,8 @@
 /// Time after the last request for an adapter during which it is preloaded onto
 /// engines.
 const REQUESTED_ADAPTER_LIFETIME: Duration = Duration::from_secs(4);
+/// Time for which a request keeps a slot of an engine busy, in seconds.
+const REQUEST_SLOT_TIME_S: f64 = 1.2;
 /// Share of the declared rate of the weight store that is used.
 const STORE_RATE_SHARE: f64 = 0.9;
 
@@ -107,6 +109,8 @@
     engines: HashMap<EndpointId, EngineLedger>,
     /// Start times of recent loads from the weight store.
     store_loads: VecDeque<Duration>,
+    /// Request rates that engines have named, in requests per second.
+    limits: HashMap<EndpointId, f64>,
     /// Time of the last request for each adapter.
     requested_adapters: HashMap<(ModelName, Arc<str>), Duration>,
 }
@@ -117,6 +121,7 @@
     pub fn update_registry(&mut self, engines: &[Arc<EngineEntry>]) {
         let ids: HashSet<&EndpointId> = engines.iter().map(|entry| &entry.id).collect();
         self.engines.retain(|id, _| ids.contains(id));
+        self.limits.retain(|id, _| ids.contains(id));
         for entry in engines {
             self.engines
                 .entry(entry.id.clone())
@@ -125,6 +130,14 @@
         }
     }
 
+    /// Sets or removes the request rate that an engine takes, in requests per second.
+    pub fn set_engine_limit(&mut self, engine: &EndpointId, limit: Option<f64>) {
+        match limit {
+            Some(limit) => self.limits.insert(engine.clone(), limit),
+            None => self.limits.remove(engine),
+        };
+    }
+
     /// Returns the calls to engines that are due at `now`, and records the changes
     /// that they begin in the ledgers.
     ///
@@ -180,8 +193,15 @@
         let ready = ledgers.filter(|ledger| ledger.entry.service == *service && ledger.is_ready());
         let running =
             |ledger: &EngineLedger| running.get(&ledger.entry.id).copied().unwrap_or_default();
-        let mut engines: Vec<EngineSnapshot> =
-            ready.map(|ledger| ledger.snapshot(&memory, running(ledger))).collect();
+        let mut engines: Vec<EngineSnapshot> = ready
+            .map(|ledger| {
+                let limit = self.limits.get(&ledger.entry.id);
+                let slots = f64::from(ledger.entry.slots.max(1));
+                let limited_share = limit.map(|limit| limit * REQUEST_SLOT_TIME_S / slots);
+                let snapshot = ledger.snapshot(&memory, running(ledger));
+                EngineSnapshot { limited_share, ..snapshot }
+            })
+            .collect();
         engines.sort_by(|a, b| a.id.cmp(&b.id));
         engines
     }
@@ -424,6 +444,11 @@
         if holders.is_empty() {
             return AdapterDecision::NoEngine;
         }
+        // An engine that takes fewer requests is used if no other one holds the model.
+        let is_limited = |ledger: &EngineLedger| self.limits.contains_key(&ledger.entry.id);
+        if holders.iter().any(|ledger| !is_limited(ledger)) {
+            holders.retain(|ledger| !is_limited(ledger));
+        }
         for ledger in &mut holders {
             let engine = ledger.entry.id.clone();
             let held = ledger.adapters.iter_mut();
--- a/crates/skylarkgw/src/decision/fleet_planner/ledger.rs
+++ b/crates/skylarkgw/src/decision/fleet_planner/ledger.rs
@@ -162,6 +162,7 @@
             copies: copies.cloned().collect(),
             slots: self.entry.slots,
             running,
+            limited_share: None,
         }
     }
 
--- a/crates/skylarkgw/src/decision/model_plan.rs
+++ b/crates/skylarkgw/src/decision/model_plan.rs
@@ -3,7 +3,8 @@
 //! Every declared model keeps at least one replica. Models that lost all replicas
 //! are restored in descending order of demand. The remaining memory is assigned by
 //! need, which is the demand for a model divided by its replicas, in slots. The model
-//! with the greatest need gets the next replica. It displaces a replica of another
+//! with the greatest need gets the next replica. A replica on an engine that has named a
+//! request rate counts with the share of its slots that this rate keeps busy. It displaces a replica of another
 //! model only if its need is more than `SWAP_FACTOR` times the need that the other
 //! model has afterwards. This hysteresis keeps replicas from moving on every small
 //! change of demand. Placement thereby follows diurnal shifts, in which demand moves
@@ -37,6 +38,10 @@
 /// accepts no other order during it.
 const STORE_LOAD_FACTOR: f64 = 3.0;
 
+/// Lowest capacity of a replica on an engine that has named a request rate, as a share
+/// of the capacity of its slots.
+const MIN_CAPACITY: f64 = 0.01;
+
 /// State of one engine at the time of planning.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct EngineSnapshot {
@@ -61,6 +66,21 @@
     pub slots: u32,
     /// Moving average of the number of requests on the engine.
     pub running: f64,
+    /// Share of the slots that the request rate keeps busy that the engine has named, if
+    /// it has named one.
+    pub limited_share: Option<f64>,
+}
+
+impl EngineSnapshot {
+    /// Returns the capacity of a replica on the engine, from above 0 to 1.
+    fn capacity(&self) -> f64 {
+        self.limited_share.unwrap_or(1.0).clamp(MIN_CAPACITY, 1.0)
+    }
+
+    /// Returns whether the engine takes fewer requests than its slots allow.
+    fn is_limited(&self) -> bool {
+        self.capacity() < 1.0
+    }
 }
 
 /// Change of placement.
@@ -94,6 +114,11 @@
     /// Number of replicas of each model that are loading or for which memory is
     /// reserved.
     pending: HashMap<&'a ModelName, u32>,
+    /// Capacity of the replicas of each model that serve requests.
+    serving_capacity: HashMap<&'a ModelName, f64>,
+    /// Capacity of the replicas of each model that are loading or for which memory is
+    /// reserved.
+    pending_capacity: HashMap<&'a ModelName, f64>,
     /// Demand for each model, in slots.
     demand: &'a HashMap<ModelName, f64>,
     models: HashMap<&'a ModelName, &'a ModelRule>,
@@ -120,6 +145,9 @@
     let serving = count_models(engines.iter().flat_map(|engine| &engine.models));
     let pending = engines.iter().flat_map(|engine| engine.loading.iter().chain(&engine.reserved));
     let pending = count_models(pending);
+    let serving_capacity = sum_capacities(engines, |engine| Box::new(engine.models.iter()));
+    let pending_capacity =
+        sum_capacities(engines, |engine| Box::new(engine.loading.iter().chain(&engine.reserved)));
     let models = rule.models.iter().map(|model| (&model.name, model)).collect();
     let slots = engines.iter().map(|engine| f64::from(engine.slots)).fold(f64::INFINITY, f64::min);
     let mut holders: HashMap<&ModelName, Vec<&EngineSnapshot>> = HashMap::new();
@@ -128,7 +156,17 @@
             holders.entry(model).or_default().push(engine);
         }
     }
-    let plan = ModelPlan { engines, serving, pending, demand, models, holders, slots };
+    let plan = ModelPlan {
+        engines,
+        serving,
+        pending,
+        serving_capacity,
+        pending_capacity,
+        demand,
+        models,
+        holders,
+        slots,
+    };
     let mut missing: Vec<&ModelRule> =
         rule.models.iter().filter(|model| plan.total_replicas(&model.name) == 0).collect();
     missing.sort_by(|a, b| plan.demand(&b.name).total_cmp(&plan.demand(&a.name)));
@@ -163,6 +201,21 @@
     })
 }
 
+/// Adds up the capacity of the replicas of each model that `list_models` returns for an
+/// engine.
+fn sum_capacities<'a>(
+    engines: &'a [EngineSnapshot],
+    list_models: impl Fn(&'a EngineSnapshot) -> Box<dyn Iterator<Item = &'a ModelName> + 'a>,
+) -> HashMap<&'a ModelName, f64> {
+    let mut capacities: HashMap<&ModelName, f64> = HashMap::new();
+    for engine in engines {
+        for model in list_models(engine) {
+            *capacities.entry(model).or_default() += engine.capacity();
+        }
+    }
+    capacities
+}
+
 impl ModelPlan<'_> {
     /// Returns the number of replicas that serve, are loading or have memory
     /// reserved.
@@ -175,19 +228,25 @@
         self.serving.get(model).copied().unwrap_or_default()
     }
 
-    /// Returns the need of a model: the demand for it divided by all its replicas,
-    /// in slots.
+    /// Returns the need of a model: the demand for it divided by the capacity of all its
+    /// replicas, in slots.
     fn compute_need(&self, model: &ModelName) -> f64 {
-        self.demand(model) / f64::from(self.total_replicas(model).max(1))
+        let capacities = [&self.serving_capacity, &self.pending_capacity];
+        let capacity: f64 = capacities.iter().filter_map(|known| known.get(model)).sum();
+        self.demand(model) / if capacity > 0.0 { capacity } else { 1.0 }
     }
 
-    /// Returns the demand per serving replica after one of them is drained, in
-    /// slots.
+    /// Returns the demand for a model per capacity of its serving replicas after the one
+    /// on `engine` is drained, in slots.
     ///
     /// Replicas that are still loading do not count, since they serve no
     /// requests for seconds.
-    fn compute_need_after_drain(&self, model: &ModelName) -> f64 {
-        self.demand(model) / f64::from(self.serving_replicas(model).saturating_sub(1).max(1))
+    fn compute_need_after_drain(&self, model: &ModelName, engine: &EngineSnapshot) -> f64 {
+        let serving = self.serving_capacity.get(model).copied().unwrap_or_default();
+        let remaining = serving - engine.capacity();
+        let has_other_replica = self.serving_replicas(model) > 1;
+        let capacity = if has_other_replica { remaining.max(MIN_CAPACITY) } else { 1.0 };
+        self.demand(model) / capacity
     }
 
     /// Returns the demand for a model, in slots.
@@ -242,13 +301,18 @@
         engines: &[&EngineSnapshot],
         from_store: bool,
     ) -> Option<PlanChange> {
+        // A model without replicas goes to any engine, a further replica only to one
+        // whose slots can be used.
         let is_available = |engine: &EngineSnapshot| {
-            engine.is_idle && (engine.reserved.is_none() || need.is_infinite())
+            let is_free = engine.reserved.is_none() && !engine.is_limited();
+            engine.is_idle && (is_free || need.is_infinite())
         };
         let idle = || engines.iter().filter(|engine| is_available(engine));
         let with_memory = idle().filter(|engine| engine.free_mb >= model.weights_mb);
-        let least_loaded = with_memory
-            .min_by(|a, b| self.compute_engine_load(a).total_cmp(&self.compute_engine_load(b)));
+        let least_loaded = with_memory.min_by(|a, b| {
+            let load = |engine| self.compute_engine_load(engine);
+            a.is_limited().cmp(&b.is_limited()).then(load(a).total_cmp(&load(b)))
+        });
         if let Some(engine) = least_loaded {
             let (engine, model) = (engine.id.clone(), model.name.clone());
             return Some(PlanChange::Load { engine, model, from_store });
@@ -267,18 +331,24 @@
                 self.compute_displacement_cost(a.0, a.1)
                     .total_cmp(&self.compute_displacement_cost(b.0, b.1))
             })
-            .filter(|(_, victim)| self.can_displace(victim, &model.name, need))?;
+            .filter(|(engine, victim)| self.can_displace(engine, victim, &model.name, need))?;
         let (engine, victim) = (engine.id.clone(), victim.clone());
         Some(PlanChange::Drain { engine, model: victim, successor: model.name.clone() })
     }
 
-    /// Returns whether the model `successor`, whose need is `need`, may displace a
-    /// replica of `victim`.
+    /// Returns whether the model `successor`, whose need is `need`, may displace the
+    /// replica of `victim` on `engine`.
     ///
     /// A model that is not being requested does not displace a replica while
     /// the remaining replicas of `victim` could not take over its work.
-    fn can_displace(&self, victim: &ModelName, successor: &ModelName, need: f64) -> bool {
-        let remaining_need = self.compute_need_after_drain(victim);
+    fn can_displace(
+        &self,
+        engine: &EngineSnapshot,
+        victim: &ModelName,
+        successor: &ModelName,
+        need: f64,
+    ) -> bool {
+        let remaining_need = self.compute_need_after_drain(victim, engine);
         let is_requested = self.demand(successor) > ACTIVE_DEMAND_SLOTS;
         remaining_need * SWAP_FACTOR < need
             && (remaining_need < self.slots * FULL_SHARE || is_requested)
@@ -287,7 +357,7 @@
     /// Returns the cost of displacing a model on an engine, in slots: the need of
     /// its remaining replicas plus the load of the other models on the engine.
     fn compute_displacement_cost(&self, engine: &EngineSnapshot, victim: &ModelName) -> f64 {
-        self.compute_need_after_drain(victim) + self.compute_engine_load(engine)
+        self.compute_need_after_drain(victim, engine) + self.compute_engine_load(engine)
             - self.compute_need(victim)
     }
 
--- a/crates/skylarkgw/src/decision/model_plan/balance.rs
+++ b/crates/skylarkgw/src/decision/model_plan/balance.rs
@@ -43,13 +43,14 @@
         if self.pending.contains_key(model) {
             return None;
         }
-        let holders = self.holders.get(model)?.iter();
+        // An engine that takes fewer requests is idle without being able to take more.
+        let holders = self.holders.get(model)?.iter().filter(|engine| !engine.is_limited());
         let lowest_running = holders.map(|engine| engine.running).reduce(f64::min)?;
         if lowest_running < self.slots * BUSY_SHARE {
             return None;
         }
         let targets = self.engines.iter().filter(|engine| {
-            let is_available = engine.is_idle && engine.reserved.is_none();
+            let is_available = engine.is_idle && engine.reserved.is_none() && !engine.is_limited();
             is_available && !engine.models.contains(model) && engine.running < lowest_running
         });
         let steps = targets.filter_map(|engine| {
--- a/crates/skylarkgw/tests/decisions/placement.rs
+++ b/crates/skylarkgw/tests/decisions/placement.rs
@@ -28,9 +28,14 @@
         copies: Vec::new(),
         slots: 10,
         running: 0.0,
+        limited_share: None,
     }
 }
 
+fn with_limited_share(engine: EngineSnapshot, share: f64) -> EngineSnapshot {
+    EngineSnapshot { limited_share: Some(share), ..engine }
+}
+
 fn with_running(engine: EngineSnapshot, running: f64) -> EngineSnapshot {
     EngineSnapshot { running, ..engine }
 }
@@ -382,3 +387,45 @@
     // 20 requests per second at 2.24 slot-seconds each.
     assert!((38.0..50.0).contains(&slow), "{slow} slots");
 }
+
+// Guards against a model that is refused while its only engine takes a request a second.
+#[test]
+fn model_on_an_engine_that_takes_less_gets_another_replica_elsewhere() {
+    let rule = generation(&["asked", "quiet"]);
+    let engines = [
+        with_limited_share(snapshot("e1", &["asked"], 130_000.0), 0.05),
+        with_limited_share(snapshot("e2", &["quiet"], 130_000.0), 0.05),
+        snapshot("e3", &["quiet"], 130_000.0),
+    ];
+    let demand = demand(&[("asked", 2.0)]);
+    let change = plan_change(&rule, &engines, &demand, 9);
+    let expected =
+        PlanChange::Load { engine: "e3".into(), model: "asked".into(), from_store: true };
+    assert_eq!(change, Some(expected));
+    let unlimited = engines.map(|engine| EngineSnapshot { limited_share: None, ..engine });
+    assert_eq!(plan_change(&rule, &unlimited, &demand, 9), None);
+}
+
+// Guards against the loss of the only replica that can take requests.
+#[test]
+fn replica_beside_one_on_an_engine_that_takes_less_is_not_displaced() {
+    let rule = generation(&["hot", "shared"]);
+    let engines = [
+        snapshot("e1", &["hot"], 0.0),
+        with_limited_share(snapshot("e2", &["shared"], 0.0), 0.05),
+        snapshot("e3", &["shared"], 0.0),
+    ];
+    let demand = demand(&[("hot", 20.0), ("shared", 4.0)]);
+    assert_eq!(plan_change(&rule, &engines, &demand, 9), None);
+    let unlimited = engines.map(|engine| EngineSnapshot { limited_share: None, ..engine });
+    assert!(matches!(plan_change(&rule, &unlimited, &demand, 9), Some(PlanChange::Drain { .. })));
+}
+
+// Guards against a model that no engine serves because the only free one takes less.
+#[test]
+fn model_without_replicas_goes_to_an_engine_that_takes_less() {
+    let rule = generation(&["rare"]);
+    let engines = [with_limited_share(snapshot("e1", &[], 130_000.0), 0.05)];
+    let change = plan_change(&rule, &engines, &demand(&[]), 9);
+    assert!(matches!(change, Some(PlanChange::Load { .. })));
+}
