Weigh the evidence against parts that were answered of late less

What callers would see: all requests of a route refused for ten minutes, because their first part is suspect in more crashes than the part that causes them.

Cause: only an answer after a crash cleared a part of it. While engines end one after the other, there may be none, even for a part that all prompts share.

Change: a part that was answered within a minute is refused only after all others, and only if three crashes have no other explanation. Hosts are asked about parts that are suspect in two crashes or more, by their number, so invented parts of single crashes do not crowd out those that could be cleared.

Both tests failed before: the common part was refused instead of the other one, and it was not among 256 of 600 invented parts.

--- a/crates/skylarkgw/src/decision/prompt_guard.rs
+++ b/crates/skylarkgw/src/decision/prompt_guard.rs
@@ -96,7 +96,7 @@
 pub struct PromptGuard {
     proven: ProvenParts,
     observations: VecDeque<OwnObservation>,
-    /// Parts with evidence against them, as the coordinator sent them.
+    /// Parts that are suspect in several crashes, as the coordinator sent them.
     suspects: HashSet<PartHash>,
     /// Version of the state that the coordinator sent last.
     version: u64,
--- a/crates/skylarkgw/src/decision/prompt_quarantine.rs
+++ b/crates/skylarkgw/src/decision/prompt_quarantine.rs
@@ -22,9 +22,11 @@
 /// Maximum number of crashes that are kept as evidence.
 const MAX_CRASHES: usize = 128;
 /// Maximum number of suspect parts of one crash.
-const MAX_PARTS_PER_CRASH: usize = 128;
+const MAX_PARTS_PER_CRASH: usize = 256;
 /// Maximum number of suspect parts that are sent to hosts.
 const MAX_SENT_SUSPECTS: usize = 256;
+/// Number of crashes in which a part is suspect before it is sent to hosts.
+const CRASHES_BEFORE_SENDING: usize = 2;
 /// Longest time between two observations of one crash.
 const SAME_CRASH_WINDOW: Duration = Duration::from_secs(2);
 /// Number of crashes in which a part is suspect before it is refused.
@@ -49,8 +51,8 @@
 pub struct QuarantineState {
     /// Version of this state.
     pub version: u64,
-    /// Parts with evidence against them; hosts report those that they have seen in
-    /// complete answers.
+    /// Parts that are suspect in several crashes; hosts report those that they have seen
+    /// in complete answers.
     pub suspects: Vec<PartHash>,
     /// Parts that are refused, each with the time until a trial is due.
     pub refused: Vec<(PartHash, Duration)>,
@@ -126,6 +128,9 @@
 /// The evidence against a part, in ascending order of its weight.
 #[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
 struct EvidenceWeight {
+    /// Whether no prompt with the part was answered of late. While engines crash one
+    /// after the other, no prompt with a common part may be answered in between.
+    is_unanswered: bool,
     /// Crashes in which no refused part is suspect.
     unexplained: usize,
     crashes: usize,
@@ -230,12 +235,18 @@
 
     /// Returns the state.
     pub fn state(&self) -> QuarantineState {
-        let newest = self.crashes.iter().rev();
-        let mut suspects: Vec<PartHash> =
-            newest.flat_map(|crash| crash.parts.keys().copied()).collect();
-        suspects.sort_unstable();
-        suspects.dedup();
+        let mut counts: HashMap<PartHash, usize> = HashMap::new();
+        for part in self.crashes.iter().flat_map(|crash| crash.parts.keys()) {
+            *counts.entry(*part).or_default() += 1;
+        }
+        let mut suspects: Vec<(usize, PartHash)> = counts
+            .into_iter()
+            .filter(|(_, crashes)| *crashes >= CRASHES_BEFORE_SENDING)
+            .map(|(part, crashes)| (crashes, part))
+            .collect();
+        suspects.sort_unstable_by(|a, b| b.cmp(a));
         suspects.truncate(MAX_SENT_SUSPECTS);
+        let suspects = suspects.into_iter().map(|(_, part)| part).collect();
         let refused = self.refused.iter();
         let refused =
             refused.map(|(part, refused)| (*part, refused.until.saturating_sub(self.as_of)));
@@ -343,8 +354,9 @@
     }
 
     /// Returns the part with the heaviest evidence among those that are suspect in
-    /// enough crashes and explain one that no refused part explains, and the time at
-    /// which it became suspect in enough of them.
+    /// enough crashes and explain one that no refused part explains, or enough of them
+    /// if the part was answered of late, and the time at which it became suspect in
+    /// enough crashes.
     fn find_heaviest(&self) -> Option<(EvidenceWeight, Duration)> {
         let mut weights: HashMap<PartHash, (EvidenceWeight, Vec<Duration>)> = HashMap::new();
         for crash in &self.crashes {
@@ -352,6 +364,7 @@
             for (part, suspect) in &crash.parts {
                 let (weight, recorded) = weights.entry(*part).or_default();
                 weight.part = *part;
+                weight.is_unanswered = !self.cleared.contains_key(part);
                 weight.crashes += 1;
                 weight.unexplained += usize::from(!is_explained);
                 weight.position = weight.position.max(suspect.position);
@@ -359,7 +372,8 @@
             }
         }
         let eligible = weights.into_values().filter(|(weight, _)| {
-            weight.crashes >= CRASHES_BEFORE_REFUSAL && weight.unexplained > 0
+            let needed = if weight.is_unanswered { 1 } else { CRASHES_BEFORE_REFUSAL };
+            weight.crashes >= CRASHES_BEFORE_REFUSAL && weight.unexplained >= needed
         });
         let (weight, mut recorded) = eligible.max()?;
         recorded.sort_unstable();
--- a/crates/skylarkgw/tests/decisions/prompts.rs
+++ b/crates/skylarkgw/tests/decisions/prompts.rs
@@ -228,3 +228,33 @@
     let state = fleet.coordinator.quarantine_state();
     assert!(state.suspects.len() <= 256, "{}", state.suspects.len());
 }
+
+// Guards against the refusal of a common part while crashes follow one another so fast
+// that no prompt with it is answered in between.
+#[test]
+fn part_that_was_answered_of_late_is_refused_last() {
+    let mut fleet = PromptFleet::new(4);
+    fleet.answer(0, &["system"]);
+    fleet.exchange_for(200);
+    for crash in 0..2 {
+        fleet.crash(1, &format!("other-{crash}"), &["system"]);
+    }
+    crash_engines(&mut fleet, 3, &["bad", "system"]);
+    assert_eq!(fleet.refused_parts(&["bad", "system"]), ["bad"]);
+}
+
+// Guards against invented parts that crowd the suspects out that hosts could clear.
+#[test]
+fn suspects_of_several_crashes_are_sent_among_invented_parts() {
+    let mut fleet = PromptFleet::new(2);
+    let names: Vec<String> = (0..600).map(|part| format!("invented-{part}")).collect();
+    for (crash, names) in names.chunks(60).enumerate() {
+        let names: Vec<&str> = names.iter().map(String::as_str).collect();
+        fleet.crash(0, &format!("i-{crash}"), &names);
+    }
+    fleet.crash(0, "i-0", &["system"]);
+    fleet.crash(0, "i-1", &["system"]);
+    fleet.exchange_for(300);
+    let state = fleet.coordinator.quarantine_state();
+    assert!(state.suspects.contains(&prompt(&["system"])[0]));
+}
