Hold suspect parts back only while no coordinator replies

What callers would see: all requests of a route refused for ten minutes, after the coordinator ended while engines crashed.

Cause: a host without a coordinator refused a part after three crashes that it had seen itself, and the next coordinator took that over for all hosts. One host's evidence does not tell a part that crashes engines from one that all prompts share.

Change: while no coordinator replies, a host holds back the parts that it has seen in a crash and not in an answer of late, and those that the coordinator had sent as suspect, with a retry delay of 2 s. It reports the evidence and not the decision.

--- a/crates/skylarkgw/src/decision/prompt_guard.rs
+++ b/crates/skylarkgw/src/decision/prompt_guard.rs
@@ -6,9 +6,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::decision::prompt_evidence::{CrashObservation, SuspectPart};
-use crate::decision::prompt_quarantine::{
-    CRASHES_BEFORE_REFUSAL, FIRST_REFUSAL_TIME, QuarantineState,
-};
+use crate::decision::prompt_quarantine::QuarantineState;
 use crate::ids::{EndpointId, PartHash};
 
 /// Half of the time for which a complete answer proves the parts of its prompt
@@ -20,8 +18,11 @@
 const MAX_OBSERVATIONS: usize = 128;
 /// Maximum number of refused parts that a report names as requested.
 const MAX_REQUESTED: usize = 32;
-/// Time without a reply after which a host decides from its own observations.
+/// Time without a reply after which a host holds back the parts that it has observed.
 const LONE_TIMEOUT: Duration = Duration::from_secs(1);
+/// Retry delay of a request with such a part; another host takes the coordinator lease
+/// within about three seconds.
+const LONE_RETRY_AFTER: Duration = Duration::from_secs(2);
 /// Shortest retry delay of a refused request.
 const MIN_RETRY_AFTER: Duration = Duration::from_secs(10);
 /// Time for which an observation is kept.
@@ -146,36 +147,33 @@
             is_confirmed: false,
         };
         self.observations.push_back(observation);
-        if now.saturating_sub(self.replied_at) > LONE_TIMEOUT {
-            self.refuse_alone(now, &parts);
-        }
     }
 
-    /// Refuses the last part of a prompt that is suspect in enough crashes that this host
-    /// has seen, unless a refused part explains the crash.
-    fn refuse_alone(&mut self, now: Duration, parts: &[SuspectPart]) {
-        if parts.iter().any(|suspect| self.refused.contains_key(&suspect.part)) {
-            return;
-        }
-        let has_crashed = |suspect: &&SuspectPart| {
-            let proven_at = self.proven.last_answer(now, suspect.part).unwrap_or_default();
-            let observations = self.observations.iter().filter(|own| own.at > proven_at);
-            let engines: HashSet<&EndpointId> = observations
-                .filter(|own| own.parts.iter().any(|other| other.part == suspect.part))
-                .map(|own| &own.engine)
-                .collect();
-            engines.len() >= CRASHES_BEFORE_REFUSAL
-        };
-        if let Some(suspect) = parts.iter().rev().find(has_crashed) {
-            self.adopt_refused(now, &[(suspect.part, FIRST_REFUSAL_TIME)]);
+    /// Returns whether this host holds back a part, because the coordinator does not reply
+    /// and the part is suspect.
+    ///
+    /// The evidence of one host does not tell a part that crashes engines from one that
+    /// was beside, so the part is neither reported as refused nor refused for longer.
+    fn is_held_back(&mut self, now: Duration, part: PartHash) -> bool {
+        if now.saturating_sub(self.replied_at) <= LONE_TIMEOUT {
+            return false;
         }
+        let is_recent = |own: &OwnObservation| now.saturating_sub(own.at) < PROOF_HALF_LIFETIME * 2;
+        let recent = self.observations.iter().filter(|own| is_recent(own));
+        let mut recent = recent.flat_map(|own| &own.parts);
+        let is_suspect =
+            self.suspects.contains(&part) || recent.any(|suspect| suspect.part == part);
+        is_suspect && self.proven.last_answer(now, part).is_none()
     }
 
     /// Returns the retry delay if a prompt with these parts is refused.
     pub fn find_refusal(&mut self, now: Duration, parts: &[PartHash]) -> Option<Duration> {
         let is_refused =
             |part: &&PartHash| self.refused.contains_key(part) && !self.trials.contains(part);
-        let part = parts.iter().find(is_refused)?;
+        let Some(part) = parts.iter().find(is_refused) else {
+            let is_held_back = parts.iter().any(|part| self.is_held_back(now, *part));
+            return is_held_back.then_some(LONE_RETRY_AFTER);
+        };
         if self.requested.len() < MAX_REQUESTED {
             self.requested.insert(*part);
         }
--- a/crates/skylarkgw/src/decision/prompt_quarantine.rs
+++ b/crates/skylarkgw/src/decision/prompt_quarantine.rs
@@ -30,9 +30,9 @@
 /// Longest time between two observations of one crash.
 const SAME_CRASH_WINDOW: Duration = Duration::from_secs(2);
 /// Number of crashes in which a part is suspect before it is refused.
-pub const CRASHES_BEFORE_REFUSAL: usize = 3;
+const CRASHES_BEFORE_REFUSAL: usize = 3;
 /// Time for which a part is refused before its first trial.
-pub const FIRST_REFUSAL_TIME: Duration = Duration::from_secs(600);
+const FIRST_REFUSAL_TIME: Duration = Duration::from_secs(600);
 /// Longest time between two trials.
 const MAX_REFUSAL_TIME: Duration = Duration::from_secs(24 * 3_600);
 /// Time after which a trial without an outcome counts as failed.
--- a/crates/skylarkgw/tests/decisions/main.rs
+++ b/crates/skylarkgw/tests/decisions/main.rs
@@ -8,6 +8,7 @@
 mod lease;
 mod limits;
 mod placement;
+mod prompt_storm;
 mod prompts;
 mod quota;
 mod replicas;
