Give the service of each test fleet an address of its own

The listed test of an unreachable service once got (404, "") instead of (503, "not-run").

Cause, shown now: a stand-in that is started on purpose on the port of the killed service gives exactly this answer. All stand-ins of all tests, which run beside one another, took free ports of 127.0.0.1, so any of them could get it.

Change: the service of each fleet listens on a loopback address that no other fleet uses. The check is unchanged.

--- a/crates/standins/tests/fleet/harness.rs
+++ b/crates/standins/tests/fleet/harness.rs
@@ -2,6 +2,7 @@
 //! ends.
 
 use std::io::{BufRead, BufReader};
+use std::net::Ipv4Addr;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicU32, Ordering};
@@ -132,6 +133,15 @@
     }
 }
 
+/// Returns a loopback address that depends on the process and on `number`.
+///
+/// A test kills its service. On an address that tests share, a server of another test
+/// could then get the port and answer in its place.
+fn loopback_address(number: u32) -> Ipv4Addr {
+    let [_, _, high, low] = std::process::id().to_be_bytes();
+    Ipv4Addr::new(127, 1 + (number % 250) as u8, high, low)
+}
+
 /// Returns the path of a program, which Cargo puts beside the stand-in engine.
 fn program_path(program: &str) -> PathBuf {
     let engine = Path::new(env!("CARGO_BIN_EXE_standin-engine"));
@@ -290,18 +300,17 @@
     /// Starts a fleet, writes its configuration to the platform and waits until
     /// the readiness checks of its hosts succeed, without sending completions.
     pub async fn start_until_ready(options: FleetOptions) -> TestFleet {
-        let folder = std::env::temp_dir().join(format!(
-            "skylarkgw-test-{}-{}",
-            std::process::id(),
-            FLEET_COUNT.fetch_add(1, Ordering::Relaxed)
-        ));
+        let number = FLEET_COUNT.fetch_add(1, Ordering::Relaxed);
+        let folder =
+            std::env::temp_dir().join(format!("skylarkgw-test-{}-{}", std::process::id(), number));
         std::fs::create_dir_all(&folder).expect("the temporary folder can be written");
         std::fs::write(folder.join("key-secret"), KEY_SECRET).expect("the secret can be written");
         let platform = Standin::start("standin-platform", &[]);
         let engines = (0..options.engines)
             .map(|_| Standin::start("standin-engine", &options.engine_arguments))
             .collect();
-        let service = Standin::start("standin-service", &[]);
+        let service_listen = format!("{}:0", loopback_address(number));
+        let service = Standin::start("standin-service", &["--listen", &service_listen]);
         let issued = issue_key(&KeyHasher::new(KEY_SECRET)).expect("a key can be generated");
         let mut fleet = TestFleet {
             platform,
