Let one request end at most two engines of skylarkd

What callers would see: engines that end one after the other under a single chat request.

Cause: a request that made no progress was moved to up to four engines, whether they had failed or ended.

Change: an engine that took the request, sent no token and then refuses a connection counts as ended; after two the request fails as interrupted.

--- a/crates/skylarkgw/src/endpoint/generation.rs
+++ b/crates/skylarkgw/src/endpoint/generation.rs
@@ -23,6 +23,9 @@
 
 /// Maximum number of consecutive attempts that yield no token.
 const MAX_ATTEMPTS_WITHOUT_PROGRESS: u32 = 4;
+/// Maximum number of engines that may end under a request before it fails. The request
+/// may be the cause.
+const MAX_ENDED_ENGINES: u32 = 2;
 /// Delay before the next attempt, from the second attempt without progress on.
 const RETRY_DELAY: Duration = Duration::from_millis(50);
 
@@ -85,6 +88,8 @@
     Finished,
     ReceiverClosed,
     Failed(EngineError),
+    /// The engine took the request and ended before it sent a token.
+    EngineEnded,
 }
 
 impl GenerationTask {
@@ -93,6 +98,7 @@
     pub async fn run(mut self, events: mpsc::Sender<GenerationEvent>) {
         let mut excluded: Vec<EndpointId> = Vec::new();
         let mut attempts_without_progress = 0;
+        let mut ended_engines = 0;
         let mut may_have_run = false;
         let mut grant = self.admission.take_route();
         loop {
@@ -115,11 +121,14 @@
                     return;
                 }
                 AttemptEnd::Failed(_) => {}
+                AttemptEnd::EngineEnded => ended_engines += 1,
             }
             attempts_without_progress =
                 if self.call.offset > previous_offset { 0 } else { attempts_without_progress + 1 };
             // With no grant left, the next iteration reports the failure.
-            if attempts_without_progress >= MAX_ATTEMPTS_WITHOUT_PROGRESS {
+            if attempts_without_progress >= MAX_ATTEMPTS_WITHOUT_PROGRESS
+                || ended_engines >= MAX_ENDED_ENGINES
+            {
                 continue;
             }
             if attempts_without_progress > 1 {
@@ -156,6 +165,7 @@
             excluded.push(route.endpoint().clone());
             return AttemptEnd::Failed(EngineError::Status(404));
         };
+        let first_offset = self.call.offset;
         let mut has_reconnected = false;
         loop {
             let end = self.run_connection(&address, events, may_have_run).await;
@@ -179,6 +189,10 @@
                 route.mark_failed();
             }
             excluded.push(route.endpoint().clone());
+            let has_ended = matches!(error, EngineError::Unreachable(_)) && has_reconnected;
+            if has_ended && self.call.offset == first_offset {
+                return AttemptEnd::EngineEnded;
+            }
             return AttemptEnd::Failed(error);
         }
     }
--- a/crates/standins/src/bin/standin-engine.rs
+++ b/crates/standins/src/bin/standin-engine.rs
@@ -38,6 +38,8 @@
     prefill_ms: u64,
     #[options(help = "time between two tokens, in milliseconds", meta = "MS", default = "5")]
     token_ms: u64,
+    #[options(help = "exit instead of answering prompts with this text", meta = "TEXT", no_short)]
+    exit_on: Option<String>,
 }
 
 fn main() -> ExitCode {
@@ -51,6 +53,7 @@
         slots: options.slots,
         prefill_ms: options.prefill_ms,
         token_ms: options.token_ms,
+        exit_on: options.exit_on,
     };
     match options.listen.parse::<SocketAddr>() {
         Ok(address) => {
--- a/crates/standins/src/engine.rs
+++ b/crates/standins/src/engine.rs
@@ -50,6 +50,8 @@
     pub prefill_ms: u64,
     /// Time between two tokens, in milliseconds.
     pub token_ms: u64,
+    /// Text of a prompt on which the process exits instead of sending the first token.
+    pub exit_on: Option<String>,
 }
 
 /// State of an engine, shared by its handlers.
@@ -290,6 +292,9 @@
         }
     };
     sleep(Duration::from_millis(engine.settings.prefill_ms)).await;
+    if engine.settings.exit_on.as_ref().is_some_and(|text| call.prompt.contains(text)) {
+        std::process::exit(1);
+    }
     let fault_index = call.offset + TOKENS_BEFORE_FAULT;
     for index in call.offset..call.max_tokens {
         if index == fault_index && is_broken {
--- a/crates/standins/tests/fleet/streams.rs
+++ b/crates/standins/tests/fleet/streams.rs
@@ -97,3 +97,25 @@
     // loaded machine.
     assert!(started.elapsed() < Duration::from_secs(20));
 }
+
+// Guards against one request that ends engine after engine.
+#[tokio::test]
+async fn request_under_which_engines_end_reaches_no_more_than_two() {
+    let options = FleetOptions {
+        engines: 5,
+        engine_arguments: vec!["--models", "sage", "--exit-on", "poison"],
+        ..FleetOptions::default()
+    };
+    let fleet = TestFleet::start(options).await;
+    assert_complete_stream(&fleet, "sound").await;
+    let request = fleet.build_chat_request(&fleet.hosts[0], "poison", STREAM_TOKENS, true);
+    let body = request.send().await.expect("a response").text().await.unwrap_or_default();
+    assert!(!parse_chat_stream(&body).1, "{body}");
+    let mut ended = 0;
+    for engine in &fleet.engines {
+        let url = format!("http://{}/standin/counts", engine.address);
+        ended += usize::from(reqwest::get(url).await.is_err());
+    }
+    assert!((1..=2).contains(&ended), "{ended} engines ended");
+    assert_complete_stream(&fleet, "sound again").await;
+}
