Let the permission for a trial expire on the host

What callers would see: a second engine that ends under a trial.

Cause: the coordinator counts a trial without an outcome as failed after 30 s, but the host that was allowed to forward a request kept the permission.

Change: it is valid for 10 s. The test fails with a longer time: the host forwards the request 40 s later.

--- a/crates/skylarkgw/src/decision/coordinator_lease.rs
+++ b/crates/skylarkgw/src/decision/coordinator_lease.rs
@@ -359,7 +359,7 @@
         }
     }
 
-    /// Adds the refused parts of another holder's record, so that this host keeps them
+    /// Takes over the refused parts of another holder's record, so that this host keeps them
     /// if it takes the lease.
     fn keep_refused_parts(&mut self, now: Duration, record: &LeaseRecord) {
         if record.holder != self.host || self.refused_parts.is_empty() {
--- a/crates/skylarkgw/src/decision/prompt_guard.rs
+++ b/crates/skylarkgw/src/decision/prompt_guard.rs
@@ -23,6 +23,8 @@
 /// Retry delay of a request with such a part; another host takes the coordinator lease
 /// within about three seconds.
 const LONE_RETRY_AFTER: Duration = Duration::from_secs(2);
+/// Time for which a trial may be used. The coordinator waits longer for the outcome.
+const TRIAL_VALIDITY: Duration = Duration::from_secs(10);
 /// Shortest retry delay of a refused request.
 const MIN_RETRY_AFTER: Duration = Duration::from_secs(10);
 /// Time for which an observation is kept.
@@ -107,8 +109,9 @@
     refused: HashMap<PartHash, Duration>,
     /// Refused parts that were requested since the last report.
     requested: HashSet<PartHash>,
-    /// Refused parts of which this host may forward one request.
-    trials: HashSet<PartHash>,
+    /// Refused parts of which this host may forward one request, each with the time
+    /// until which it may.
+    trials: HashMap<PartHash, Duration>,
     /// Whether the coordinator has all refused parts of this host.
     is_synced: bool,
     /// Whether the last report contains all refused parts of this host, or the
@@ -135,17 +138,13 @@
     pub fn record_crash(&mut self, now: Duration, engine: &EndpointId, parts: &[PartHash]) {
         let positions = (0_u32..).zip(parts);
         let parts = positions.map(|(position, part)| SuspectPart { part: *part, position });
-        let parts: Vec<SuspectPart> = parts.collect();
+        let parts = parts.collect();
         if self.observations.len() >= MAX_OBSERVATIONS {
             self.observations.pop_front();
             self.reported = self.reported.saturating_sub(1);
         }
-        let observation = OwnObservation {
-            engine: engine.clone(),
-            at: now,
-            parts: parts.clone(),
-            is_confirmed: false,
-        };
+        let observation =
+            OwnObservation { engine: engine.clone(), at: now, parts, is_confirmed: false };
         self.observations.push_back(observation);
     }
 
@@ -166,10 +165,10 @@
         is_suspect && self.proven.last_answer(now, part).is_none()
     }
 
-    /// Returns the retry delay if a prompt with these parts is refused.
+    /// Returns the retry delay if a prompt with these parts is refused or held back.
     pub fn find_refusal(&mut self, now: Duration, parts: &[PartHash]) -> Option<Duration> {
-        let is_refused =
-            |part: &&PartHash| self.refused.contains_key(part) && !self.trials.contains(part);
+        let has_trial = |part: &PartHash| self.trials.get(part).is_some_and(|until| now < *until);
+        let is_refused = |part: &&PartHash| self.refused.contains_key(part) && !has_trial(part);
         let Some(part) = parts.iter().find(is_refused) else {
             let is_held_back = parts.iter().any(|part| self.is_held_back(now, *part));
             return is_held_back.then_some(LONE_RETRY_AFTER);
@@ -251,7 +250,7 @@
         trials: Vec<PartHash>,
     ) {
         self.replied_at = now;
-        self.trials.extend(trials);
+        self.trials.extend(trials.into_iter().map(|part| (part, now + TRIAL_VALIDITY)));
         for own in self.observations.iter_mut().take(self.reported) {
             own.is_confirmed = true;
         }
@@ -271,7 +270,6 @@
         }
         self.refused
             .extend(state.refused.iter().map(|(part, remaining)| (*part, now + *remaining)));
-        let refused = &self.refused;
-        self.trials.retain(|part| refused.contains_key(part));
+        self.trials.retain(|_, until| now < *until);
     }
 }
--- a/crates/skylarkgw/src/edge/forward/crash.rs
+++ b/crates/skylarkgw/src/edge/forward/crash.rs
@@ -32,12 +32,9 @@
     if progress == AnswerProgress::Streaming || parts.is_empty() {
         return false;
     }
-    let is_proven = state.lock_prompt_guard().is_proven(time_since_boot(), parts);
-    if progress == AnswerProgress::Begun && !is_proven {
-        return examine_engine(admitted, entry).await;
-    }
-    examine_engine(admitted, entry).await;
-    false
+    let has_ended = examine_engine(admitted, entry).await;
+    let is_proven = || state.lock_prompt_guard().is_proven(time_since_boot(), parts);
+    has_ended && progress == AnswerProgress::Begun && !is_proven()
 }
 
 /// Records a crash if the engine refuses a new connection, and returns whether it does.
--- a/crates/skylarkgw/tests/decisions/prompts.rs
+++ b/crates/skylarkgw/tests/decisions/prompts.rs
@@ -265,3 +265,16 @@
     let state = fleet.coordinator.quarantine_state();
     assert!(state.suspects.contains(&prompt(&["system"])[0]));
 }
+
+// Guards against a second trial with a permission that was not used in time.
+#[test]
+fn trial_that_is_not_used_expires() {
+    let mut fleet = PromptFleet::new(2);
+    crash_engines(&mut fleet, 3, &["system", "bad"]);
+    fleet.now += 610_000;
+    assert_eq!(fleet.forwarding_hosts("bad"), 0);
+    // The permission arrives.
+    fleet.exchange_for(200);
+    fleet.exchange_for(40_000);
+    assert_eq!(fleet.forwarding_hosts("bad"), 0);
+}
