Leave room for the tokens that hosts hold when a coordinator is lost

The tolerated excess (114,800 tokens) covers what hosts hold when the window begins and what a new coordinator's buckets start with. The buckets took 0.45 of it, whatever the rate, and twenty hosts hold 0.6 s of a demand near 107,000 tokens a second, and more with requests of different sizes.

Change: the buckets start with no more than the excess less 0.85 s of the rate. Tried on a scratch copy and dropped: a bound on what all hosts hold, which keeps the rule as well but makes most requests of 133 hosts draw from the coordinator one by one.

--- a/crates/skylarkgw/src/decision/quota_pool.rs
+++ b/crates/skylarkgw/src/decision/quota_pool.rs
@@ -37,6 +37,9 @@
 /// with if it does not know when its predecessor stopped. It has no record of what
 /// that one granted, and the coordinator may fail twice in one window.
 const INITIAL_LEVEL_SHARE: f64 = 0.45;
+/// Time in which a workspace earns the tokens that all hosts together may hold, in
+/// seconds: [`DEMAND_HORIZON_S`], and what requests of different sizes leave over.
+const HELD_TIME_S: f64 = 0.85;
 /// Time constant of the demand estimate, in seconds.
 const DEMAND_TIME_CONSTANT_S: f64 = 1.0;
 /// Balance up to which a host refills without a coordinator, in seconds of its
@@ -208,7 +211,8 @@
     /// the buckets start empty.
     AfterRelease,
     /// The previous coordinator was lost some time before, so the buckets start with
-    /// a share of the tolerated excess.
+    /// a share of the tolerated excess that hosts do not use up with the tokens that
+    /// they hold.
     #[default]
     AfterLoss,
 }
@@ -246,7 +250,10 @@
                 PoolStart::First => burst,
                 PoolStart::AfterRelease => 0.0,
                 PoolStart::AfterLoss => {
-                    self.tolerance.max_excess(rate, burst) * INITIAL_LEVEL_SHARE
+                    let max_excess = self.tolerance.max_excess(rate, burst);
+                    // Hosts may have held tokens when the window began.
+                    let unheld = (max_excess - rate * HELD_TIME_S).max(0.0);
+                    unheld.min(max_excess * INITIAL_LEVEL_SHARE)
                 }
             };
             let bucket = self.buckets.remove(&workspace.name);
--- a/crates/skylarkgw/tests/decisions/quota.rs
+++ b/crates/skylarkgw/tests/decisions/quota.rs
@@ -7,6 +7,8 @@
 
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
 use skylarkgw::decision::quota_pool::{
     FALLBACK_DURATION, LocalQuota, PoolStart, QuotaPool, QuotaTolerance,
 };
@@ -305,3 +307,43 @@
     }
     assert!(fleet.spent.len() > 3);
 }
+
+// Guards against tokens that hosts hold when a window begins and spend beside those that
+// two coordinators grant in it.
+#[test]
+fn tokens_held_by_hosts_fit_the_tolerance_beside_a_lost_coordinator() {
+    const LARGE_RATE: u64 = 107_000;
+    const BURST: u64 = 122_000;
+    /// Token counts of requests, of which a few are large.
+    const SIZES: [u64; 8] = [400, 700, 900, 1_200, 1_500, 2_000, 4_000, 12_000];
+    let allowed = LARGE_RATE * 8 + BURST;
+    let bound = allowed + allowed / OVERSHOOT_DIVISOR + TOLERANCE.slack_tokens as u64;
+    for seed in 0..100 {
+        let mut random = ChaCha8Rng::seed_from_u64(seed);
+        let mut rule = workspace(SHOP, "key", LARGE_RATE);
+        rule.burst_tokens = BURST;
+        let mut fleet = Fleet::new(20);
+        let start_pool = |fleet: &mut Fleet, now, start| {
+            fleet.pool = QuotaPool::new(ms(now), TOLERANCE, start);
+            fleet.pool.set_workspaces(ms(now), std::slice::from_ref(&rule));
+        };
+        start_pool(&mut fleet, 0, PoolStart::First);
+        let lost_at = random.random_range(2_700..4_500);
+        for now in 0..14_000 {
+            if now == lost_at {
+                start_pool(&mut fleet, now, PoolStart::AfterLoss);
+            }
+            if now % 80 == 0 {
+                fleet.exchange(now);
+            }
+            // The demand rises from 78,000 to 400,000 tokens a second.
+            let requests_per_s = if now < 2_660 { 28.0 } else { 140.0 };
+            if random.random_bool(requests_per_s / 1_000.0) {
+                let size = SIZES[random.random_range(0..SIZES.len())];
+                fleet.request(now, random.random_range(0..20), size, true);
+            }
+        }
+        let spent = fleet.max_spent_in(8_000);
+        assert!(spent <= bound, "seed {seed}: {spent} of {bound}");
+    }
+}
