Keep the layout of versions with fencing tokens in one place

The quarantine of prompt parts and the shared maps each built versions from the token and took them apart. Both now use the same two functions.

--- a/crates/skylarkgw/src/decision/engine_limits.rs
+++ b/crates/skylarkgw/src/decision/engine_limits.rs
@@ -11,7 +11,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::decision::shared_map::{MapDelta, SharedMap};
+use crate::decision::shared_map::{MapDelta, SharedMap, version_token};
 use crate::ids::EndpointId;
 
 /// Lowest rate at which requests are sent to an engine, in requests per second. Without
@@ -120,7 +120,7 @@
         self.exhausted.retain(|_, until| now < *until);
         self.own.retain(|_, own| !own.is_reported);
         let Some(delta) = delta else { return };
-        if SharedMap::<f64>::term_of(delta.version) != SharedMap::<f64>::term_of(self.version) {
+        if version_token(delta.version) != version_token(self.version) {
             // A new coordinator may not have what the previous one sent.
             for (engine, (limit, at)) in self.shared.drain() {
                 let own = OwnObservation { limit: Some(limit), at, is_reported: false };
--- a/crates/skylarkgw/src/decision/prompt_guard.rs
+++ b/crates/skylarkgw/src/decision/prompt_guard.rs
@@ -7,6 +7,7 @@
 
 use crate::decision::prompt_evidence::{CrashObservation, SuspectPart};
 use crate::decision::prompt_quarantine::QuarantineState;
+use crate::decision::shared_map::version_token;
 use crate::ids::{EndpointId, PartHash};
 
 /// Half of the time for which a complete answer proves the parts of its prompt
@@ -256,7 +257,7 @@
         }
         let has_same_term = state
             .as_ref()
-            .is_none_or(|state| state.term() == QuarantineState::term_of(self.version));
+            .is_none_or(|state| version_token(state.version) == version_token(self.version));
         self.is_synced = has_same_term && self.is_reported;
         let Some(state) = state else { return };
         self.version = state.version;
--- a/crates/skylarkgw/src/decision/prompt_quarantine.rs
+++ b/crates/skylarkgw/src/decision/prompt_quarantine.rs
@@ -17,6 +17,7 @@
 
 use crate::decision::prompt_evidence::{CrashObservation, SuspectPart};
 use crate::decision::prompt_guard::{EVIDENCE_LIFETIME, PromptReport};
+use crate::decision::shared_map::first_version;
 use crate::ids::{EndpointId, PartHash};
 
 /// Maximum number of crashes that are kept as evidence.
@@ -58,18 +59,6 @@
     pub refused: Vec<(PartHash, Duration)>,
 }
 
-impl QuarantineState {
-    /// Returns the fencing token of the coordinator that issued the state.
-    pub fn term(&self) -> u64 {
-        QuarantineState::term_of(self.version)
-    }
-
-    /// Returns the fencing token of the coordinator that issued a version.
-    pub fn term_of(version: u64) -> u64 {
-        version >> 32
-    }
-}
-
 /// A new entry of the evidence, for the log.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum QuarantineEvent {
@@ -176,8 +165,7 @@
             refused: HashMap::new(),
             as_of: Duration::ZERO,
             weigh_at: None,
-            // The token in the upper bits keeps versions of different holders distinct.
-            version: token << 32,
+            version: first_version(token),
             events: Vec::new(),
         }
     }
--- a/crates/skylarkgw/src/decision/shared_map.rs
+++ b/crates/skylarkgw/src/decision/shared_map.rs
@@ -14,6 +14,18 @@
 /// Maximum number of removals that are recorded.
 const MAX_REMOVALS: usize = 256;
 
+/// Returns the first version that the holder with a fencing token issues.
+///
+/// The token in the upper bits keeps versions of different holders distinct.
+pub fn first_version(token: u64) -> u64 {
+    token << 32
+}
+
+/// Returns the fencing token of the holder that issued a version.
+pub fn version_token(version: u64) -> u64 {
+    version >> 32
+}
+
 /// Changes of a shared map since a version.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 #[serde(rename_all = "kebab-case")]
@@ -56,8 +68,7 @@
 impl<T: Clone + PartialEq> SharedMap<T> {
     /// Creates an empty map of the holder with the given fencing token.
     pub fn new(token: u64) -> SharedMap<T> {
-        // The token in the upper bits keeps versions of different holders distinct.
-        let version = token << 32;
+        let version = first_version(token);
         SharedMap {
             entries: HashMap::new(),
             version,
@@ -66,11 +77,6 @@
         }
     }
 
-    /// Returns the fencing token of the holder that issued a version.
-    pub fn term_of(version: u64) -> u64 {
-        version >> 32
-    }
-
     /// Replaces all entries, and returns the keys that were removed.
     ///
     /// The version increases if anything changes.
