Hold suspect parts back until a new coordinator has weighed the evidence

Cause: a host without a coordinator holds back the parts that it has seen in a crash. It stopped with the first reply of the next coordinator, which has no evidence then, and needs half a second to get it from all hosts and to have it cleared. The suspects of the previous coordinator were dropped as well.

Change: the coordinator says whether it still collects, for twice the time that hosts have to clear a part, and hosts hold back as long. They keep the suspects of the previous coordinator until the new one has sent its second state.

--- a/crates/skylarkgw/src/decision/prompt_guard.rs
+++ b/crates/skylarkgw/src/decision/prompt_guard.rs
@@ -106,6 +106,8 @@
     version: u64,
     /// Number of observations that the last report covers.
     reported: usize,
+    /// Whether the coordinator may not have weighed the evidence of all hosts yet.
+    is_collecting: bool,
     /// Refused parts, each with the time at which a trial is due.
     refused: HashMap<PartHash, Duration>,
     /// Refused parts that were requested since the last report.
@@ -149,13 +151,13 @@
         self.observations.push_back(observation);
     }
 
-    /// Returns whether this host holds back a part, because the coordinator does not reply
-    /// and the part is suspect.
+    /// Returns whether this host holds back a part, because no coordinator replies that
+    /// has weighed the evidence, and the part is suspect.
     ///
     /// The evidence of one host does not tell a part that crashes engines from one that
     /// was beside, so the part is neither reported as refused nor refused for longer.
     fn is_held_back(&mut self, now: Duration, part: PartHash) -> bool {
-        if now.saturating_sub(self.replied_at) <= LONE_TIMEOUT {
+        if now.saturating_sub(self.replied_at) <= LONE_TIMEOUT && !self.is_collecting {
             return false;
         }
         let is_recent = |own: &OwnObservation| now.saturating_sub(own.at) < PROOF_HALF_LIFETIME * 2;
@@ -261,7 +263,12 @@
         self.is_synced = has_same_term && self.is_reported;
         let Some(state) = state else { return };
         self.version = state.version;
-        self.suspects = state.suspects.into_iter().collect();
+        self.is_collecting = state.is_collecting;
+        if has_same_term {
+            self.suspects.clear();
+        }
+        // Until a new coordinator has the evidence, its suspects are incomplete.
+        self.suspects.extend(state.suspects);
         if self.is_synced {
             self.refused.clear();
         }
--- a/crates/skylarkgw/src/decision/prompt_quarantine.rs
+++ b/crates/skylarkgw/src/decision/prompt_quarantine.rs
@@ -52,6 +52,9 @@
 pub struct QuarantineState {
     /// Version of this state.
     pub version: u64,
+    /// Whether the coordinator is so new that it may not have weighed the evidence of
+    /// all hosts yet.
+    pub is_collecting: bool,
     /// Parts that are suspect in several crashes; hosts report those that they have seen
     /// in complete answers.
     pub suspects: Vec<PartHash>,
@@ -148,6 +151,10 @@
     /// Parts that were proven harmless, with the time of the last complete answer.
     cleared: HashMap<PartHash, Duration>,
     refused: HashMap<PartHash, RefusedPart>,
+    /// Time of the first report.
+    started_at: Option<Duration>,
+    /// Whether evidence of the time before the first report may still be missing.
+    is_collecting: bool,
     /// Time of the last report.
     as_of: Duration,
     /// Time from which new evidence is to be weighed.
@@ -163,6 +170,8 @@
             crashes: VecDeque::new(),
             cleared: HashMap::new(),
             refused: HashMap::new(),
+            started_at: None,
+            is_collecting: true,
             as_of: Duration::ZERO,
             weigh_at: None,
             version: first_version(token),
@@ -192,6 +201,12 @@
         if self.weigh_at.is_some_and(|at| now >= at) {
             self.weigh_evidence(now, clearing_time);
         }
+        let started_at = *self.started_at.get_or_insert(now);
+        // Hosts need as long to report their evidence as to clear it.
+        if self.is_collecting && now >= started_at + clearing_time * 2 {
+            self.is_collecting = false;
+            self.version += 1;
+        }
         let mut trials = report.requested;
         trials.retain(|part| self.grant_trial(now, *part));
         trials
@@ -238,7 +253,12 @@
         let refused = self.refused.iter();
         let refused =
             refused.map(|(part, refused)| (*part, refused.until.saturating_sub(self.as_of)));
-        QuarantineState { version: self.version, suspects, refused: refused.collect() }
+        QuarantineState {
+            version: self.version,
+            is_collecting: self.is_collecting,
+            suspects,
+            refused: refused.collect(),
+        }
     }
 
     /// Returns the events since the last call.
--- a/crates/skylarkgw/tests/decisions/prompts.rs
+++ b/crates/skylarkgw/tests/decisions/prompts.rs
@@ -278,3 +278,26 @@
     fleet.exchange_for(40_000);
     assert_eq!(fleet.forwarding_hosts("bad"), 0);
 }
+
+// Guards against engines that end after a new coordinator has replied and before it has
+// weighed the evidence of all hosts.
+#[test]
+fn suspect_part_is_held_back_until_a_new_coordinator_has_weighed_the_evidence() {
+    let mut fleet = PromptFleet::new(4);
+    fleet.exchange_for(2_000);
+    (0..4).for_each(|host| fleet.answer(host, &["system", "sound"]));
+    for crash in 0..2 {
+        fleet.crash(crash, &format!("i-{crash}"), &["system", "bad"]);
+    }
+    fleet.exchange_for(200);
+    fleet.now += 2_700;
+    fleet.crash(2, "i-2", &["system", "bad"]);
+    assert_eq!(fleet.forwarding_hosts("bad"), 0);
+    fleet.replace_coordinator(2);
+    for _ in 0..20 {
+        fleet.exchange_for(100);
+        assert_eq!(fleet.forwarding_hosts("bad"), 0, "at {} ms", fleet.now);
+        assert_eq!(fleet.forwarding_hosts("sound"), 4, "at {} ms", fleet.now);
+    }
+    assert_eq!(fleet.refused_parts(&["bad", "system", "sound"]), ["bad"]);
+}
