Refuse a part that was answered of late only after five crashes

Cause: while two engines at a time ended for another reason, requests with this part were beside three of them in two seconds, and none was answered in between. A trace of the coordinator's events shows the three crashes (e10+, e5, e7+++). Three crashes are strong evidence against a part that nobody finishes with, but not against one that was answered within a minute.

Change: such a part needs five crashes without another explanation. A part that begins to crash engines after it had been answered is still refused after the fifth crash, within the stable window.

--- a/crates/skylarkgw/src/decision/prompt_quarantine.rs
+++ b/crates/skylarkgw/src/decision/prompt_quarantine.rs
@@ -32,6 +32,9 @@
 const SAME_CRASH_WINDOW: Duration = Duration::from_secs(2);
 /// Number of crashes in which a part is suspect before it is refused.
 const CRASHES_BEFORE_REFUSAL: usize = 3;
+/// The same for a part that was answered of late. All of these crashes must have no
+/// other explanation.
+const CRASHES_DESPITE_ANSWERS: usize = 5;
 /// Time for which a part is refused before its first trial.
 const FIRST_REFUSAL_TIME: Duration = Duration::from_secs(600);
 /// Longest time between two trials.
@@ -132,6 +135,13 @@
     part: PartHash,
 }
 
+impl EvidenceWeight {
+    /// Returns the number of crashes after which the part may be refused.
+    fn crashes_needed(&self) -> usize {
+        if self.is_unanswered { CRASHES_BEFORE_REFUSAL } else { CRASHES_DESPITE_ANSWERS }
+    }
+}
+
 /// A part that all hosts refuse.
 #[derive(Clone, Copy, Debug)]
 struct RefusedPart {
@@ -380,12 +390,12 @@
             }
         }
         let eligible = weights.into_values().filter(|(weight, _)| {
-            let needed = if weight.is_unanswered { 1 } else { CRASHES_BEFORE_REFUSAL };
-            weight.crashes >= CRASHES_BEFORE_REFUSAL && weight.unexplained >= needed
+            let unexplained = if weight.is_unanswered { 1 } else { CRASHES_DESPITE_ANSWERS };
+            weight.crashes >= weight.crashes_needed() && weight.unexplained >= unexplained
         });
         let (weight, mut recorded) = eligible.max()?;
         recorded.sort_unstable();
-        Some((weight, recorded[CRASHES_BEFORE_REFUSAL - 1]))
+        Some((weight, recorded[weight.crashes_needed() - 1]))
     }
 
     /// Returns whether the host that requests a refused part may try it now.
--- a/crates/skylarkgw/tests/decisions/prompts.rs
+++ b/crates/skylarkgw/tests/decisions/prompts.rs
@@ -301,3 +301,16 @@
     }
     assert_eq!(fleet.refused_parts(&["bad", "system", "sound"]), ["bad"]);
 }
+
+// Guards against the refusal of a sound part whose prompts happened to be on engines
+// that ended for another reason.
+#[test]
+fn part_that_was_answered_of_late_is_refused_after_five_crashes() {
+    let mut fleet = PromptFleet::new(4);
+    fleet.answer(0, &["system", "subject"]);
+    fleet.exchange_for(200);
+    crash_engines(&mut fleet, 4, &["subject"]);
+    assert!(fleet.refused_parts(&["subject"]).is_empty());
+    crash_engines(&mut fleet, 1, &["subject"]);
+    assert_eq!(fleet.refused_parts(&["subject"]), ["subject"]);
+}
