--- a/crates/skylarkgw/src/gateway/control.rs
+++ b/crates/skylarkgw/src/gateway/control.rs
@@ -65,6 +65,8 @@
 /// No lock is held across an `.await`.
 pub struct ControlContext {
     state: Arc<GatewayState>,
+    /// Time since boot at which this host started.
+    started_at: Duration,
     /// Capacity of this host to coordinate the fleet.
     capacity: f64,
     lease: Mutex<CoordinatorLease>,
@@ -111,6 +113,7 @@
         lease.set_takeover_delay(takeover_delay(capacity, None));
         ControlContext {
             state,
+            started_at: time_since_boot(),
             capacity,
             lease: Mutex::new(lease),
             coordinator: Mutex::default(),
--- a/crates/skylarkgw/src/gateway/control/knowledge.rs
+++ b/crates/skylarkgw/src/gateway/control/knowledge.rs
@@ -10,7 +10,7 @@
 
 use crate::decision::coordinator::KnowledgeAge;
 use crate::decision::directory::RegistryStamp;
-use crate::decision::freshness::{batch_delay, needs_store_read};
+use crate::decision::freshness::{batch_delay, is_searching_coordinator, needs_store_read};
 use crate::decision::route_table::RouteTable;
 use crate::decision::shared_map::MapDelta;
 use crate::gateway::clock::time_since_boot;
@@ -118,14 +118,20 @@
         }
     }
 
-    /// Starts or stops the watches of the store.
+    /// Starts or stops the watches of the store, unless this host still looks for the
+    /// coordinator.
     ///
     /// `age` is the age of the coordinator's copies, or `None` if there is no
     /// contact with it.
     fn set_watches(&self, declaration: bool, engines: bool, age: Option<&KnowledgeAge>) {
-        let is_coordinator = lock(&self.lease).token(time_since_boot()).is_some();
+        let now = time_since_boot();
+        let is_coordinator = lock(&self.lease).token(now).is_some();
+        let is_first_start = self.state.settings.is_first_start;
+        let uptime = now.saturating_sub(self.started_at);
+        let is_searching = !is_coordinator && is_searching_coordinator(is_first_start, uptime);
         let set_mode = |mode: &watch::Sender<WatchMode>, is_on: bool| {
             let batch_delay = batch_delay(is_coordinator);
+            let is_on = is_on && !is_searching;
             let value = if is_on { WatchMode::On { batch_delay } } else { WatchMode::Off };
             mode.send_if_modified(|current| std::mem::replace(current, value) != value)
         };
--- a/crates/skylarkgw/src/gateway/ports.rs
+++ b/crates/skylarkgw/src/gateway/ports.rs
@@ -191,9 +191,9 @@
     pub declarations: mpsc::Receiver<StoreUpdate<Arc<FleetDeclaration>>>,
     /// Updates of the engine registry.
     pub engines: mpsc::Receiver<StoreUpdate<Vec<EngineEntry>>>,
-    /// Whether and how the adapter watches the declaration.
+    /// Whether and how the adapter watches the declaration; initially not.
     pub watch_declarations: watch::Sender<WatchMode>,
-    /// Whether and how the adapter watches the engine registry.
+    /// Whether and how the adapter watches the engine registry; initially not.
     pub watch_engines: watch::Sender<WatchMode>,
     /// Reads and writes of the lease record.
     pub lease_calls: mpsc::Sender<LeaseCall>,
