Check again whether an engine has ended under a request of skylarkd

What callers would see: engines that end one after the other under a chat request.

Cause: an engine counted as ended only if the second connection to it was refused. An engine that is ending may still accept that connection and lose it as well, and the request is then sent on as after a failure. The stand-in shows it each time if it exits 60 ms after it took the request: four of five engines ended.

Change: after two lost connections without a token, the host asks for the load of the engine up to three times, and counts it as ended if that is refused.

--- a/crates/skylarkgw/src/endpoint/generation.rs
+++ b/crates/skylarkgw/src/endpoint/generation.rs
@@ -26,6 +26,8 @@
 /// Maximum number of engines that may end under a request before it fails. The request
 /// may be the cause.
 const MAX_ENDED_ENGINES: u32 = 2;
+/// Maximum number of checks whether an engine has ended.
+const MAX_END_CHECKS: u32 = 3;
 /// Delay before the next attempt, from the second attempt without progress on.
 const RETRY_DELAY: Duration = Duration::from_millis(50);
 
@@ -189,14 +191,36 @@
                 route.mark_failed();
             }
             excluded.push(route.endpoint().clone());
-            let has_ended = matches!(error, EngineError::Unreachable(_)) && has_reconnected;
-            if has_ended && self.call.offset == first_offset {
+            let has_progress = self.call.offset > first_offset;
+            if has_reconnected && !has_progress && self.has_ended(&address, &error).await {
                 return AttemptEnd::EngineEnded;
             }
             return AttemptEnd::Failed(error);
         }
     }
 
+    /// Returns whether an engine has ended that lost one connection and failed with
+    /// `error` on the next.
+    ///
+    /// An engine that ends closes its connections and its listener one after the other,
+    /// so a lost connection proves nothing yet.
+    async fn has_ended(&self, address: &str, error: &EngineError) -> bool {
+        match error {
+            EngineError::Unreachable(_) => return true,
+            EngineError::ConnectionLost(_) | EngineError::StreamEnded => {}
+            _ => return false,
+        }
+        for _ in 0..MAX_END_CHECKS {
+            sleep(RETRY_DELAY).await;
+            match self.engines.fetch_load(address).await {
+                Err(EngineError::Unreachable(_)) => return true,
+                Err(EngineError::ConnectionLost(_)) => {}
+                _ => return false,
+            }
+        }
+        false
+    }
+
     /// Sends the request over one connection and forwards its tokens to `events`.
     async fn run_connection(
         &mut self,
--- a/crates/standins/src/bin/standin-engine.rs
+++ b/crates/standins/src/bin/standin-engine.rs
@@ -40,6 +40,13 @@
     token_ms: u64,
     #[options(help = "exit instead of answering prompts with this text", meta = "TEXT", no_short)]
     exit_on: Option<String>,
+    #[options(
+        help = "time from then until the exit, in milliseconds",
+        meta = "MS",
+        default = "0",
+        no_short
+    )]
+    exit_delay_ms: u64,
 }
 
 fn main() -> ExitCode {
@@ -54,6 +61,7 @@
         prefill_ms: options.prefill_ms,
         token_ms: options.token_ms,
         exit_on: options.exit_on,
+        exit_delay_ms: options.exit_delay_ms,
     };
     match options.listen.parse::<SocketAddr>() {
         Ok(address) => {
--- a/crates/standins/src/engine.rs
+++ b/crates/standins/src/engine.rs
@@ -52,6 +52,8 @@
     pub token_ms: u64,
     /// Text of a prompt on which the process exits instead of sending the first token.
     pub exit_on: Option<String>,
+    /// Time from then until the process exits, in milliseconds.
+    pub exit_delay_ms: u64,
 }
 
 /// State of an engine, shared by its handlers.
@@ -293,7 +295,8 @@
     };
     sleep(Duration::from_millis(engine.settings.prefill_ms)).await;
     if engine.settings.exit_on.as_ref().is_some_and(|text| call.prompt.contains(text)) {
-        std::process::exit(1);
+        exit_process(Duration::from_millis(engine.settings.exit_delay_ms));
+        return;
     }
     let fault_index = call.offset + TOKENS_BEFORE_FAULT;
     for index in call.offset..call.max_tokens {
@@ -323,6 +326,17 @@
     drop(running);
 }
 
+/// Exits after a delay, in which the process still accepts connections.
+fn exit_process(delay: Duration) {
+    if delay.is_zero() {
+        std::process::exit(1);
+    }
+    tokio::spawn(async move {
+        sleep(delay).await;
+        std::process::exit(1);
+    });
+}
+
 #[handler]
 async fn cancel(Data(engine): Data<&EngineState>, Json(body): Json<CancelBody>) -> StatusCode {
     let running = engine.running.lock().unwrap_or_else(PoisonError::into_inner);
--- a/crates/standins/tests/fleet/streams.rs
+++ b/crates/standins/tests/fleet/streams.rs
@@ -98,12 +98,19 @@
     assert!(started.elapsed() < Duration::from_secs(20));
 }
 
-// Guards against one request that ends engine after engine.
-#[tokio::test]
-async fn request_under_which_engines_end_reaches_no_more_than_two() {
+/// Sends a request under which engines end, `exit_delay_ms` after they have begun, and
+/// checks that no more than two of them do.
+async fn assert_two_engines_end(exit_delay_ms: &'static str) {
     let options = FleetOptions {
         engines: 5,
-        engine_arguments: vec!["--models", "sage", "--exit-on", "poison"],
+        engine_arguments: vec![
+            "--models",
+            "sage",
+            "--exit-on",
+            "poison",
+            "--exit-delay-ms",
+            exit_delay_ms,
+        ],
         ..FleetOptions::default()
     };
     let fleet = TestFleet::start(options).await;
@@ -119,3 +126,16 @@
     assert!((1..=2).contains(&ended), "{ended} engines ended");
     assert_complete_stream(&fleet, "sound again").await;
 }
+
+// Guards against one request that ends engine after engine.
+#[tokio::test]
+async fn request_under_which_engines_end_reaches_no_more_than_two() {
+    assert_two_engines_end("0").await;
+}
+
+// Guards against an ending engine that counts as alive because it still accepts
+// connections.
+#[tokio::test]
+async fn request_under_which_engines_end_late_reaches_no_more_than_two() {
+    assert_two_engines_end("60").await;
+}
