--- a/crates/standins/src/bin/standin-engine.rs
+++ b/crates/standins/src/bin/standin-engine.rs
@@ -41,7 +41,7 @@
     #[options(help = "exit instead of answering prompts with this text", meta = "TEXT", no_short)]
     exit_on: Option<String>,
     #[options(
-        help = "time from then until the exit, in milliseconds",
+        help = "time from such a prompt until the exit, in milliseconds",
         meta = "MS",
         default = "0",
         no_short
--- a/crates/standins/src/engine.rs
+++ b/crates/standins/src/engine.rs
@@ -52,7 +52,7 @@
     pub token_ms: u64,
     /// Text of a prompt on which the process exits instead of sending the first token.
     pub exit_on: Option<String>,
-    /// Time from then until the process exits, in milliseconds.
+    /// Time from such a prompt until the process exits, in milliseconds.
     pub exit_delay_ms: u64,
 }
 
