Accept an answer on a kept connection only if it names the call

A connection to a service is kept only after an answer that named its call, and an answer on it counts only if it does so too; otherwise the call is sent again over a new connection. Answering unknown was ruled out, as it would have turned real refusals of idempotent calls into 504.

A refusal after an attempt that may have run was reported as not run, by the repetition here and by the retries at other endpoints; the error of the earlier attempt is reported now.

The client is the library's own instead of reqwest, which does not tell whether a connection was kept.

--- a/crates/skylarkgw/src/daemon.rs
+++ b/crates/skylarkgw/src/daemon.rs
@@ -21,7 +21,7 @@
 use crate::edge::{
     ClientAcceptor, ClientListener, EdgeContext, build_client_routes, serve_until_stopped,
 };
-use crate::endpoint::{EngineClient, EngineError, ServiceClient, ServiceError, poll_engines};
+use crate::endpoint::{EngineClient, EngineError, ServiceClient, poll_engines};
 use crate::operator_api::{OperatorContext, build_operator_routes};
 use crate::peer::{PeerSender, PeerTls, TlsError, serve_peers};
 use crate::platform::{PlatformClient, PlatformError};
@@ -38,6 +38,9 @@
 /// messages are sent.
 const LEAVE_DELAY: Duration = Duration::from_millis(200);
 
+/// Interval at which expired idle connections to services are closed.
+const IDLE_SWEEP_INTERVAL: Duration = Duration::from_secs(1);
+
 /// An error that prevents a host from starting.
 #[derive(Debug, Diagnostic, Error)]
 pub enum DaemonError {
@@ -80,9 +83,6 @@
     /// The engine client cannot be built.
     #[error("cannot build the engine client")]
     Engine(#[from] EngineError),
-    /// The service client cannot be built.
-    #[error("cannot build the service client")]
-    Service(#[from] ServiceError),
     /// Two metrics have the same name.
     #[error("cannot register the metrics")]
     Metrics(#[from] prometheus::Error),
@@ -144,6 +144,13 @@
     }
 }
 
+async fn close_idle_connections(services: Arc<ServiceClient>) {
+    loop {
+        sleep(IDLE_SWEEP_INTERVAL).await;
+        services.close_expired();
+    }
+}
+
 impl HostProcess {
     async fn start(settings: HostSettings) -> Result<HostProcess, DaemonError> {
         let secret = read_secret(&settings.key_secret_file)?;
@@ -152,7 +159,7 @@
         let metrics = Arc::new(Metrics::new()?);
         let platform = PlatformClient::new(&settings.platform, metrics.clone())?;
         let engines = EngineClient::new()?;
-        let services = ServiceClient::new()?;
+        let services = Arc::new(ServiceClient::new());
         let sockets = BoundSockets::bind(&settings)?;
         log_addresses(&settings, &sockets)?;
 
@@ -179,6 +186,8 @@
         let (poll_control, poll_client) = (control.clone(), engines.clone());
         background
             .supervise("engines", move || poll_engines(poll_control.clone(), poll_client.clone()));
+        let idle_services = services.clone();
+        background.supervise("services", move || close_idle_connections(idle_services.clone()));
         let peers = Arc::new(tokio::net::TcpListener::from_std(sockets.peers)?);
         let peer_control = control.clone();
         background.supervise("peers", move || {
--- a/crates/skylarkgw/src/edge.rs
+++ b/crates/skylarkgw/src/edge.rs
@@ -38,7 +38,7 @@
     /// HTTP client for the engines.
     pub engines: EngineClient,
     /// HTTP client for the plain services.
-    pub services: ServiceClient,
+    pub services: Arc<ServiceClient>,
     /// Platform client, which stores the records of idempotency keys.
     pub platform: PlatformClient,
     /// Metrics of this host.
--- a/crates/skylarkgw/src/edge/service.rs
+++ b/crates/skylarkgw/src/edge/service.rs
@@ -247,7 +247,8 @@
 
 /// Sends a call, and retries it at other endpoints after a failure.
 ///
-/// It is retried only if it was certainly not executed or is idempotent.
+/// It is retried only if it was certainly not executed or is idempotent. The error is
+/// that of an attempt which may have been executed, if there was one.
 async fn send_with_retries(
     context: &EdgeContext,
     plan: &ServicePlan,
@@ -255,6 +256,7 @@
 ) -> Result<ServiceResponse, ServiceError> {
     let mut route = first;
     let mut excluded: Vec<EndpointId> = Vec::new();
+    let mut lost: Option<ServiceError> = None;
     loop {
         let result = send_once(context, plan, &route).await;
         let error = match result {
@@ -265,6 +267,11 @@
         excluded.push(route.endpoint().clone());
         drop(route);
         let repeatable = error.is_not_run() || plan.call.idempotent;
+        // A refusal by the last endpoint says nothing about the attempts before it.
+        let error = match lost.take() {
+            Some(earlier) if error.is_not_run() => earlier,
+            _ => error,
+        };
         if !repeatable || excluded.len() >= MAX_ATTEMPTS {
             return Err(error);
         }
@@ -273,6 +280,7 @@
             Ok(Ok(next)) => route = next,
             _ => return Err(error),
         }
+        lost = Some(error).filter(|error| !error.is_not_run());
     }
 }
 
--- a/crates/skylarkgw/src/endpoint/connection.rs
+++ b/crates/skylarkgw/src/endpoint/connection.rs
@@ -46,6 +46,9 @@
     /// No complete response arrived in time.
     #[error("no complete answer arrived in time")]
     ResponseTimeout,
+    /// The answer does not name the request, so it may belong to an earlier one.
+    #[error("the answer does not name the request")]
+    OtherAnswer,
     /// The response body is too long or was cut off.
     #[error("cannot read the body of the answer")]
     Body(#[source] Box<dyn std::error::Error + Send + Sync>),
@@ -70,6 +73,7 @@
             ConnectionError::NotSent(_) => "not-sent",
             ConnectionError::Broken(_) => "broken",
             ConnectionError::ResponseTimeout => "answer-timeout",
+            ConnectionError::OtherAnswer => "other-answer",
             ConnectionError::Body(_) => "body-broken",
         }
     }
--- a/crates/skylarkgw/src/endpoint/pool.rs
+++ b/crates/skylarkgw/src/endpoint/pool.rs
@@ -19,13 +19,14 @@
 /// Maximum number of idle connections kept per endpoint; further ones are closed.
 const MAX_IDLE_PER_ENDPOINT: usize = 6;
 
+#[derive(Debug)]
 struct IdleConnection {
     connection: HttpConnection,
     expires_at: Instant,
 }
 
 /// Pool of idle connections, grouped by endpoint address.
-#[derive(Default)]
+#[derive(Debug, Default)]
 pub struct ConnectionPool {
     idle: Mutex<HashMap<SocketAddr, Vec<IdleConnection>>>,
 }
@@ -53,7 +54,9 @@
         }
     }
 
-    fn acquire_idle(&self, address: SocketAddr, max_idle: Duration) -> Option<HttpConnection> {
+    /// Takes a connection out of the pool that has been idle for at most `max_idle`, or
+    /// returns `None` if there is none.
+    pub fn acquire_idle(&self, address: SocketAddr, max_idle: Duration) -> Option<HttpConnection> {
         let now = Instant::now();
         let mut idle = lock(&self.idle);
         let connections = idle.get_mut(&address)?;
--- a/crates/standins/src/service.rs
+++ b/crates/standins/src/service.rs
@@ -12,6 +12,9 @@
 
 use crate::faults::{FaultLayer, FaultState, fault_endpoint};
 
+/// Header that names the request.
+const REQUEST_ID_HEADER: &str = "x-request-id";
+
 /// Number of executions of each order, by its identifier.
 pub type ExecutionCounts = BTreeMap<String, u32>;
 
@@ -67,6 +70,7 @@
         .at("/orders", post(place_order))
         .at("/orders/:order", get(read_order))
         .at("/notice", get(notice))
+        .around(name_request)
         .data(book.clone())
         .with(FaultLayer::new(faults.clone()));
     Route::new()
@@ -77,6 +81,16 @@
         .map_to_response()
 }
 
+/// Names the request in its response, so that its connection may be used again.
+async fn name_request<E: Endpoint>(endpoint: E, request: Request) -> poem::Result<Response> {
+    let id = request.headers().get(REQUEST_ID_HEADER).cloned();
+    let mut response = endpoint.get_response(request).await;
+    if let Some(id) = id {
+        response.headers_mut().insert(REQUEST_ID_HEADER, id);
+    }
+    Ok(response)
+}
+
 #[handler]
 async fn place_order(
     Data(book): Data<&OrderBook>,
