Leave a stalled stream to its engine unless another one takes it over

A successor is selected and paid for first; without one the stream goes on until its deadline, and another attempt follows 1.5 s later. No limit that a change can tighten applies to streams that run (test).

The time counts from the last whole event. An engine that sent a byte now and then was never found to stall.

Tests, red before: a stream that pauses for 2.6 s, alone and beside a change of limits, and one that trickles. New and green at once: answers that are broken off at every third byte, also in the head, never look whole.

--- a/crates/skylarkgw/src/edge/forward/relay.rs
+++ b/crates/skylarkgw/src/edge/forward/relay.rs
@@ -19,7 +19,7 @@
 use crate::edge::forward::admit::AdmittedRequest;
 use crate::edge::forward::crash::examine_interruption;
 use crate::edge::forward::record::{RequestEnd, RequestRecord};
-use crate::edge::forward::select::select_engine;
+use crate::edge::forward::select::{SelectedEngine, select_engine};
 use crate::edge::forward::send::{
     AttemptOutcome, EngineRequestGuard, PendingResponse, begin_attempt, closes_connection,
     may_run_again, remove_hop_by_hop_headers, send_once, spend_retry_budget,
@@ -32,8 +32,9 @@
 
 /// Maximum size of a single event.
 const MAX_EVENT_BYTES: usize = 256 * 1024;
-/// Time without data after which a resumable stream that has begun is considered
-/// stalled.
+/// Time without a whole event after which a resumable stream that has begun is considered
+/// stalled. It continues at another engine if there is one that can take it, and is left
+/// to its engine otherwise.
 const STALL_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Maximum number of attempts to resume one stream, including refused ones.
 const MAX_RESUME_ATTEMPTS: usize = 3;
@@ -80,6 +81,8 @@
     Events(Bytes),
     /// The stream is complete.
     End,
+    /// No whole event has arrived for [`STALL_TIMEOUT`], but the engine may still go on.
+    Stalled,
     /// The stream was interrupted; holds the label of the cause.
     Interrupted(&'static str),
 }
@@ -139,6 +142,7 @@
     /// [`ResponseAborted`] if the stream was interrupted and cannot be resumed.
     async fn next_events(&mut self) -> Option<Result<Bytes, ResponseAborted>> {
         loop {
+            let mut successor = None;
             let reason = match self.read_source().await {
                 SourceRead::Events(events) => {
                     self.record_events();
@@ -151,10 +155,19 @@
                     self.release_connection();
                     return None;
                 }
+                // The silence of an engine is no reason to end a stream that no other
+                // engine takes over.
+                SourceRead::Stalled => {
+                    successor = self.select_successor().await;
+                    if successor.is_none() {
+                        continue;
+                    }
+                    "stream-silent"
+                }
                 SourceRead::Interrupted(reason) => reason,
             };
             let is_suspect = self.record_interruption(reason).await;
-            if is_suspect || !self.resume().await {
+            if is_suspect || !self.resume(successor).await {
                 self.record.reason = reason;
                 self.record.finish(RequestEnd::Failed);
                 // The connection writes what it holds only while no data is ready, and
@@ -232,20 +245,22 @@
             return SourceRead::Interrupted(fault.label());
         }
         let Some(source) = &mut self.source else { return SourceRead::Interrupted("no-source") };
+        let is_resumable = self.admitted.route.repeat == RetryPolicy::Resumable;
+        let can_stall = is_resumable && self.record.first_latency.is_some();
+        let stall_deadline = Instant::now() + STALL_TIMEOUT;
+        let read_deadline = match can_stall {
+            true => self.admitted.deadline.min(stall_deadline),
+            false => self.admitted.deadline,
+        };
         loop {
-            let stall_deadline = if self.record.first_latency.is_some() {
-                Some(Instant::now() + STALL_TIMEOUT)
-            } else {
-                None
-            };
-            let is_resumable = self.admitted.route.repeat == RetryPolicy::Resumable;
-            let read_deadline =
-                stall_deadline.filter(|_| is_resumable).unwrap_or(self.admitted.deadline);
-            let read_deadline = read_deadline.min(self.admitted.deadline);
             // A timeout does not interrupt a source that always has data.
-            if Instant::now() >= self.admitted.deadline {
+            let now = Instant::now();
+            if now >= self.admitted.deadline {
                 return SourceRead::Interrupted("deadline-passed");
             }
+            if now >= read_deadline {
+                return SourceRead::Stalled;
+            }
             let frame = match timeout_at(read_deadline, source.body.frame()).await {
                 Ok(Some(Ok(frame))) => frame,
                 Ok(Some(Err(_))) => return SourceRead::Interrupted("stream-broken"),
@@ -264,6 +279,7 @@
                     };
                 }
                 Ok(None) => return SourceRead::Interrupted("event-cut"),
+                Err(_) if Instant::now() < self.admitted.deadline => return SourceRead::Stalled,
                 Err(_) => return SourceRead::Interrupted("stream-silent"),
             };
             let Ok(data) = frame.into_data() else { continue };
@@ -301,27 +317,42 @@
         examine_interruption(&self.admitted, &entry, progress).await
     }
 
-    /// Resumes the stream at another engine after the last relayed event, and returns
-    /// whether that succeeded.
-    async fn resume(&mut self) -> bool {
+    /// Selects another engine for the rest of the stream and spends a retry on it.
+    ///
+    /// Returns `None` if the stream may not be resumed, or no engine can take it.
+    async fn select_successor(&self) -> Option<SelectedEngine> {
         let admitted = &self.admitted;
-        let may_resume = admitted.route.repeat == RetryPolicy::Resumable;
-        if !may_resume || !may_run_again(admitted, self.runs) {
-            return false;
+        let may_resume = admitted.route.repeat == RetryPolicy::Resumable
+            && may_run_again(admitted, self.runs)
+            && self.resume_attempts < MAX_RESUME_ATTEMPTS
+            && *self.sequence.resume_point() != ResumePoint::Unknown;
+        if !may_resume {
+            return None;
         }
+        let selected = select_engine(admitted, &self.tried).await.ok()?;
+        let is_allowed = begin_attempt(admitted).is_none()
+            && spend_retry_budget(admitted, self.record.attempts.len());
+        is_allowed.then_some(selected)
+    }
+
+    /// Resumes the stream at another engine after the last relayed event, and returns
+    /// whether that succeeded.
+    ///
+    /// `successor` is the engine to try first, if it has been selected.
+    async fn resume(&mut self, mut successor: Option<SelectedEngine>) -> bool {
         let last_id = match self.sequence.resume_point() {
-            ResumePoint::Start => None,
             ResumePoint::After(id, _) => Some(id.clone()),
-            ResumePoint::Unknown => return false,
+            ResumePoint::Start | ResumePoint::Unknown => None,
         };
-        while self.resume_attempts < MAX_RESUME_ATTEMPTS {
-            let Ok(selected) = select_engine(admitted, &self.tried).await else { return false };
-            if begin_attempt(admitted).is_some() {
-                return false;
-            }
-            if !spend_retry_budget(admitted, self.record.attempts.len()) {
-                return false;
-            }
+        loop {
+            let selected = match successor.take() {
+                Some(selected) => selected,
+                None => match self.select_successor().await {
+                    Some(selected) => selected,
+                    None => return false,
+                },
+            };
+            let admitted = &self.admitted;
             self.tried.insert(selected.entry.id.clone());
             self.resume_attempts += 1;
             let outcome =
@@ -342,7 +373,6 @@
                 AttemptOutcome::MayHaveRun(_) | AttemptOutcome::Answered(_) => return false,
             }
         }
-        false
     }
 
     /// Records that the last engine answered with something other than the rest of the
