Refuse late requests that may outlast a process that stops

A request whose last bytes arrived late in the grace time was passed on and cut off without an answer when the process ended, also one that must not be repeated. After the idle connections are closed, a request is taken only if its deadline passes before the process ends; otherwise it gets 503 "stopping" as not run. Requests that run 0.3 s before the end get 502 instead of a closed connection.

Tests, red before: late_request_that_may_outlast_the_grace_time_is_refused, request_that_runs_at_the_end_of_the_grace_time_is_answered; the decision is the pure module stop_plan.

--- a/crates/skylarkgw/src/decision.rs
+++ b/crates/skylarkgw/src/decision.rs
@@ -38,6 +38,7 @@
 pub mod routing;
 pub mod shared_map;
 pub mod shares;
+pub mod stop_plan;
 pub mod traffic;
 
 pub use host::HostMachine;
--- a/crates/skylarkgw/src/edge/forward/admit.rs
+++ b/crates/skylarkgw/src/edge/forward/admit.rs
@@ -32,6 +32,9 @@
 /// Retry delay reported to the client while the declaration is missing or too old,
 /// as it is when the store cannot be reached.
 const STORE_RETRY_AFTER: Duration = Duration::from_millis(600);
+/// Retry delay reported to the client by a host that stops. Any other host can take the
+/// request at once.
+const STOP_RETRY_AFTER: Duration = Duration::from_millis(20);
 /// Shortest retry delay reported to the client if no coordinator responds to a
 /// quota request. The delay is drawn from one to three times this value, so that
 /// clients do not retry at the same moment.
@@ -129,6 +132,7 @@
     let time_limit = header.time_left.map_or(route.timeout, |left| left.min(route.timeout));
     let deadline = record.started() + time_limit.saturating_sub(RESPONSE_MARGIN);
     let body = read_body(&parts.headers, body, declaration.limits.body_bytes, deadline).await?;
+    check_stop(state, deadline)?;
     let service = choose_service(&route)?;
     if let Some(target) = &header.target {
         state.lock_traffic().model_use(&service, &target.model).arrivals += 1;
@@ -207,6 +211,17 @@
     }
 }
 
+/// Refuses a request that may outlast this process, if the host stops.
+fn check_stop(state: &GatewayState, deadline: Instant) -> Result<(), RequestRefusal> {
+    let Some(plan) = state.stop_plan.get() else { return Ok(()) };
+    let now = time_since_boot();
+    let deadline = now + deadline.saturating_duration_since(Instant::now());
+    if plan.takes_request(now, deadline) {
+        return Ok(());
+    }
+    Err(RequestRefusal::with_retry_after(RefusalReason::Stopping, STOP_RETRY_AFTER))
+}
+
 /// Reads the complete request body, of at most `limit` bytes.
 async fn read_body(
     headers: &HeaderMap,
--- a/crates/skylarkgw/src/edge/forward/refusal.rs
+++ b/crates/skylarkgw/src/edge/forward/refusal.rs
@@ -29,6 +29,8 @@
     BodyTooLarge,
     /// The body was cut off or did not arrive before the deadline.
     BodyIncomplete,
+    /// This host stops and may end before the request does.
+    Stopping,
     /// The workspace has used up its quota.
     OverQuota,
     /// Engines have crashed on a part of the prompt.
@@ -68,6 +70,7 @@
             RefusalReason::BadRequest => "bad-request",
             RefusalReason::BodyTooLarge => "body-too-long",
             RefusalReason::BodyIncomplete => "body-broken",
+            RefusalReason::Stopping => "stopping",
             RefusalReason::OverQuota => "over-quota",
             RefusalReason::PromptRefused => "prompt-refused",
             RefusalReason::NoEngine => "no-engine",
@@ -86,6 +89,7 @@
         match self {
             RefusalReason::NoDeclaration
             | RefusalReason::StaleKeys
+            | RefusalReason::Stopping
             | RefusalReason::PromptRefused
             | RefusalReason::NoEngine
             | RefusalReason::NoAdapter
--- a/crates/skylarkgw/src/edge/forward/send.rs
+++ b/crates/skylarkgw/src/edge/forward/send.rs
@@ -10,7 +10,7 @@
 use http::{HeaderMap, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
-use tokio::time::{Instant, timeout_at};
+use tokio::time::Instant;
 
 use crate::decision::engine_statements::AnswerStatement;
 use crate::decision::prompt_evidence::AnswerProgress;
@@ -207,7 +207,7 @@
 /// to another engine.
 pub fn may_run_again(admitted: &AdmittedRequest, runs: u32) -> bool {
     let is_repeatable = admitted.route.repeat != RetryPolicy::AtMostOnce;
-    let has_time = Instant::now() < admitted.deadline;
+    let has_time = Instant::now() < admitted.deadline && !*admitted.state.process_end.borrow();
     is_repeatable && has_time && runs < admitted.route.attempt_limit
 }
 
@@ -342,11 +342,11 @@
     }
     let request = build_engine_request(admitted, &engine.entry, resume_after);
     let head_deadline = compute_response_deadline(admitted);
-    let response = match timeout_at(head_deadline, connection.send(request)).await {
-        Ok(Ok(response)) => response,
-        Ok(Err(error)) if error.is_unsent() => return AttemptOutcome::NotRun(error.label()),
-        Ok(Err(error)) => return AttemptOutcome::MayHaveRun(error.label()),
-        Err(_) => return AttemptOutcome::MayHaveRun("silent"),
+    let response = match state.wait_until(head_deadline, connection.send(request)).await {
+        Some(Ok(response)) => response,
+        Some(Err(error)) if error.is_unsent() => return AttemptOutcome::NotRun(error.label()),
+        Some(Err(error)) => return AttemptOutcome::MayHaveRun(error.label()),
+        None => return AttemptOutcome::MayHaveRun("silent"),
     };
     let (parts, body) = response.into_parts();
     let info = (state.codec.decode_response_headers)(parts.status, &parts.headers);
@@ -487,7 +487,7 @@
     let PendingResponse { parts, info, mut body, connection, engine } = pending;
     let state = &admitted.state;
     let mut held = state.held_bodies.hold_body();
-    let read = timeout_at(admitted.deadline, async {
+    let read = state.wait_until(admitted.deadline, async {
         while let Some(frame) = body.frame().await {
             let Ok(frame) = frame else { return Err("broke-off") };
             let is_held =
--- a/crates/skylarkgw/src/gateway.rs
+++ b/crates/skylarkgw/src/gateway.rs
@@ -32,7 +32,9 @@
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::{Instant, sleep, sleep_until};
 
+use crate::decision::stop_plan::StopPlan;
 use crate::edge::forward::serve_proxy;
+use crate::gateway::clock::time_since_boot;
 use crate::gateway::control::{ControlContext, ControlPorts};
 use crate::gateway::ports::GatewayPorts;
 use crate::gateway::settings::GatewaySettings;
@@ -49,6 +51,8 @@
 const IDLE_GRACE: Duration = Duration::from_millis(2_600);
 /// Time before SIGKILL at which the process exits.
 const EXIT_MARGIN: Duration = Duration::from_millis(700);
+/// Time before the exit at which requests that still run are answered.
+const ANSWER_MARGIN: Duration = Duration::from_millis(300);
 /// Longest time to wait for the release of the coordinator lease.
 const LEASE_RELEASE_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Interval at which a draining host checks whether connections are still open.
@@ -195,18 +199,26 @@
 ///
 /// Readiness checks fail at once and the lease is released. After
 /// [`IDLE_GRACE`] idle connections are closed. The function returns when no
-/// connection is open, or [`EXIT_MARGIN`] before SIGKILL.
+/// connection is open, or [`EXIT_MARGIN`] before SIGKILL; [`ANSWER_MARGIN`] before that,
+/// requests without a response are answered as having perhaps been executed.
 async fn drain(state: &GatewayState, context: &ControlContext, close: &watch::Sender<bool>) {
     let started = Instant::now();
-    state.is_draining.store(true, Ordering::Relaxed);
+    let lifetime = state.settings.bounds.grace.saturating_sub(EXIT_MARGIN);
+    let now = time_since_boot();
+    let plan = StopPlan { closes_at: now + IDLE_GRACE, ends_at: now + lifetime };
+    // Nothing else sets the plan.
+    let _ = state.stop_plan.set(plan);
     let open = state.open_connections.load(Ordering::Relaxed);
     info!("host stops", kv: { connections = open });
     context.release_lease(LEASE_RELEASE_TIMEOUT).await;
     sleep_until(started + IDLE_GRACE).await;
     close.send_replace(true);
-    let end = started + state.settings.bounds.grace.saturating_sub(EXIT_MARGIN);
+    let end = started + lifetime;
     while state.open_connections.load(Ordering::Relaxed) > 0 && Instant::now() < end {
         sleep(DRAIN_POLL_INTERVAL).await;
+        if Instant::now() + ANSWER_MARGIN >= end {
+            state.process_end.send_replace(true);
+        }
     }
     let open = state.open_connections.load(Ordering::Relaxed);
     info!("host stopped", kv: { connections = open });
--- a/crates/skylarkgw/src/gateway/state.rs
+++ b/crates/skylarkgw/src/gateway/state.rs
@@ -1,13 +1,14 @@
 //! State shared by the control thread and the traffic thread.
 
 use std::collections::HashMap;
-use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
 use spdlog::info;
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::{mpsc, oneshot, watch};
+use tokio::time::{Instant, timeout_at};
 
 use crate::decision::coordinator::QuotaAnswer;
 use crate::decision::engine_statements::{EngineStatements, KnownStatement};
@@ -16,6 +17,7 @@
 use crate::decision::prompt_guard::PromptGuard;
 use crate::decision::quota_pool::LocalQuota;
 use crate::decision::route_table::RouteTable;
+use crate::decision::stop_plan::StopPlan;
 use crate::decision::traffic::TrafficStats;
 use crate::endpoint::{ByteBudget, ConnectionPool};
 use crate::gateway::clock::time_since_boot;
@@ -138,8 +140,10 @@
     pub metrics: Arc<Metrics>,
     /// Queue of requests to the coordinator.
     pub coordinator_requests: mpsc::Sender<CoordinatorRequest>,
-    /// Whether the host is draining before it exits.
-    pub is_draining: AtomicBool,
+    /// Times in the stop of this host, once it has begun.
+    pub stop_plan: OnceLock<StopPlan>,
+    /// Set shortly before the process ends, to answer the requests that still run.
+    pub process_end: watch::Sender<bool>,
     /// Number of open client connections.
     pub open_connections: AtomicU32,
     traffic: Mutex<TrafficStats>,
@@ -171,7 +175,8 @@
             held_bodies: ByteBudget::new(held_bytes),
             metrics,
             coordinator_requests,
-            is_draining: AtomicBool::new(false),
+            stop_plan: OnceLock::new(),
+            process_end: watch::Sender::new(false),
             open_connections: AtomicU32::new(0),
             traffic: Mutex::default(),
             local_quotas: Mutex::default(),
@@ -254,7 +259,22 @@
 
     /// Returns whether the host is draining before it exits.
     pub fn is_draining(&self) -> bool {
-        self.is_draining.load(Ordering::Relaxed)
+        self.stop_plan.get().is_some()
+    }
+
+    /// Waits for the result of `future` until `deadline`, or until the process is about to
+    /// end.
+    pub async fn wait_until<T>(
+        &self,
+        deadline: Instant,
+        future: impl Future<Output = T>,
+    ) -> Option<T> {
+        let mut end = self.process_end.subscribe();
+        tokio::select! {
+            result = timeout_at(deadline, future) => result.ok(),
+            // The sender is part of this state, so it cannot be dropped.
+            _ = end.wait_for(|is_set| *is_set) => None,
+        }
     }
 
     /// Returns the number of hosts that share quotas and retry budgets, at least
--- a/crates/skylarkgw/tests/decisions/main.rs
+++ b/crates/skylarkgw/tests/decisions/main.rs
@@ -21,4 +21,5 @@
 mod shared_map;
 mod starvation;
 mod statements;
+mod stops;
 mod vacancies;
