--- a/crates/skylarkgw/src/decision.rs
+++ b/crates/skylarkgw/src/decision.rs
@@ -12,6 +12,7 @@
 pub mod coordinator_lease;
 pub mod directory;
 pub mod engine_choice;
+pub mod engine_loads;
 pub mod engine_statements;
 pub mod event_buffer;
 pub mod event_sequence;
--- a/crates/skylarkgw/src/decision/coordinator.rs
+++ b/crates/skylarkgw/src/decision/coordinator.rs
@@ -11,6 +11,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::decision::directory::RegistryStamp;
+use crate::decision::engine_loads::{EngineLoads, EngineNumber, LoadTable};
 use crate::decision::engine_statements::{
     EngineStatement, StatedFact, StatementBook, StatementReport,
 };
@@ -23,6 +24,7 @@
 use crate::decision::quota_pool::{CONTACT_TIMEOUT, PoolStart, QuotaPool, QuotaTolerance};
 use crate::decision::shared_map::{MapDelta, SharedMap};
 use crate::gateway::declaration::{FleetDeclaration, ServiceName};
+use crate::gateway::ports::{EngineOrder, EngineReport, OrderAnswer};
 use crate::gateway::registry::EngineEntry;
 use crate::ids::{
     EndpointId, HostId, ModelName, ObjectVersion, PartHash, Revision, Tokens, WorkspaceId,
@@ -103,15 +105,16 @@
     pub hosts: u32,
     /// Largest capacity of any of these hosts to coordinate the fleet.
     pub largest_capacity: f64,
-    /// Number of requests of other hosts that run at each engine.
-    pub running_elsewhere: Vec<(EndpointId, u32)>,
+    /// Number of requests of all hosts that run at each engine, by the numbers of the
+    /// engines after the changes of the registry in this reply.
+    pub loads: EngineLoads,
     /// For each workspace, the number of granted tokens and the rate, in tokens
     /// per second, at which the host may spend while it has no coordinator.
     pub grants: Vec<(WorkspaceId, Tokens, f64)>,
     /// Changes of the placement notices, if the host has a different version.
-    pub notices: Option<MapDelta<EngineNotice>>,
+    pub notices: Option<MapDelta<Arc<EngineNotice>>>,
     /// Changes of the registry, if the host has a different version.
-    pub registry: Option<MapDelta<EngineEntry>>,
+    pub registry: Option<MapDelta<RegisteredEngine>>,
     /// State of the prompt quarantine, if the host has a different version.
     pub prompts: Option<QuarantineState>,
     /// Changes of what engines state about themselves, if the host has a different
@@ -126,9 +129,19 @@
     pub lease: Option<(ObjectVersion, Duration)>,
 }
 
+/// Registry entry of an engine with the number by which its load is sent.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct RegisteredEngine {
+    /// Number of the engine.
+    pub number: EngineNumber,
+    /// Entry without adapters and cached weights.
+    pub entry: Arc<EngineEntry>,
+}
+
 #[derive(Debug)]
 struct HostState {
-    running: Vec<(EndpointId, u32)>,
+    running: Vec<(EngineNumber, u32)>,
     reported_at: Duration,
     capacity: f64,
     /// Whether `running` is part of the totals. A host that no longer reports may
@@ -145,15 +158,17 @@
     demand: DemandEstimate,
     obligations: ObligationBook,
     /// Number of requests that run at each engine, over all hosts that report.
-    total_running: HashMap<EndpointId, u32>,
+    loads: LoadTable,
     /// Moving average of the requests running at each engine, with the time
     /// constant [`RUNNING_TIME_CONSTANT_S`].
     running: HashMap<EndpointId, f64>,
     averaged_at: Duration,
     quota_pool: QuotaPool,
     planner: FleetPlanner,
-    notices: SharedMap<EngineNotice>,
-    registry: SharedMap<EngineEntry>,
+    notices: SharedMap<Arc<EngineNotice>>,
+    registry: SharedMap<RegisteredEngine>,
+    /// Complete entries from which those of `registry` were made.
+    listed: HashMap<EndpointId, Arc<EngineEntry>>,
     registry_stamp: RegistryStamp,
     quarantine: PromptQuarantine,
     statements: StatementBook,
@@ -176,13 +191,14 @@
             hosts: HashMap::new(),
             demand: DemandEstimate::default(),
             obligations: ObligationBook::new(now),
-            total_running: HashMap::new(),
+            loads: LoadTable::default(),
             running: HashMap::new(),
             averaged_at: now,
             quota_pool: QuotaPool::new(now, tolerance, start),
             planner: FleetPlanner::default(),
             notices: SharedMap::new(token),
             registry: SharedMap::new(token),
+            listed: HashMap::new(),
             registry_stamp: RegistryStamp::default(),
             quarantine: PromptQuarantine::new(token),
             statements: StatementBook::new(token),
@@ -204,17 +220,31 @@
         self.registry_stamp
     }
 
+    /// Records that the registry was confirmed to be current up to `stamp`.
+    pub fn confirm_registry(&mut self, stamp: RegistryStamp) {
+        self.registry_stamp = stamp;
+    }
+
     /// Updates the registry with the complete list of engines.
     pub fn update_registry(&mut self, stamp: RegistryStamp, engines: &[Arc<EngineEntry>]) {
         self.registry_stamp = stamp;
-        let entries = engines.iter().map(|entry| (entry.id.clone(), entry.without_inventory()));
-        for engine in self.registry.replace(entries.collect()) {
-            self.total_running.remove(&engine);
+        let listed: HashMap<EndpointId, Arc<EngineEntry>> =
+            engines.iter().map(|entry| (entry.id.clone(), entry.clone())).collect();
+        for engine in self.registry.retain(|engine| listed.contains_key(engine)) {
+            let Some(number) = self.loads.remove_engine(&engine) else { continue };
             for host in self.hosts.values_mut() {
-                host.running.retain(|(name, _)| *name != engine);
+                host.running.retain(|(running, _)| *running != number);
             }
         }
-        let find_start = |engine: &EndpointId| Some(self.registry.get(engine)?.started_ms);
+        for entry in engines {
+            if self.listed.get(&entry.id) != Some(entry) {
+                let number = self.loads.add_engine(&entry.id);
+                let entry = Arc::new(entry.without_inventory());
+                self.registry.set(&entry.id.clone(), RegisteredEngine { number, entry });
+            }
+        }
+        self.listed = listed;
+        let find_start = |engine: &EndpointId| Some(self.registry.get(engine)?.entry.started_ms);
         let is_kept = |engine: &EndpointId, started_ms: u64| find_start(engine) == Some(started_ms);
         for engine in self.statements.retain(is_kept) {
             self.quota_pool.set_engine_limit(stamp.as_of, &engine, None);
@@ -233,6 +263,18 @@
         &mut self.planner
     }
 
+    /// Records the answer to an order in the planner.
+    pub fn record_answer(&mut self, now: Duration, order: &EngineOrder, answer: OrderAnswer) {
+        self.planner.record_answer(now, order, answer);
+        self.refresh_notice(&order.engine);
+    }
+
+    /// Records the report of an engine in the planner.
+    pub fn record_report(&mut self, now: Duration, engine: &EndpointId, report: EngineReport) {
+        self.planner.record_report(now, engine, report);
+        self.refresh_notice(engine);
+    }
+
     /// Returns the orders to engines and the report requests that are due.
     ///
     /// Orders carry the fencing token `order_token`, and `window` is the period
@@ -276,17 +318,31 @@
         let decay = (-elapsed / RUNNING_TIME_CONSTANT_S).exp();
         self.remove_silent_hosts(now);
         self.running.retain(|engine, _| self.registry.contains(engine));
-        for engine in self.registry.engines() {
-            let reported = self.total_running.get(engine).copied().unwrap_or_default();
-            let reported = f64::from(reported);
-            let running = self.running.entry(engine.clone()).or_insert(reported);
-            *running = *running * decay + reported * (1.0 - decay);
+        for (engine, total) in self.loads.totals() {
+            let reported = f64::from(total);
+            match self.running.get_mut(engine) {
+                Some(running) => *running = *running * decay + reported * (1.0 - decay),
+                None => {
+                    self.running.insert(engine.clone(), reported);
+                }
+            }
         }
     }
 
     /// Rebuilds the placement notices after a possible change of the planner.
     pub fn refresh_notices(&mut self) {
-        self.notices.replace(self.planner.build_notices());
+        let (notices, planner) = (&mut self.notices, &self.planner);
+        notices.retain(|engine| planner.has_engine(engine));
+        for (engine, notice) in planner.build_notices() {
+            notices.set(engine, Arc::new(notice));
+        }
+    }
+
+    /// Rebuilds the placement notice of one engine.
+    fn refresh_notice(&mut self, engine: &EndpointId) {
+        if let Some(notice) = self.planner.build_notice(engine) {
+            self.notices.set(engine, Arc::new(notice));
+        }
     }
 
     /// Removes the requests of hosts that no longer report from the totals, and
@@ -296,32 +352,31 @@
             let is_silent = now.saturating_sub(host.reported_at) >= CONTACT_TIMEOUT;
             if host.is_counted && is_silent {
                 host.is_counted = false;
-                subtract_counts(&mut self.total_running, &host.running);
+                self.loads.subtract(&host.running);
             }
         }
         self.hosts.retain(|_, host| now.saturating_sub(host.reported_at) < HOST_EVICTION_TIMEOUT);
     }
 
-    /// Replaces the requests that a host runs, and returns those of all other hosts.
+    /// Replaces the requests that a host runs.
     fn record_running(
         &mut self,
         now: Duration,
         host: &HostId,
         capacity: f64,
-        running: Vec<(EndpointId, u32)>,
-    ) -> Vec<(EndpointId, u32)> {
+        running: &[(EndpointId, u32)],
+    ) {
         self.remove_silent_hosts(now);
         if let Some(previous) = self.hosts.remove(host).filter(|previous| previous.is_counted) {
-            subtract_counts(&mut self.total_running, &previous.running);
-        }
-        let counts = self.total_running.iter();
-        let elsewhere = counts.map(|(engine, count)| (engine.clone(), *count)).collect();
-        for (engine, count) in &running {
-            *self.total_running.entry(engine.clone()).or_default() += count;
+            self.loads.subtract(&previous.running);
         }
+        let running = running.iter();
+        let running: Vec<(EngineNumber, u32)> = running
+            .filter_map(|(engine, count)| Some((self.loads.number(engine)?, *count)))
+            .collect();
+        self.loads.add(&running);
         let state = HostState { running, reported_at: now, capacity, is_counted: true };
         self.hosts.insert(host.clone(), state);
-        elsewhere
     }
 
     /// Processes the report of a host and returns the reply.
@@ -337,8 +392,7 @@
         for (engine, model, adapter) in &report.adapter_uses {
             self.planner.record_adapter_use(now, engine, model, adapter);
         }
-        let running_elsewhere =
-            self.record_running(now, &report.host, report.capacity, report.running);
+        self.record_running(now, &report.host, report.capacity, &report.running);
         for observation in report.statements.observations {
             let at = now.saturating_sub(observation.age);
             let (engine, started_ms) = (&observation.engine, observation.started_ms);
@@ -358,7 +412,7 @@
         CoordinatorReply {
             hosts: self.hosts.len() as u32,
             largest_capacity: self.hosts.values().map(|host| host.capacity).fold(0.0, f64::max),
-            running_elsewhere,
+            loads: self.loads.loads(),
             grants,
             notices: self.notices.delta_since(report.notice_version),
             registry: self.registry.delta_since(report.registry_version),
@@ -413,7 +467,7 @@
         fact: StatedFact,
     ) {
         let listed = self.registry.get(engine);
-        if listed.is_none_or(|entry| entry.started_ms != started_ms)
+        if listed.is_none_or(|listed| listed.entry.started_ms != started_ms)
             || !self.statements.record(engine, started_ms, at, fact)
         {
             return;
@@ -441,7 +495,7 @@
         limit: f64,
     ) -> QuotaAnswer {
         let listed = self.registry.get(engine).filter(|_| !self.statements.has_observed(engine));
-        if let Some(started_ms) = listed.map(|entry| entry.started_ms) {
+        if let Some(started_ms) = listed.map(|listed| listed.entry.started_ms) {
             let fact = StatedFact::Limit(Some(limit));
             self.record_statement(now, engine, started_ms, Duration::ZERO, fact);
         }
@@ -471,15 +525,3 @@
         }
     }
 }
-
-/// Subtracts counts from totals, and removes totals that become zero.
-fn subtract_counts(totals: &mut HashMap<EndpointId, u32>, counts: &[(EndpointId, u32)]) {
-    for (engine, count) in counts {
-        if let Some(total) = totals.get_mut(engine) {
-            *total = total.saturating_sub(*count);
-            if *total == 0 {
-                totals.remove(engine);
-            }
-        }
-    }
-}
--- a/crates/skylarkgw/src/decision/directory.rs
+++ b/crates/skylarkgw/src/decision/directory.rs
@@ -46,6 +46,8 @@
     has_failed: bool,
     /// Time of the first answer after an outage.
     settling_since: Option<Duration>,
+    /// Number of updates that changed the entries.
+    change_count: u64,
 }
 
 impl EngineDirectory {
@@ -72,7 +74,11 @@
             self.missing.extend(previous);
         }
         let registered = &self.entries;
+        let missing = self.missing.len();
         self.missing.retain(|id, _| may_have_expired && !registered.contains_key(id));
+        if self.missing.len() != missing {
+            self.change_count += 1;
+        }
         true
     }
 
@@ -82,6 +88,7 @@
         unusable.iter().for_each(|id| {
             self.missing.remove(id);
         });
+        self.change_count += 1;
     }
 
     /// Replaces the entries by a list of the coordinator and returns whether it was
@@ -91,13 +98,16 @@
     pub fn update_from_coordinator(
         &mut self,
         stamp: RegistryStamp,
-        listed: impl IntoIterator<Item = EngineEntry>,
+        listed: impl IntoIterator<Item: Into<Arc<EngineEntry>>>,
     ) -> bool {
         if stamp.revision < self.stamp.revision {
             return false;
         }
         self.replace(stamp, listed);
-        self.missing.clear();
+        if !self.missing.is_empty() {
+            self.missing.clear();
+            self.change_count += 1;
+        }
         self.settling_since = None;
         true
     }
@@ -106,11 +116,20 @@
     fn replace(
         &mut self,
         stamp: RegistryStamp,
-        listed: impl IntoIterator<Item = EngineEntry>,
+        listed: impl IntoIterator<Item: Into<Arc<EngineEntry>>>,
     ) -> HashMap<EndpointId, Arc<EngineEntry>> {
         self.record_unchanged(stamp);
-        let listed = listed.into_iter().map(|entry| (entry.id.clone(), Arc::new(entry)));
-        std::mem::replace(&mut self.entries, listed.collect())
+        // An entry that has not changed stays the same value, which is fast to compare.
+        let listed = listed.into_iter().map(|entry| {
+            let entry: Arc<EngineEntry> = entry.into();
+            let known = self.entries.get(&entry.id).filter(|known| **known == entry);
+            (entry.id.clone(), known.cloned().unwrap_or(entry))
+        });
+        let listed: HashMap<EndpointId, Arc<EngineEntry>> = listed.collect();
+        if listed != self.entries {
+            self.change_count += 1;
+        }
+        std::mem::replace(&mut self.entries, listed)
     }
 
     /// Records that the entries were confirmed to be current up to `stamp`.
@@ -125,6 +144,12 @@
         self.has_failed = true;
     }
 
+    /// Returns a number that changes with the engines, or `None` while they also depend
+    /// on the time.
+    pub fn change_count(&self) -> Option<u64> {
+        self.missing.is_empty().then_some(self.change_count)
+    }
+
     /// Returns up to when the entries contain all changes.
     pub fn stamp(&self) -> RegistryStamp {
         self.stamp
--- a/crates/skylarkgw/src/decision/fleet_planner.rs
+++ b/crates/skylarkgw/src/decision/fleet_planner.rs
@@ -206,11 +206,13 @@
             ));
             let demand = self.assess_demand(now, service, rule, demand, &unserved, obligations);
             let limit = (rule.store_loads_per_s * window.as_secs_f64() * STORE_RATE_SHARE) as usize;
+            let mut engines = self.snapshot_engines(&service.name, rule, running);
             for _ in 0..MAX_CHANGES_PER_CALL {
                 let store_loads = limit.saturating_sub(self.store_loads.len()) as u32;
-                let engines = self.snapshot_engines(&service.name, rule, running);
                 let Some(change) = plan_change(rule, &engines, &demand, store_loads) else { break };
+                let touched = self.list_touched_engines(&change);
                 calls.extend(self.begin_change(now, token, change));
+                self.refresh_snapshots(&mut engines, &touched, rule, running);
             }
         }
         // Changes of models take precedence over adapters that are served, since an
@@ -288,19 +290,52 @@
         let memory = MemoryRule::new(rule);
         let ledgers = self.engines.values();
         let ready = ledgers.filter(|ledger| ledger.entry.service == *service && ledger.is_ready());
-        let running =
-            |ledger: &EngineLedger| running.get(&ledger.entry.id).copied().unwrap_or_default();
-        let engines: Vec<EngineSnapshot> = ready
-            .map(|ledger| {
-                let limit = self.limits.get(&ledger.entry.id);
-                let slots = f64::from(ledger.entry.slots.max(1));
-                let limited_share = limit.map(|limit| limit * REQUEST_SLOT_TIME_S / slots);
-                let snapshot = ledger.snapshot(&memory, running(ledger));
-                let is_suspect = self.suspects.contains(&ledger.entry.id);
-                EngineSnapshot { limited_share, is_suspect, ..snapshot }
-            })
-            .collect();
-        engines
+        ready.map(|ledger| self.snapshot_engine(ledger, &memory, running)).collect()
+    }
+
+    fn snapshot_engine(
+        &self,
+        ledger: &EngineLedger,
+        memory: &MemoryRule<'_>,
+        running: &HashMap<EndpointId, f64>,
+    ) -> EngineSnapshot {
+        let id = &ledger.entry.id;
+        let limit = self.limits.get(id);
+        let slots = f64::from(ledger.entry.slots.max(1));
+        let limited_share = limit.map(|limit| limit * REQUEST_SLOT_TIME_S / slots);
+        let snapshot = ledger.snapshot(memory, running.get(id).copied().unwrap_or_default());
+        EngineSnapshot { limited_share, is_suspect: self.suspects.contains(id), ..snapshot }
+    }
+
+    /// Returns the engines whose state a change alters: its own, and those whose
+    /// reservation for the model a load may end.
+    fn list_touched_engines(&self, change: &PlanChange) -> HashSet<EndpointId> {
+        let (engine, loaded) = match change {
+            PlanChange::Load { engine, model, .. } => (engine, Some(model)),
+            PlanChange::Drain { engine, .. } | PlanChange::Reserve { engine, .. } => (engine, None),
+        };
+        let is_reserved = |ledger: &EngineLedger| {
+            let reserved = ledger.reserved.as_ref().map(|(model, _)| model);
+            loaded.is_some() && reserved == loaded
+        };
+        let reserved = self.engines.iter().filter(|(_, ledger)| is_reserved(ledger));
+        reserved.map(|(id, _)| id).chain([engine]).cloned().collect()
+    }
+
+    /// Brings the snapshots of some engines up to date.
+    fn refresh_snapshots(
+        &self,
+        engines: &mut [EngineSnapshot],
+        touched: &HashSet<EndpointId>,
+        rule: &GenerationRule,
+        running: &HashMap<EndpointId, f64>,
+    ) {
+        let memory = MemoryRule::new(rule);
+        for snapshot in engines.iter_mut().filter(|snapshot| touched.contains(&snapshot.id)) {
+            if let Some(ledger) = self.engines.get(&snapshot.id) {
+                *snapshot = self.snapshot_engine(ledger, &memory, running);
+            }
+        }
     }
 
     /// Returns the models that an engine serves, as far as the ledgers tell.
@@ -315,6 +350,15 @@
         models.filter(|model| !self.failing.contains(*model)).cloned().collect()
     }
 
+    /// Returns whether an engine serves a model, as far as the ledgers tell.
+    fn is_served(&self, model: &ModelName) -> bool {
+        let serves = |ledger: &EngineLedger| {
+            let holds = ledger.models.contains(model) && !ledger.is_being_removed(model);
+            holds && ledger.is_ready() && !self.suspects.contains(&ledger.entry.id)
+        };
+        !self.failing.contains(model) && self.engines.values().any(serves)
+    }
+
     /// Returns the lowest number of slots of any engine of a service, or zero if it
     /// has no engines.
     fn min_slots(&self, service: &ServiceName) -> u32 {
@@ -333,7 +377,7 @@
     ) -> Option<PlannerCall> {
         match change {
             PlanChange::Load { engine, model, from_store } => {
-                let is_vacant = !self.list_served_models().contains(&model);
+                let is_vacant = !self.is_served(&model);
                 let others = self.engines.iter_mut().filter(|(id, _)| **id != engine);
                 for (_, ledger) in others.filter(|_| is_vacant) {
                     ledger.release(&model);
@@ -520,9 +564,18 @@
         ledger.adapters.retain(|held| models.contains(&held.model));
     }
 
+    /// Returns whether the planner keeps a ledger of an engine.
+    pub fn has_engine(&self, engine: &EndpointId) -> bool {
+        self.engines.contains_key(engine)
+    }
+
     /// Returns the placement information for hosts, by engine.
-    pub fn build_notices(&self) -> Vec<(EndpointId, EngineNotice)> {
-        let ledgers = self.engines.iter();
-        ledgers.map(|(engine, ledger)| (engine.clone(), ledger.build_notice())).collect()
+    pub fn build_notices(&self) -> impl Iterator<Item = (&EndpointId, EngineNotice)> {
+        self.engines.iter().map(|(engine, ledger)| (engine, ledger.build_notice()))
+    }
+
+    /// Returns the placement information for hosts on one engine.
+    pub fn build_notice(&self, engine: &EndpointId) -> Option<EngineNotice> {
+        Some(self.engines.get(engine)?.build_notice())
     }
 }
--- a/crates/skylarkgw/src/decision/fleet_planner/adapters.rs
+++ b/crates/skylarkgw/src/decision/fleet_planner/adapters.rs
@@ -1,5 +1,6 @@
 //! Places adapters on engines that hold their models.
 
+use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -147,8 +148,11 @@
     ) -> Vec<PlannerCall> {
         self.requested_adapters
             .retain(|_, at| now.saturating_sub(*at) < REQUESTED_ADAPTER_LIFETIME);
-        let mut requested: Vec<_> = self.requested_adapters.iter().collect();
-        requested.sort_by(|a, b| b.1.cmp(a.1).then_with(|| a.0.cmp(b.0)));
+        // By model, because an engine serves few of them.
+        let mut requested: HashMap<&ModelName, Vec<(&Duration, &Arc<str>)>> = HashMap::new();
+        for ((model, adapter), at) in &self.requested_adapters {
+            requested.entry(model).or_default().push((at, adapter));
+        }
         let mut calls = Vec::new();
         for ledger in self.engines.values_mut().filter(|ledger| ledger.is_idle()) {
             let service = declaration.services.get(&ledger.entry.service);
@@ -158,15 +162,20 @@
             if ledger.adapters.len() >= rule.adapter_slots as usize {
                 continue;
             }
-            let missing =
-                requested.iter().map(|(requested, _)| *requested).find(|(model, adapter)| {
-                    let holds =
-                        |held: &HeldAdapter| held.model == *model && held.adapter == *adapter;
-                    ledger.models.contains(model) && !ledger.adapters.iter().any(holds)
-                });
-            if let Some((model, adapter)) = missing {
-                let order =
-                    ledger.open_order(now, token, OrderKind::Load, model, Some(adapter.clone()));
+            let adapters = ledger.models.iter().flat_map(|model| {
+                let adapters = requested.get(model).into_iter().flatten();
+                adapters.map(move |(at, adapter)| (*at, model, *adapter))
+            });
+            let missing = adapters.filter(|(_, model, adapter)| {
+                let holds = |held: &HeldAdapter| held.model == **model && held.adapter == **adapter;
+                !ledger.adapters.iter().any(holds)
+            });
+            // The adapter that was requested last comes first.
+            let next =
+                missing.min_by(|a, b| b.0.cmp(a.0).then_with(|| (a.1, a.2).cmp(&(b.1, b.2))));
+            if let Some((_, model, adapter)) = next {
+                let (model, adapter) = (model.clone(), adapter.clone());
+                let order = ledger.open_order(now, token, OrderKind::Load, &model, Some(adapter));
                 calls.push(PlannerCall::Order(order));
             }
         }
--- a/crates/skylarkgw/src/decision/model_demand.rs
+++ b/crates/skylarkgw/src/decision/model_demand.rs
@@ -50,7 +50,9 @@
 /// Arrival rate of one model and its exponentially weighted samples.
 #[derive(Debug, Default)]
 struct ModelEstimate {
+    /// Arrival rate at `decayed_at`.
     arrivals_per_s: f64,
+    decayed_at: Duration,
     /// Weighted number of samples in `generation_s`.
     streams: f64,
     /// Weighted sum of generation times, in seconds.
@@ -62,9 +64,17 @@
 }
 
 impl ModelEstimate {
+    /// Decays the arrival rate to `now`.
+    fn decay(&mut self, now: Duration) {
+        let elapsed = now.saturating_sub(self.decayed_at).as_secs_f64();
+        self.decayed_at = now;
+        self.arrivals_per_s *= (-elapsed / ARRIVAL_TIME_CONSTANT_S).exp();
+    }
+
     /// Adds the usage that a host reported, and reduces the weight of earlier
     /// samples.
-    fn record_use(&mut self, usage: &ModelUse) {
+    fn record_use(&mut self, now: Duration, usage: &ModelUse) {
+        self.decay(now);
         self.arrivals_per_s += f64::from(usage.arrivals) / ARRIVAL_TIME_CONSTANT_S;
         let add_samples = |count: &mut f64, sum: &mut f64, new_count: u32, time: Duration| {
             let retained = 0.5_f64.powf(f64::from(new_count) / SAMPLE_HALF_LIFE_REQUESTS);
@@ -90,8 +100,7 @@
 /// Estimated demand for all models.
 #[derive(Debug, Default)]
 pub struct DemandEstimate {
-    models: HashMap<(ServiceName, ModelName), ModelEstimate>,
-    decayed_at: Duration,
+    services: HashMap<ServiceName, HashMap<ModelName, ModelEstimate>>,
 }
 
 impl DemandEstimate {
@@ -103,8 +112,8 @@
         model: ModelName,
         usage: &ModelUse,
     ) {
-        self.decay(now);
-        self.models.entry((service, model)).or_default().record_use(usage);
+        let models = self.services.entry(service).or_default();
+        models.entry(model).or_default().record_use(now, usage);
     }
 
     /// Returns the number of slots that each model of a service needs, on engines
@@ -115,19 +124,13 @@
         service: &str,
         slots: u32,
     ) -> HashMap<ModelName, f64> {
-        self.decay(now);
-        let models = self.models.iter().filter(|((name, _), _)| **name == *service);
         let slots = f64::from(slots);
+        let models = self.services.get_mut(service).into_iter().flatten();
         models
-            .map(|((_, model), estimate)| (model.clone(), estimate.estimate_slots(slots)))
+            .map(|(model, estimate)| {
+                estimate.decay(now);
+                (model.clone(), estimate.estimate_slots(slots))
+            })
             .collect()
     }
-
-    /// Decays the arrival rates to `now`.
-    fn decay(&mut self, now: Duration) {
-        let elapsed = now.saturating_sub(self.decayed_at).as_secs_f64();
-        self.decayed_at = now;
-        let factor = (-elapsed / ARRIVAL_TIME_CONSTANT_S).exp();
-        self.models.values_mut().for_each(|estimate| estimate.arrivals_per_s *= factor);
-    }
 }
--- a/crates/skylarkgw/src/decision/model_plan.rs
+++ b/crates/skylarkgw/src/decision/model_plan.rs
@@ -146,9 +146,6 @@
     pending: HashMap<&'a ModelName, u32>,
     /// Capacity of the replicas of each model that serve requests.
     serving_capacity: HashMap<&'a ModelName, f64>,
-    /// Capacity of the replicas of each model that are loading or for which memory is
-    /// reserved.
-    pending_capacity: HashMap<&'a ModelName, f64>,
     /// Demand for each model, in slots.
     demand: &'a HashMap<ModelName, f64>,
     unserved_models: &'a [ModelName],
@@ -157,6 +154,10 @@
     models: HashMap<&'a ModelName, &'a ModelRule>,
     /// Engines that hold each model.
     holders: HashMap<&'a ModelName, Vec<&'a EngineSnapshot>>,
+    /// Engines that can receive an order now.
+    idle: Vec<&'a EngineSnapshot>,
+    /// Need of each model that is requested, in slots.
+    needs: HashMap<&'a ModelName, f64>,
     /// Lowest number of slots of any engine.
     slots: f64,
 }
@@ -189,12 +190,19 @@
             holders.entry(model).or_default().push(engine);
         }
     }
+    let needs = demand.slots.iter().map(|(model, slots)| {
+        let capacities = [&serving_capacity, &pending_capacity];
+        let capacity: f64 = capacities.iter().filter_map(|known| known.get(model)).sum();
+        (model, slots / if capacity > 0.0 { capacity } else { 1.0 })
+    });
+    let needs = needs.collect();
     let plan = ModelPlan {
         engines,
+        idle: engines.iter().filter(|engine| engine.is_idle).collect(),
+        needs,
         serving,
         pending,
         serving_capacity,
-        pending_capacity,
         demand: &demand.slots,
         unserved_models: &demand.unserved,
         failing_models: &demand.failing,
@@ -222,15 +230,12 @@
         return reserved_load;
     }
     let store_loads = store_loads.saturating_sub(RESERVED_LOADS.max(vacancies.len() as u32));
-    let mut wanted: Vec<&ModelRule> = rule
-        .models
-        .iter()
-        .filter(|model| plan.compute_need(&model.name) > slots * MIN_ADD_SHARE)
-        .collect();
-    wanted.sort_by(|a, b| plan.compute_need(&b.name).total_cmp(&plan.compute_need(&a.name)));
-    let needed = wanted
-        .into_iter()
-        .find_map(|model| plan.plan_replica(model, plan.compute_need(&model.name), store_loads));
+    let needs = rule.models.iter().map(|model| (plan.compute_need(&model.name), model));
+    let mut wanted: Vec<(f64, &ModelRule)> =
+        needs.filter(|(need, _)| *need > slots * MIN_ADD_SHARE).collect();
+    wanted.sort_by(|a, b| b.0.total_cmp(&a.0));
+    let needed =
+        wanted.into_iter().find_map(|(need, model)| plan.plan_replica(model, need, store_loads));
     needed.or_else(|| plan.plan_balance_change(store_loads))
 }
 
@@ -297,9 +302,7 @@
     /// Returns the need of a model: the demand for it divided by the capacity of all its
     /// replicas, in slots.
     fn compute_need(&self, model: &ModelName) -> f64 {
-        let capacities = [&self.serving_capacity, &self.pending_capacity];
-        let capacity: f64 = capacities.iter().filter_map(|known| known.get(model)).sum();
-        self.demand(model) / if capacity > 0.0 { capacity } else { 1.0 }
+        self.needs.get(model).copied().unwrap_or_default()
     }
 
     /// Returns the demand for a model per capacity of its serving replicas after the one
@@ -346,7 +349,7 @@
             let is_loading = engine.loading.as_ref() == Some(&model.name);
             !is_loading && !engine.models.contains(&model.name)
         };
-        let lacking = self.engines.iter().filter(lacks);
+        let lacking = self.idle.iter().copied().filter(lacks);
         let (with_copy, without): (Vec<_>, Vec<_>) =
             lacking.partition(|engine| engine.copies.contains(&model.name));
         let from_copy = self.plan_replica_among(model, need, &with_copy, false);
--- a/crates/skylarkgw/src/decision/model_plan/balance.rs
+++ b/crates/skylarkgw/src/decision/model_plan/balance.rs
@@ -46,12 +46,13 @@
         // An engine that takes fewer requests is idle without being able to take more.
         let holders = self.holders.get(model)?.iter().filter(|engine| !engine.is_limited());
         let lowest_running = holders.map(|engine| engine.running).reduce(f64::min)?;
-        if lowest_running < self.slots * BUSY_SHARE {
+        let replica_work = self.demand(model) / f64::from(self.serving_replicas(model) + 1);
+        if lowest_running < self.slots * BUSY_SHARE || replica_work < self.slots * MIN_MOVED_SHARE {
             return None;
         }
-        let targets = self.engines.iter().filter(|engine| {
+        let targets = self.idle.iter().copied().filter(|engine| {
             let is_sound = !engine.is_suspect && !engine.is_limited();
-            let is_available = engine.is_idle && engine.reserved.is_none() && is_sound;
+            let is_available = engine.reserved.is_none() && is_sound;
             is_available && !engine.models.contains(model) && engine.running < lowest_running
         });
         let steps = targets.filter_map(|engine| {
--- a/crates/skylarkgw/src/decision/obligations.rs
+++ b/crates/skylarkgw/src/decision/obligations.rs
@@ -273,6 +273,7 @@
             .iter()
             .filter(|(target, state)| target.adapter.is_none() && state.outcome.unserved.is_some());
         let unserved = unserved_models.count();
+        let mut bounds: HashMap<ServiceName, Option<Duration>> = HashMap::new();
         for (target, state) in &mut self.targets {
             let Some(run) = state.outcome.unserved else { continue };
             if !state.is_logged && run.last_at.saturating_sub(run.first_at) >= LOGGED_TIME {
@@ -282,8 +283,16 @@
             }
             let waited = self.orderable.saturating_sub(state.orderable_before);
             let is_requested = now.saturating_sub(run.last_at) < LOGGED_TIME;
-            let Some(rule) = find_rule(&target.service) else { continue };
-            let bound = service_bound(rule, unserved);
+            let bound = match bounds.get(&target.service) {
+                Some(bound) => *bound,
+                None => {
+                    let bound =
+                        find_rule(&target.service).map(|rule| service_bound(rule, unserved));
+                    bounds.insert(target.service.clone(), bound);
+                    bound
+                }
+            };
+            let Some(bound) = bound else { continue };
             let is_in_time = waited <= bound || !is_requested;
             if !state.is_late && !Invariant::TargetServedInBound.check(is_in_time) {
                 state.is_late = true;
--- a/crates/skylarkgw/src/decision/shared_map.rs
+++ b/crates/skylarkgw/src/decision/shared_map.rs
@@ -5,7 +5,7 @@
 //! another holder of the lease, or precedes the recorded removals, receives the
 //! complete map.
 
-use std::collections::{HashMap, VecDeque};
+use std::collections::{HashMap, HashSet, VecDeque};
 
 use serde::{Deserialize, Serialize};
 
@@ -81,24 +81,33 @@
     ///
     /// The version increases if anything changes.
     pub fn replace(&mut self, entries: Vec<(EndpointId, T)>) -> Vec<EndpointId> {
-        let next_version = self.version + 1;
-        let mut removed: HashMap<EndpointId, (u64, T)> = std::mem::take(&mut self.entries);
+        let kept: HashSet<EndpointId> = entries.iter().map(|(engine, _)| engine.clone()).collect();
         for (engine, entry) in entries {
-            let previous = removed.remove(&engine);
-            let value = match previous {
-                Some((changed_at, known)) if known == entry => (changed_at, known),
-                _ => {
-                    self.version = next_version;
-                    (next_version, entry)
-                }
-            };
-            self.entries.insert(engine, value);
+            self.set(&engine, entry);
         }
-        let removed: Vec<EndpointId> = removed.into_keys().collect();
-        if !removed.is_empty() {
-            self.version = next_version;
+        self.retain(|engine| kept.contains(engine))
+    }
+
+    /// Sets the entry of one engine. The version increases if that changes it.
+    pub fn set(&mut self, engine: &EndpointId, entry: T) {
+        if self.get(engine) != Some(&entry) {
+            self.version += 1;
+            self.entries.insert(engine.clone(), (self.version, entry));
+        }
+    }
+
+    /// Removes the entries for which `is_kept` returns false, and returns their keys.
+    pub fn retain(&mut self, is_kept: impl Fn(&EndpointId) -> bool) -> Vec<EndpointId> {
+        let removed: Vec<EndpointId> =
+            self.entries.keys().filter(|engine| !is_kept(engine)).cloned().collect();
+        if removed.is_empty() {
+            return removed;
+        }
+        self.version += 1;
+        for engine in &removed {
+            self.entries.remove(engine);
+            self.removals.push_back((self.version, engine.clone()));
         }
-        self.removals.extend(removed.iter().map(|engine| (next_version, engine.clone())));
         while self.removals.len() > MAX_REMOVALS {
             self.recorded_from = self.removals.pop_front().map_or(self.version, |(at, _)| at);
         }
--- a/crates/skylarkgw/src/edge/forward/select.rs
+++ b/crates/skylarkgw/src/edge/forward/select.rs
@@ -209,24 +209,24 @@
     }
 }
 
-/// Returns the engines of the service that are ready and are not due for termination. If the service generates tokens, they also hold the
-/// requested model and are not about to unload it.
+/// Returns the engines of the service that are ready and are not due for termination. If
+/// the service generates tokens, they also hold the requested model and are not about to
+/// unload it.
 fn find_usable_engines(
     snapshot: &FleetSnapshot,
     admitted: &AdmittedRequest,
 ) -> Vec<Arc<EngineEntry>> {
-    let engines = snapshot.engines.get(&admitted.service).map(Vec::as_slice).unwrap_or_default();
     let generates_tokens = snapshot
         .declaration
         .as_ref()
         .and_then(|declaration| declaration.services.get(&admitted.service))
         .is_some_and(|service| service.generation.is_some());
     let target = admitted.header.target.as_ref().filter(|_| generates_tokens);
+    let engines = snapshot.engines.find(&admitted.service, target.map(|target| &target.model));
     let serves_model = |entry: &EngineEntry| {
         target.is_none_or(|target| {
-            let is_held = entry.models.iter().any(|held| held.name == target.model);
             let notice = snapshot.view.placement.get(&entry.id);
-            is_held && !notice.is_some_and(|notice| notice.closing.contains(&target.model))
+            !notice.is_some_and(|notice| notice.closing.contains(&target.model))
         })
     };
     let is_available =
@@ -248,7 +248,7 @@
     admitted: &AdmittedRequest,
     entry: &EngineEntry,
 ) -> EngineCandidate {
-    let elsewhere = snapshot.view.running_elsewhere.get(&entry.id).copied().unwrap_or_default();
+    let elsewhere = snapshot.view.running_elsewhere(&entry.id);
     let is_avoided = admitted.state.find_statement(entry).avoided_for.is_some();
     let traffic = admitted.state.lock_traffic();
     EngineCandidate {
--- a/crates/skylarkgw/src/gateway.rs
+++ b/crates/skylarkgw/src/gateway.rs
@@ -10,6 +10,7 @@
 pub mod clock;
 pub mod control;
 pub mod declaration;
+pub mod engine_index;
 pub mod peers;
 pub mod ports;
 mod probe;
--- a/crates/skylarkgw/src/gateway/control.rs
+++ b/crates/skylarkgw/src/gateway/control.rs
@@ -16,7 +16,7 @@
 
 use spdlog::{info, warn};
 use tokio::sync::{mpsc, oneshot, watch};
-use tokio::time::{sleep, timeout};
+use tokio::time::{Instant, sleep, timeout};
 
 use crate::decision::coordinator::{
     Coordinator, CoordinatorReply, HostReport, KnowledgeAge, QuotaAnswer,
@@ -32,10 +32,10 @@
 use crate::gateway::control::placement::{log_obligation_events, log_placement_events};
 use crate::gateway::control::quarantine::log_quarantine_events;
 use crate::gateway::declaration::ServiceName;
+use crate::gateway::engine_index::EngineIndex;
 use crate::gateway::ports::{
     EngineCall, EngineOrder, LeaseAnswer, LeaseCall, OrderAnswer, WatchMode,
 };
-use crate::gateway::registry::EngineEntry;
 use crate::gateway::state::{CoordinatorRequest, FleetSnapshot, GatewayState};
 use crate::ids::{EndpointId, HostId, ModelName, Tokens, WorkspaceId};
 use crate::telemetry::CoordinatorWork;
@@ -44,6 +44,9 @@
 const LEASE_POLL_INTERVAL: Duration = Duration::from_millis(60);
 /// Interval between two runs of the placement planner.
 const PLAN_INTERVAL: Duration = Duration::from_millis(100);
+/// Part of the time that planning may take. Where a plan takes long, in a large fleet on a
+/// slow host, the next one begins later.
+const PLAN_TIME_DIVISOR: u32 = 8;
 /// Time without a registry update after which the engines are published again.
 /// The directory stops listing missing entries some time after a store outage,
 /// without an update.
@@ -74,6 +77,8 @@
     lease: Mutex<CoordinatorLease>,
     coordinator: Mutex<Option<Coordinator>>,
     directory: Mutex<EngineDirectory>,
+    /// Change count of the directory when its engines were last published.
+    published: Mutex<Option<u64>>,
     contact: Mutex<CoordinatorContact>,
     lease_calls: mpsc::Sender<LeaseCall>,
     engine_calls: mpsc::Sender<EngineCall>,
@@ -120,6 +125,7 @@
             lease: Mutex::new(lease),
             coordinator: Mutex::default(),
             directory: Mutex::default(),
+            published: Mutex::default(),
             contact: Mutex::default(),
             lease_calls: ports.lease_calls,
             engine_calls: ports.engine_calls,
@@ -266,8 +272,7 @@
         let (token, expected) = (order.token, order.expected_count);
         info!("order given", kv: { engine, kind, model, adapter, token, expected, answer = answer_label });
         let recorded = self.with_coordinator(|now, coordinator| {
-            coordinator.planner_mut().record_answer(now, &order, answer);
-            coordinator.refresh_notices();
+            coordinator.record_answer(now, &order, answer);
         });
         if recorded.is_none() {
             warn!("order answered after the coordinator lease was lost", kv: { token });
@@ -282,8 +287,7 @@
         }
         let Ok(report) = report.await else { return };
         self.with_coordinator(|now, coordinator| {
-            coordinator.planner_mut().record_report(now, &engine, report);
-            coordinator.refresh_notices();
+            coordinator.record_report(now, &engine, report);
         });
     }
 
@@ -305,16 +309,21 @@
     /// coordinator, to its planner.
     fn publish_engines(&self) {
         let now = time_since_boot();
-        let engines: Vec<Arc<EngineEntry>> = lock(&self.directory).engines(now).cloned().collect();
-        let mut by_service: HashMap<ServiceName, Vec<Arc<EngineEntry>>> = HashMap::new();
-        for engine in &engines {
-            by_service.entry(engine.service.clone()).or_default().push(engine.clone());
-        }
-        for engines in by_service.values_mut() {
-            engines.sort_by(|a, b| a.id.cmp(&b.id));
-        }
-        if by_service != self.state.snapshot.load().engines {
-            self.update_snapshot(|snapshot| snapshot.engines = by_service);
+        let (engines, stamp, change_count) = {
+            let directory = lock(&self.directory);
+            let (stamp, change_count) = (directory.stamp(), directory.change_count());
+            if change_count.is_some() && *lock(&self.published) == change_count {
+                drop(directory);
+                if let Some(coordinator) = lock(&self.coordinator).as_mut() {
+                    coordinator.confirm_registry(stamp);
+                }
+                return;
+            }
+            (directory.engines(now).cloned().collect::<Vec<_>>(), stamp, change_count)
+        };
+        let index = Arc::new(EngineIndex::new(engines.clone()));
+        if index != self.state.snapshot.load().engines {
+            self.update_snapshot(|snapshot| snapshot.engines = index);
             let starts: HashMap<&EndpointId, u64> =
                 engines.iter().map(|entry| (&entry.id, entry.started_ms)).collect();
             let find_start = |engine: &EndpointId| starts.get(engine).copied();
@@ -324,11 +333,11 @@
         // The state outlives a short lapse of the lease, so it must not miss updates
         // that arrive meanwhile.
         if let Some(coordinator) = lock(&self.coordinator).as_mut() {
-            let stamp = lock(&self.directory).stamp();
             self.measure_work(CoordinatorWork::Registry, || {
                 coordinator.update_registry(stamp, &engines);
             });
         }
+        *lock(&self.published) = change_count;
     }
 
     /// Starts the release of the lease and waits until it is released, for at most
@@ -517,9 +526,11 @@
 /// Plans the placement of models while this host holds the lease, until the task
 /// is cancelled.
 pub async fn run_placement(control: Arc<ControlContext>) {
+    let mut interval = PLAN_INTERVAL;
     loop {
-        sleep(PLAN_INTERVAL).await;
+        sleep(interval).await;
         let Some(declaration) = control.state.snapshot.load().declaration.clone() else { continue };
+        let started = Instant::now();
         let order_token = lock(&control.lease).order_token(time_since_boot());
         let window = control.state.settings.bounds.load_window;
         let planned = control.with_coordinator(|now, coordinator| {
@@ -530,6 +541,7 @@
             let unserved = coordinator.count_unserved_targets();
             (calls, coordinator.take_placement_events(), obligations, unserved)
         });
+        interval = PLAN_INTERVAL.max(started.elapsed() * PLAN_TIME_DIVISOR);
         let (calls, events, obligations, unserved) = planned.unwrap_or_default();
         log_placement_events(events);
         log_obligation_events(obligations, &control.state.metrics.fleet);
--- a/crates/skylarkgw/src/gateway/control/exchange.rs
+++ b/crates/skylarkgw/src/gateway/control/exchange.rs
@@ -7,14 +7,13 @@
 use spdlog::{info, warn};
 use tokio::time::sleep;
 
-use crate::decision::coordinator::{CoordinatorReply, HostReport};
+use crate::decision::coordinator::{CoordinatorReply, HostReport, RegisteredEngine};
 use crate::decision::coordinator_lease::takeover_delay;
 use crate::decision::freshness::{EXCHANGE_INTERVAL, contact_timeout, exchange_interval};
 use crate::decision::quota_pool::LocalQuota;
 use crate::gateway::clock::time_since_boot;
 use crate::gateway::control::{ControlContext, lock};
 use crate::gateway::peers::CoordinatorClient;
-use crate::gateway::registry::EngineEntry;
 use crate::gateway::state::FleetView;
 use crate::ids::EndpointId;
 
@@ -28,7 +27,15 @@
     notice_version: u64,
     pub(super) registry_version: u64,
     /// Engines as the coordinator sent them.
-    pub(super) engines: HashMap<EndpointId, EngineEntry>,
+    pub(super) engines: HashMap<EndpointId, RegisteredEngine>,
+}
+
+/// What is kept of a report until its reply arrives.
+struct SentReport {
+    /// Time since boot.
+    sent_at: Duration,
+    /// Requests of this host that ran at each engine.
+    running: Vec<(EndpointId, u32)>,
 }
 
 impl ControlContext {
@@ -70,8 +77,8 @@
         }
     }
 
-    /// Applies the coordinator's reply to a report that was sent at `sent_at`.
-    fn apply_reply(&self, sent_at: Duration, reply: CoordinatorReply) {
+    /// Applies the coordinator's reply to a report.
+    fn apply_reply(&self, sent: SentReport, reply: CoordinatorReply) {
         let now = time_since_boot();
         let is_handed_over = {
             let mut lease = lock(&self.lease);
@@ -85,7 +92,7 @@
             let (capacity, largest) = (self.capacity, reply.largest_capacity);
             info!("coordinator lease handed over", kv: { capacity, largest });
         }
-        self.apply_fleet_state(sent_at, &reply.age, reply.registry);
+        let numbers = self.apply_fleet_state(sent.sent_at, &reply.age, reply.registry);
         self.state.lock_prompt_guard().apply_reply(now, reply.prompts, reply.trials);
         self.state.lock_engine_statements().apply_reply(now, reply.statements);
         self.state.log_statement_events();
@@ -99,7 +106,9 @@
         let view = &self.state.snapshot.load().view;
         let mut view = FleetView {
             hosts: reply.hosts,
-            running_elsewhere: reply.running_elsewhere.into_iter().collect(),
+            loads: reply.loads,
+            numbers: numbers.unwrap_or_else(|| view.numbers.clone()),
+            reported: sent.running.into_iter().collect(),
             placement: view.placement.clone(),
         };
         let mut contact = lock(&self.contact);
@@ -142,8 +151,9 @@
         self.watch_store_without_contact(now);
         if lock(&self.lease).token(now).is_some() {
             let report = self.build_report(now);
+            let sent = SentReport { sent_at: now, running: report.running.clone() };
             if let Some(reply) = self.handle_report(report) {
-                self.apply_reply(now, reply);
+                self.apply_reply(sent, reply);
             }
             return true;
         }
@@ -152,6 +162,7 @@
             return false;
         };
         let report = self.build_report(now);
+        let sent = SentReport { sent_at: now, running: report.running.clone() };
         let answer = client.exchange(report).await;
         self.state.metrics.fleet.count_exchange(match &answer {
             Some(Some(_)) => "replied",
@@ -161,7 +172,7 @@
         match answer {
             Some(Some(reply)) => {
                 self.fetch_declaration(&client, reply.age.revision).await;
-                self.apply_reply(now, reply);
+                self.apply_reply(sent, reply);
                 true
             }
             Some(None) => {
--- a/crates/skylarkgw/src/gateway/control/knowledge.rs
+++ b/crates/skylarkgw/src/gateway/control/knowledge.rs
@@ -1,6 +1,7 @@
 //! Tracks the declaration and the engine registry, as received from the store
 //! and from the coordinator.
 
+use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -8,8 +9,9 @@
 use tokio::sync::{mpsc, watch};
 use tokio::time::sleep;
 
-use crate::decision::coordinator::KnowledgeAge;
+use crate::decision::coordinator::{KnowledgeAge, RegisteredEngine};
 use crate::decision::directory::RegistryStamp;
+use crate::decision::engine_loads::EngineNumber;
 use crate::decision::freshness::{batch_delay, is_searching_coordinator, needs_store_read};
 use crate::decision::route_table::RouteTable;
 use crate::decision::shared_map::MapDelta;
@@ -18,9 +20,9 @@
 use crate::gateway::declaration::FleetDeclaration;
 use crate::gateway::peers::CoordinatorClient;
 use crate::gateway::ports::{StoreUpdate, WatchMode};
-use crate::gateway::registry::{EngineEntry, RegistryCopy};
+use crate::gateway::registry::RegistryCopy;
 use crate::gateway::state::{RegistryOrigin, RegistrySource};
-use crate::ids::Revision;
+use crate::ids::{EndpointId, Revision};
 
 impl ControlContext {
     /// Puts a declaration into force if its revision is higher than that of the
@@ -55,6 +57,8 @@
     /// Applies the fleet state from the coordinator's reply to a report that was
     /// sent at `sent_at`.
     ///
+    /// Returns the numbers of the engines if the reply changes the registry.
+    ///
     /// While the coordinator's copy is recent, this host does not watch the store
     /// itself. The ages in the reply are counted back from `sent_at`, so the delay
     /// of the exchange never makes the state appear newer than it is.
@@ -62,8 +66,8 @@
         &self,
         sent_at: Duration,
         age: &KnowledgeAge,
-        registry: Option<MapDelta<EngineEntry>>,
-    ) {
+        registry: Option<MapDelta<RegisteredEngine>>,
+    ) -> Option<Arc<HashMap<EndpointId, EngineNumber>>> {
         let declaration = self.state.snapshot.load().declaration.clone();
         let revision = declaration.map_or(0, |declaration| declaration.revision);
         if revision >= age.revision && revision > 0 {
@@ -79,27 +83,32 @@
             needs_store_read(is_coordinator, false, age.registry),
             Some(age),
         );
-        let has_delta = registry.is_some();
+        let mut numbers = None;
         let is_used = {
             let mut contact = lock(&self.contact);
             if let Some(delta) = registry {
                 contact.registry_version = delta.version;
                 delta.apply_to(&mut contact.engines);
+                let engines = contact.engines.iter();
+                let engines = engines.map(|(engine, listed)| (engine.clone(), listed.number));
+                numbers = Some(Arc::new(engines.collect()));
             }
             // The coordinator reads the store itself.
             if is_coordinator {
-                return;
+                return numbers;
             }
             let mut directory = lock(&self.directory);
             let source = self.state.snapshot.load().registry.source;
-            if !has_delta && source == RegistrySource::Coordinator {
+            if numbers.is_none() && source == RegistrySource::Coordinator {
                 directory.record_unchanged(stamp);
-                return;
+                return None;
             }
-            directory.update_from_coordinator(stamp, contact.engines.values().cloned())
+            let entries = contact.engines.values().map(|listed| listed.entry.clone());
+            directory.update_from_coordinator(stamp, entries)
         };
         self.record_registry_copy(RegistrySource::Coordinator, stamp, is_used);
         self.publish_engines();
+        numbers
     }
 
     /// Records where the entries of the directory came from.
--- a/crates/skylarkgw/src/gateway/control/load.rs
+++ b/crates/skylarkgw/src/gateway/control/load.rs
@@ -26,7 +26,7 @@
     /// Counts the entries of a reply.
     pub(super) fn count_reply(&self, reply: &CoordinatorReply) {
         let count = |part, items| self.state.metrics.fleet.count_reply_items(part, items);
-        count("counts", reply.running_elsewhere.len());
+        count("counts", reply.loads.len());
         count("grants", reply.grants.len());
         if let Some(delta) = &reply.notices {
             count("notices", delta.changed.len());
--- a/crates/skylarkgw/src/gateway/state.rs
+++ b/crates/skylarkgw/src/gateway/state.rs
@@ -11,6 +11,7 @@
 use tokio::time::{Instant, timeout_at};
 
 use crate::decision::coordinator::QuotaAnswer;
+use crate::decision::engine_loads::{EngineLoads, EngineNumber};
 use crate::decision::engine_statements::{EngineStatements, KnownStatement};
 use crate::decision::fleet_planner::EngineNotice;
 use crate::decision::obligations::ServiceLog;
@@ -22,6 +23,7 @@
 use crate::endpoint::{ByteBudget, ConnectionPool};
 use crate::gateway::clock::time_since_boot;
 use crate::gateway::declaration::{FleetDeclaration, ServiceName};
+use crate::gateway::engine_index::EngineIndex;
 use crate::gateway::registry::EngineEntry;
 use crate::gateway::settings::GatewaySettings;
 use crate::gateway::wire::HeaderCodec;
@@ -40,8 +42,8 @@
     pub declaration: Option<Arc<FleetDeclaration>>,
     /// Routes and keys of the declaration, indexed for lookup.
     pub route_table: Arc<RouteTable>,
-    /// Engines of each service, sorted by identifier.
-    pub engines: HashMap<ServiceName, Vec<Arc<EngineEntry>>>,
+    /// Engines that may receive requests.
+    pub engines: Arc<EngineIndex>,
     /// Origin of the engines.
     pub registry: RegistryOrigin,
     /// State from the last reply of the coordinator.
@@ -82,10 +84,23 @@
 pub struct FleetView {
     /// Number of hosts from which the coordinator receives reports.
     pub hosts: u32,
-    /// Number of requests of other hosts that run at each engine.
-    pub running_elsewhere: HashMap<EndpointId, u32>,
+    /// Number of requests of all hosts that run at each engine.
+    pub loads: EngineLoads,
+    /// Numbers of the engines in `loads`.
+    pub numbers: Arc<HashMap<EndpointId, EngineNumber>>,
+    /// Requests of this host that are part of `loads`.
+    pub reported: HashMap<EndpointId, u32>,
     /// Placement on each engine.
-    pub placement: Arc<HashMap<EndpointId, EngineNotice>>,
+    pub placement: Arc<HashMap<EndpointId, Arc<EngineNotice>>>,
+}
+
+impl FleetView {
+    /// Returns the number of requests of other hosts that run at an engine.
+    pub fn running_elsewhere(&self, engine: &EndpointId) -> u32 {
+        let total = self.numbers.get(engine).map(|number| self.loads.get(*number));
+        let own = self.reported.get(engine).copied().unwrap_or_default();
+        total.unwrap_or_default().saturating_sub(own)
+    }
 }
 
 /// A request of the traffic thread that only the coordinator can answer.
--- a/crates/skylarkgw/tests/decisions/coordinator.rs
+++ b/crates/skylarkgw/tests/decisions/coordinator.rs
@@ -119,8 +119,7 @@
             started_ms: entry.started_ms,
             ..EngineReport::default()
         };
-        self.coordinator.planner_mut().record_report(ms(self.now), &entry.id, report);
-        self.coordinator.refresh_notices();
+        self.coordinator.record_report(ms(self.now), &entry.id, report);
         let mut engines: Vec<_> = (0..ENGINES).map(|number| full_engine(number, 0)).collect();
         engines[number] = entry;
         self.coordinator.update_registry(RegistryStamp::default(), &engines);
--- a/crates/skylarkgw/tests/decisions/fleet_model.rs
+++ b/crates/skylarkgw/tests/decisions/fleet_model.rs
@@ -101,7 +101,7 @@
     /// Faults that are still to come, by the time at which they begin.
     faults: Vec<(Duration, FleetFault)>,
     registry: Vec<Arc<EngineEntry>>,
-    placement: HashMap<EndpointId, EngineNotice>,
+    placement: HashMap<EndpointId, Arc<EngineNotice>>,
     notice_version: u64,
     report: HostReport,
     service_log: ServiceLog,
@@ -414,8 +414,7 @@
             return;
         }
         if let Some(coordinator) = &mut self.coordinator {
-            coordinator.planner_mut().record_answer(now, order, answer);
-            coordinator.refresh_notices();
+            coordinator.record_answer(now, order, answer);
         }
     }
 
@@ -424,8 +423,7 @@
         let engine = self.engines.iter().find(|engine| engine.entry.id == *id);
         let report = engine.filter(|engine| engine.is_running()).map(SimulatedEngine::report);
         if let (Some(report), Some(coordinator)) = (report, &mut self.coordinator) {
-            coordinator.planner_mut().record_report(now, id, report);
-            coordinator.refresh_notices();
+            coordinator.record_report(now, id, report);
         }
     }
 
--- a/crates/skylarkgw/tests/decisions/main.rs
+++ b/crates/skylarkgw/tests/decisions/main.rs
@@ -18,6 +18,7 @@
 mod retries;
 mod routes;
 mod samples;
+mod scale;
 mod shared_map;
 mod starvation;
 mod statements;
--- a/crates/skylarkgw/tests/decisions/statements.rs
+++ b/crates/skylarkgw/tests/decisions/statements.rs
@@ -325,8 +325,8 @@
         Coordinator::new(ms(0), 1, QuotaTolerance::default(), PoolStart::AfterLoss);
     let engines = [engine("i-0", &["sage"]), engine("i-1", &[])];
     coordinator.update_registry(RegistryStamp::default(), &engines);
-    coordinator.planner_mut().record_report(ms(0), &"i-0".into(), report_of(&["sage"]));
-    coordinator.planner_mut().record_report(ms(0), &"i-1".into(), report_of(&[]));
+    coordinator.record_report(ms(0), &"i-0".into(), report_of(&["sage"]));
+    coordinator.record_report(ms(0), &"i-1".into(), report_of(&[]));
     let plan = |coordinator: &mut Coordinator, now: u64| {
         let calls = coordinator.plan(ms(now), Some(1), &declaration, window);
         let orders = calls.into_iter().filter_map(|call| match call {
--- a/crates/skylarkgw/tests/gateway/registry.rs
+++ b/crates/skylarkgw/tests/gateway/registry.rs
@@ -35,5 +35,5 @@
     let report = HostReport { host: "edge-2".into(), ..HostReport::default() };
     let reply = harness.control.handle_report(report).expect("the host should hold the lease");
     let changed = reply.registry.expect("the host has no registry yet").changed;
-    assert_eq!(changed[0].1.phase, EnginePhase::Draining, "sent with {:?}", reply.age);
+    assert_eq!(changed[0].1.entry.phase, EnginePhase::Draining, "sent with {:?}", reply.age);
 }
