Count no host as silent between two of its reports

With 295 hosts each reports every 885 ms, and the pool and the coordinator counted a host as silent after 450 ms: half of each quota was withheld, half of the running requests were not counted, and hosts spent at their fallback rate in between. The time without a report follows the interval now (silence_timeout), contact_timeout has no upper limit that made its property false, and the interval is 1 ms a host instead of 3.

Hosts drew tokens ahead for each of their workspaces and kept them: in a large fleet several seconds of a quota lay idle. They return what they do not need.

Loads are left out of a reply while the last ones are fresh, running requests are reported by number, and complete maps are sent in parts of 400 entries: a copy of 3,000 engines never arrived within the time for a reply.

--- a/crates/skylarkgw/src/decision/coordinator.rs
+++ b/crates/skylarkgw/src/decision/coordinator.rs
@@ -16,13 +16,13 @@
     EngineStatement, StatedFact, StatementBook, StatementReport,
 };
 use crate::decision::fleet_planner::{EngineNotice, FleetPlanner, PlacementEvent, PlannerCall};
-use crate::decision::freshness::{EXCHANGE_TIMEOUT, exchange_interval};
+use crate::decision::freshness::{EXCHANGE_TIMEOUT, exchange_interval, silence_timeout};
 use crate::decision::model_demand::{DemandEstimate, ModelUse};
 use crate::decision::obligations::{ObligationBook, ObligationEvent, ServiceReport};
 use crate::decision::prompt_guard::PromptReport;
 use crate::decision::prompt_quarantine::{PromptQuarantine, QuarantineEvent, QuarantineState};
-use crate::decision::quota_pool::{CONTACT_TIMEOUT, PoolStart, QuotaPool, QuotaTolerance};
-use crate::decision::shared_map::{MapDelta, SharedMap};
+use crate::decision::quota_pool::{PoolStart, QuotaPool, QuotaTolerance};
+use crate::decision::shared_map::{MapDelta, SharedMap, version_token};
 use crate::gateway::declaration::{FleetDeclaration, ServiceName};
 use crate::gateway::ports::{EngineOrder, EngineReport, OrderAnswer};
 use crate::gateway::registry::EngineEntry;
@@ -36,6 +36,9 @@
 /// Time for which a new coordinator collects demand before it moves models.
 const WARM_UP_TIME: Duration = Duration::from_millis(1_200);
 
+/// Number of counts of engines that a host gets per second. In a fleet with thousands of
+/// engines not every reply contains them.
+const LOAD_COUNTS_PER_S: f64 = 4_500.0;
 /// Time constant of the moving average of each engine's running requests, in
 /// seconds.
 const RUNNING_TIME_CONSTANT_S: f64 = 0.6;
@@ -46,12 +49,15 @@
 pub struct HostReport {
     /// Name of the reporting host.
     pub host: HostId,
-    /// Number of requests of the host that run at each engine.
-    pub running: Vec<(EndpointId, u32)>,
+    /// Number of requests of the host that run at each engine, by the numbers of the
+    /// registry with `registry_version`.
+    pub running: Vec<(EngineNumber, u32)>,
     /// Usage of each model since the last report.
     pub uses: Vec<(ServiceName, ModelName, ModelUse)>,
     /// Number of tokens that the host requests for each workspace.
     pub wanted: Vec<(WorkspaceId, Tokens)>,
+    /// Number of tokens of each workspace that the host has drawn and returns.
+    pub returned: Vec<(WorkspaceId, Tokens)>,
     /// Adapters used since the last report.
     pub adapter_uses: Vec<(EndpointId, ModelName, Arc<str>)>,
     /// Capacity of the host to coordinate the fleet, from 0 to 1.
@@ -106,11 +112,12 @@
     /// Largest capacity of any of these hosts to coordinate the fleet.
     pub largest_capacity: f64,
     /// Number of requests of all hosts that run at each engine, by the numbers of the
-    /// engines after the changes of the registry in this reply.
-    pub loads: EngineLoads,
+    /// engines after the changes of the registry in this reply, if the last ones are old
+    /// enough.
+    pub loads: Option<EngineLoads>,
     /// For each workspace, the number of granted tokens and the rate, in tokens
     /// per second, at which the host may spend while it has no coordinator.
-    pub grants: Vec<(WorkspaceId, Tokens, f64)>,
+    pub grants: Vec<(WorkspaceId, Tokens, Tokens)>,
     /// Changes of the placement notices, if the host has a different version.
     pub notices: Option<MapDelta<Arc<EngineNotice>>>,
     /// Changes of the registry, if the host has a different version.
@@ -143,6 +150,8 @@
 struct HostState {
     running: Vec<(EngineNumber, u32)>,
     reported_at: Duration,
+    /// Time at which the loads were last sent to the host.
+    loads_sent_at: Option<Duration>,
     capacity: f64,
     /// Whether `running` is part of the totals. A host that no longer reports may
     /// have stopped, and its requests with it.
@@ -348,8 +357,9 @@
     /// Removes the requests of hosts that no longer report from the totals, and
     /// evicts hosts after [`HOST_EVICTION_TIMEOUT`].
     fn remove_silent_hosts(&mut self, now: Duration) {
+        let timeout = silence_timeout(self.hosts.len() as u32);
         for host in self.hosts.values_mut() {
-            let is_silent = now.saturating_sub(host.reported_at) >= CONTACT_TIMEOUT;
+            let is_silent = now.saturating_sub(host.reported_at) >= timeout;
             if host.is_counted && is_silent {
                 host.is_counted = false;
                 self.loads.subtract(&host.running);
@@ -358,25 +368,28 @@
         self.hosts.retain(|_, host| now.saturating_sub(host.reported_at) < HOST_EVICTION_TIMEOUT);
     }
 
-    /// Replaces the requests that a host runs.
+    /// Replaces the requests that a host runs, and returns the loads if they are due.
     fn record_running(
         &mut self,
         now: Duration,
         host: &HostId,
         capacity: f64,
-        running: &[(EndpointId, u32)],
-    ) {
+        running: Vec<(EngineNumber, u32)>,
+    ) -> Option<EngineLoads> {
         self.remove_silent_hosts(now);
-        if let Some(previous) = self.hosts.remove(host).filter(|previous| previous.is_counted) {
+        let previous = self.hosts.remove(host);
+        if let Some(previous) = previous.as_ref().filter(|previous| previous.is_counted) {
             self.loads.subtract(&previous.running);
         }
-        let running = running.iter();
-        let running: Vec<(EngineNumber, u32)> = running
-            .filter_map(|(engine, count)| Some((self.loads.number(engine)?, *count)))
-            .collect();
         self.loads.add(&running);
-        let state = HostState { running, reported_at: now, capacity, is_counted: true };
+        let sent_at = previous.and_then(|previous| previous.loads_sent_at);
+        let interval = Duration::from_secs_f64(self.loads.len() as f64 / LOAD_COUNTS_PER_S);
+        let is_due = sent_at.is_none_or(|sent_at| now.saturating_sub(sent_at) >= interval);
+        let loads_sent_at = if is_due { Some(now) } else { sent_at };
+        let state =
+            HostState { running, reported_at: now, loads_sent_at, capacity, is_counted: true };
         self.hosts.insert(host.clone(), state);
+        is_due.then(|| self.loads.loads())
     }
 
     /// Processes the report of a host and returns the reply.
@@ -392,17 +405,23 @@
         for (engine, model, adapter) in &report.adapter_uses {
             self.planner.record_adapter_use(now, engine, model, adapter);
         }
-        self.record_running(now, &report.host, report.capacity, &report.running);
+        // The numbers of a predecessor mean other engines.
+        let is_numbered = version_token(report.registry_version) == self.token;
+        let running = if is_numbered { report.running } else { Vec::new() };
+        let loads = self.record_running(now, &report.host, report.capacity, running);
         for observation in report.statements.observations {
             let at = now.saturating_sub(observation.age);
             let (engine, started_ms) = (&observation.engine, observation.started_ms);
             self.record_statement(now, engine, started_ms, at, observation.fact);
         }
         self.statements.expire(now);
+        for (workspace, tokens) in &report.returned {
+            self.quota_pool.return_tokens(now, workspace, *tokens);
+        }
         let wanted = report.wanted.into_iter();
         let grants = wanted.filter_map(|(workspace, wanted)| {
             let grant = self.quota_pool.draw(now, &report.host, &workspace, wanted, 0)?;
-            Some((workspace, grant.tokens, grant.fallback_per_s))
+            Some((workspace, grant.tokens, grant.fallback_per_s as Tokens))
         });
         let grants = grants.collect();
         let quarantine_version = report.prompts.version;
@@ -412,7 +431,7 @@
         CoordinatorReply {
             hosts: self.hosts.len() as u32,
             largest_capacity: self.hosts.values().map(|host| host.capacity).fold(0.0, f64::max),
-            loads: self.loads.loads(),
+            loads,
             grants,
             notices: self.notices.delta_since(report.notice_version),
             registry: self.registry.delta_since(report.registry_version),
--- a/crates/skylarkgw/src/decision/engine_loads.rs
+++ b/crates/skylarkgw/src/decision/engine_loads.rs
@@ -70,9 +70,14 @@
         Some(number)
     }
 
-    /// Returns the number of an engine.
-    pub fn number(&self, engine: &EndpointId) -> Option<EngineNumber> {
-        self.numbers.get(engine).copied()
+    /// Returns the number of engines that have had a number at the same time.
+    pub fn len(&self) -> usize {
+        self.totals.len()
+    }
+
+    /// Returns whether no engine has had a number.
+    pub fn is_empty(&self) -> bool {
+        self.totals.is_empty()
     }
 
     /// Returns the engines with the requests that run there.
@@ -83,15 +88,18 @@
     /// Adds the counts of a host.
     pub fn add(&mut self, counts: &[(EngineNumber, u32)]) {
         for (number, count) in counts {
-            self.totals[*number as usize] += count;
+            if let Some(total) = self.totals.get_mut(*number as usize) {
+                *total += count;
+            }
         }
     }
 
     /// Subtracts counts that were added before.
     pub fn subtract(&mut self, counts: &[(EngineNumber, u32)]) {
         for (number, count) in counts {
-            let total = &mut self.totals[*number as usize];
-            *total = total.saturating_sub(*count);
+            if let Some(total) = self.totals.get_mut(*number as usize) {
+                *total = total.saturating_sub(*count);
+            }
         }
     }
 
--- a/crates/skylarkgw/src/decision/engine_statements/book.rs
+++ b/crates/skylarkgw/src/decision/engine_statements/book.rs
@@ -128,6 +128,7 @@
         Some(MapDelta {
             version: delta.version,
             is_complete: delta.is_complete,
+            is_last: delta.is_last,
             changed: changed.map(|(engine, entry)| (engine, to_statement(entry))).collect(),
             removed: delta.removed,
         })
--- a/crates/skylarkgw/src/decision/freshness.rs
+++ b/crates/skylarkgw/src/decision/freshness.rs
@@ -30,14 +30,15 @@
 pub const EXCHANGE_INTERVAL: Duration = Duration::from_millis(80);
 /// Time that the coordinator has for the exchange of one host. With many hosts,
 /// each exchanges less often.
-pub const EXCHANGE_TIME_PER_HOST: Duration = Duration::from_millis(3);
+pub const EXCHANGE_TIME_PER_HOST: Duration = Duration::from_millis(1);
 /// Longest time to wait for the reply to a report; a suspended coordinator does
 /// not answer.
 pub const EXCHANGE_TIMEOUT: Duration = Duration::from_millis(300);
-/// Shortest and longest time without a reply after which the coordinator counts as
-/// lost.
-const CONTACT_TIMEOUT_RANGE: (Duration, Duration) =
-    (Duration::from_millis(600), Duration::from_millis(1_000));
+/// Shortest time without a reply after which the coordinator counts as lost.
+const MIN_CONTACT_TIMEOUT: Duration = Duration::from_millis(600);
+/// Shortest time without a report or reply after which a host and its coordinator count
+/// each other as silent.
+const MIN_SILENCE_TIMEOUT: Duration = Duration::from_millis(450);
 /// Age of the declaration above which the absence of a route or key proves
 /// nothing.
 pub const ABSENCE_MAX_AGE: Duration = Duration::from_millis(2_000);
@@ -94,5 +95,12 @@
 /// counts as lost. One exchange may fail and be repeated within it.
 pub fn contact_timeout(hosts: u32) -> Duration {
     let timeout = exchange_interval(hosts) + EXCHANGE_TIMEOUT + EXCHANGE_INTERVAL * 2;
-    timeout.clamp(CONTACT_TIMEOUT_RANGE.0, CONTACT_TIMEOUT_RANGE.1)
+    timeout.max(MIN_CONTACT_TIMEOUT)
+}
+
+/// Returns the time without a report or reply after which a host of `hosts` and its
+/// coordinator count each other as silent: the host then spends quotas at its last rate,
+/// the coordinator withholds them and leaves out the requests that run there.
+pub fn silence_timeout(hosts: u32) -> Duration {
+    MIN_SILENCE_TIMEOUT.max(exchange_interval(hosts) + EXCHANGE_TIMEOUT)
 }
--- a/crates/skylarkgw/src/decision/quota_pool.rs
+++ b/crates/skylarkgw/src/decision/quota_pool.rs
@@ -21,6 +21,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::decision::freshness::silence_timeout;
 use crate::gateway::declaration::WorkspaceRule;
 use crate::ids::{EndpointId, HostId, Tokens, WorkspaceId};
 
@@ -28,11 +29,10 @@
 /// last rate, and since a host's last report up to which the coordinator
 /// withholds tokens for it.
 pub const FALLBACK_DURATION: Duration = Duration::from_millis(4_500);
-/// Time without contact after which a host starts to spend at its last rate,
-/// and after which the coordinator assumes that it does.
-pub const CONTACT_TIMEOUT: Duration = Duration::from_millis(450);
 /// Time of estimated demand that a host draws ahead, in seconds.
 const DEMAND_HORIZON_S: f64 = 0.6;
+/// Multiple of the tokens for [`DEMAND_HORIZON_S`] above which a host returns the rest.
+const RETURN_FACTOR: f64 = 1.5;
 /// Share of the tolerated excess that the buckets of a new coordinator start
 /// with if it does not know when its predecessor stopped. It has no record of what
 /// that one granted, and the coordinator may fail twice in one window.
@@ -167,6 +167,23 @@
     }
 }
 
+impl RateBucket {
+    /// Takes back tokens that were granted and not spent.
+    ///
+    /// They leave the log at its newest grants, so a window counts what was granted less
+    /// what was returned in it. What is spent in a window exceeds that by no more than
+    /// hosts held at its start, as it does without returns.
+    fn take_back(&mut self, tokens: f64) {
+        self.level = (self.level + tokens).min(self.burst);
+        let mut remaining = tokens;
+        for (_, granted) in self.granted.iter_mut().rev() {
+            let part = remaining.min(*granted);
+            *granted -= part;
+            remaining -= part;
+        }
+    }
+}
+
 /// The window over which quotas are counted, and the excess that is tolerated.
 #[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq, Serialize)]
 #[serde(rename_all = "kebab-case")]
@@ -325,6 +342,14 @@
         bucket.level = bucket.level.min(burst);
     }
 
+    /// Takes back tokens of a workspace that a host has drawn and does not need.
+    pub fn return_tokens(&mut self, now: Duration, workspace: &str, tokens: Tokens) {
+        self.advance(now);
+        if let Some(bucket) = self.buckets.get_mut(workspace) {
+            bucket.take_back(tokens as f64);
+        }
+    }
+
     /// Returns the level of a workspace's bucket, in tokens.
     pub fn level(&mut self, now: Duration, workspace: &str) -> Option<f64> {
         self.advance(now);
@@ -343,8 +368,9 @@
         let (window, started_at) = (self.tolerance.window, self.started_at);
         let is_first = self.start == PoolStart::First;
         let reported_at = &self.reported_at;
+        let timeout = silence_timeout(reported_at.len() as u32);
         let is_silent = |host: &HostId| {
-            reported_at.get(host).is_some_and(|at| now.saturating_sub(*at) >= CONTACT_TIMEOUT)
+            reported_at.get(host).is_some_and(|at| now.saturating_sub(*at) >= timeout)
         };
         for bucket in self.buckets.values_mut() {
             // A silent host may be spending at its fallback rate, so the pool
@@ -390,6 +416,8 @@
     demand_per_s: f64,
     /// Local time of the last answer from the coordinator.
     granted_at: Duration,
+    /// Time after that answer from which the host spends at its last rate.
+    fallback_delay: Duration,
     advanced_at: Duration,
 }
 
@@ -401,10 +429,17 @@
             fallback_per_s: 0.0,
             demand_per_s: 0.0,
             granted_at: now,
+            fallback_delay: silence_timeout(1),
             advanced_at: now,
         }
     }
 
+    /// Sets the number of hosts that report to the coordinator. With many of them, each
+    /// gets an answer less often.
+    pub fn set_host_count(&mut self, hosts: u32) {
+        self.fallback_delay = silence_timeout(hosts);
+    }
+
     /// Adds the tokens of a request to the demand estimate.
     pub fn record_demand(&mut self, now: Duration, tokens: Tokens) {
         self.advance(now);
@@ -418,7 +453,7 @@
     pub fn try_spend(&mut self, now: Duration, tokens: Tokens) -> bool {
         self.advance(now);
         let since_grant = now.saturating_sub(self.granted_at);
-        let is_in_fallback = (CONTACT_TIMEOUT..FALLBACK_DURATION).contains(&since_grant);
+        let is_in_fallback = (self.fallback_delay..FALLBACK_DURATION).contains(&since_grant);
         let may_overdraw = is_in_fallback && self.fallback_per_s > 0.0 && self.balance > 0.0;
         let is_allowed = self.balance >= tokens as f64 || may_overdraw;
         if is_allowed {
@@ -459,6 +494,21 @@
         (self.demand_per_s * DEMAND_HORIZON_S - self.balance).max(0.0) as Tokens
     }
 
+    /// Takes out the tokens to return to the coordinator.
+    ///
+    /// In a large fleet a host gets a request of a workspace seldom. What it had drawn
+    /// ahead for the next one would be missing elsewhere.
+    pub fn take_unneeded(&mut self, now: Duration) -> Tokens {
+        self.advance(now);
+        let needed = self.demand_per_s * DEMAND_HORIZON_S;
+        if self.balance <= needed * RETURN_FACTOR {
+            return 0;
+        }
+        let unneeded = (self.balance - needed).floor();
+        self.balance -= unneeded;
+        unneeded as Tokens
+    }
+
     /// Returns the number of available tokens; negative after an overdraft.
     pub fn balance(&self) -> f64 {
         self.balance
@@ -466,7 +516,7 @@
 
     fn advance(&mut self, now: Duration) {
         let elapsed = now.saturating_sub(self.advanced_at).as_secs_f64();
-        let fallback_from = self.advanced_at.max(self.granted_at + CONTACT_TIMEOUT);
+        let fallback_from = self.advanced_at.max(self.granted_at + self.fallback_delay);
         let fallback_until = now.min(self.granted_at + FALLBACK_DURATION);
         let fallback_s = fallback_until.saturating_sub(fallback_from).as_secs_f64();
         self.advanced_at = now;
--- a/crates/skylarkgw/src/decision/shared_map.rs
+++ b/crates/skylarkgw/src/decision/shared_map.rs
@@ -3,7 +3,8 @@
 //! Every change increases the version of the map. A host reports the version that
 //! it has and receives what changed since. A host whose version was issued by
 //! another holder of the lease, or precedes the recorded removals, receives the
-//! complete map.
+//! complete map. A large delta is sent in parts, each of which the host reports as its
+//! version, so that a part that is lost does not cost the others.
 
 use std::collections::{HashMap, HashSet, VecDeque};
 
@@ -13,6 +14,9 @@
 
 /// Maximum number of removals that are recorded.
 const MAX_REMOVALS: usize = 256;
+/// Maximum number of entries in one part of a delta. With entries of up to 300 bytes, a
+/// slow link carries a part well within the time for a reply.
+pub const MAX_PART_ENTRIES: usize = 400;
 
 /// Returns the first version that the holder with a fencing token issues.
 ///
@@ -32,8 +36,11 @@
 pub struct MapDelta<T> {
     /// Version of the map after the changes.
     pub version: u64,
-    /// Whether `changed` is the complete map.
+    /// Whether the complete map is sent, of which this is the first part. Entries from
+    /// before are dropped.
     pub is_complete: bool,
+    /// Whether no further part follows, so that the copy is consistent.
+    pub is_last: bool,
     /// Entries that were added or changed.
     pub changed: Vec<(EndpointId, T)>,
     /// Entries that were removed.
@@ -137,14 +144,30 @@
         let is_recorded = (self.recorded_from..self.version).contains(&version);
         let is_sent = |changed_at: u64| !is_recorded || changed_at > version;
         let entries = self.entries.iter().filter(|(_, (changed_at, _))| is_sent(*changed_at));
+        let mut entries: Vec<(u64, &EndpointId, &T)> =
+            entries.map(|(engine, (changed_at, entry))| (*changed_at, engine, entry)).collect();
+        let is_last = entries.len() <= MAX_PART_ENTRIES;
+        if !is_last {
+            // Each change has a version of its own, so a part ends at one of them.
+            entries
+                .select_nth_unstable_by_key(MAX_PART_ENTRIES - 1, |(changed_at, ..)| *changed_at);
+            entries.truncate(MAX_PART_ENTRIES);
+        }
+        let part_version = entries.iter().map(|(changed_at, ..)| *changed_at).max();
+        let part_version = part_version.filter(|_| !is_last).unwrap_or(self.version);
         let removals = self.removals.iter().filter(|(at, engine)| {
-            is_recorded && *at > version && !self.entries.contains_key(engine)
+            let is_new = *at > version && *at <= part_version;
+            is_recorded && is_new && !self.entries.contains_key(engine)
         });
         Some(MapDelta {
-            version: self.version,
+            version: part_version,
             is_complete: !is_recorded,
-            changed: entries.map(|(engine, (_, entry))| (engine.clone(), entry.clone())).collect(),
+            is_last,
             removed: removals.map(|(_, engine)| engine.clone()).collect(),
+            changed: entries
+                .into_iter()
+                .map(|(_, engine, entry)| (engine.clone(), entry.clone()))
+                .collect(),
         })
     }
 }
--- a/crates/skylarkgw/src/decision/traffic.rs
+++ b/crates/skylarkgw/src/decision/traffic.rs
@@ -54,9 +54,9 @@
         self.running.get(engine).copied().unwrap_or_default()
     }
 
-    /// Returns the number of requests of this host on each engine that has any.
-    pub fn all_running_requests(&self) -> Vec<(EndpointId, u32)> {
-        self.running.iter().map(|(engine, running)| (engine.clone(), *running)).collect()
+    /// Iterates over the engines with requests of this host and their number.
+    pub fn running_by_engine(&self) -> impl Iterator<Item = (&EndpointId, u32)> {
+        self.running.iter().map(|(engine, running)| (engine, *running))
     }
 
     /// Records whether a request failed on an engine.
--- a/crates/skylarkgw/src/gateway/control/exchange.rs
+++ b/crates/skylarkgw/src/gateway/control/exchange.rs
@@ -9,6 +9,8 @@
 
 use crate::decision::coordinator::{CoordinatorReply, HostReport, RegisteredEngine};
 use crate::decision::coordinator_lease::takeover_delay;
+use crate::decision::engine_loads::EngineNumber;
+use crate::decision::fleet_planner::EngineNotice;
 use crate::decision::freshness::{EXCHANGE_INTERVAL, contact_timeout, exchange_interval};
 use crate::decision::quota_pool::LocalQuota;
 use crate::gateway::clock::time_since_boot;
@@ -28,6 +30,10 @@
     pub(super) registry_version: u64,
     /// Engines as the coordinator sent them.
     pub(super) engines: HashMap<EndpointId, RegisteredEngine>,
+    /// Placement notices as the coordinator sent them.
+    notices: HashMap<EndpointId, Arc<EngineNotice>>,
+    /// Whether the last reply was a part, after which more follows.
+    expects_part: bool,
 }
 
 /// What is kept of a report until its reply arrives.
@@ -35,7 +41,7 @@
     /// Time since boot.
     sent_at: Duration,
     /// Requests of this host that ran at each engine.
-    running: Vec<(EndpointId, u32)>,
+    running: Vec<(EngineNumber, u32)>,
 }
 
 impl ControlContext {
@@ -54,6 +60,7 @@
             let contact = lock(&self.contact);
             (contact.notice_version, contact.registry_version)
         };
+        let view = self.state.snapshot.load().view.clone();
         let prompts = self.state.lock_prompt_guard().build_report(now);
         let statements = self.state.lock_engine_statements().build_report(now);
         let service = self.state.lock_service_log().build_report(now);
@@ -61,9 +68,17 @@
         let mut local_quotas = self.state.lock_local_quotas();
         HostReport {
             host: self.state.settings.host.clone(),
-            running: traffic.all_running_requests(),
+            running: traffic
+                .running_by_engine()
+                .filter_map(|(engine, count)| Some((*view.numbers.get(engine)?, count)))
+                .collect(),
             uses: traffic.take_model_uses(),
             adapter_uses: traffic.take_adapter_uses(),
+            returned: local_quotas
+                .iter_mut()
+                .map(|(workspace, quota)| (workspace.clone(), quota.take_unneeded(now)))
+                .filter(|(_, tokens)| *tokens > 0)
+                .collect(),
             wanted: local_quotas
                 .iter_mut()
                 .map(|(workspace, quota)| (workspace.clone(), quota.tokens_to_request(now)))
@@ -92,6 +107,7 @@
             let (capacity, largest) = (self.capacity, reply.largest_capacity);
             info!("coordinator lease handed over", kv: { capacity, largest });
         }
+        let has_registry_part = reply.registry.as_ref().is_some_and(|delta| !delta.is_last);
         let numbers = self.apply_fleet_state(sent.sent_at, &reply.age, reply.registry);
         self.state.lock_prompt_guard().apply_reply(now, reply.prompts, reply.trials);
         self.state.lock_engine_statements().apply_reply(now, reply.statements);
@@ -100,26 +116,35 @@
             let mut local_quotas = self.state.lock_local_quotas();
             for (workspace, tokens, fallback_per_s) in reply.grants {
                 let quota = local_quotas.entry(workspace).or_insert_with(|| LocalQuota::new(now));
-                quota.add_grant(now, tokens, fallback_per_s);
+                quota.set_host_count(reply.hosts);
+                quota.add_grant(now, tokens, fallback_per_s as f64);
             }
         }
         let view = &self.state.snapshot.load().view;
         let mut view = FleetView {
             hosts: reply.hosts,
-            loads: reply.loads,
             numbers: numbers.unwrap_or_else(|| view.numbers.clone()),
-            reported: sent.running.into_iter().collect(),
-            placement: view.placement.clone(),
+            ..FleetView::clone(view)
         };
+        if let Some(loads) = reply.loads {
+            view.loads = loads;
+            view.reported = sent.running.into_iter().collect();
+        }
         let mut contact = lock(&self.contact);
         if contact.last_reply_at.is_none() {
             let hosts = reply.hosts;
             info!("coordinator found", kv: { hosts });
         }
         contact.last_reply_at = Some(now);
+        let parts = [has_registry_part, reply.notices.as_ref().is_some_and(|delta| !delta.is_last)];
+        contact.expects_part = parts.contains(&true);
         if let Some(delta) = reply.notices {
             contact.notice_version = delta.version;
-            delta.apply_to(Arc::make_mut(&mut view.placement));
+            let is_last = delta.is_last;
+            delta.apply_to(&mut contact.notices);
+            if is_last {
+                view.placement = Arc::new(contact.notices.clone());
+            }
         }
         self.state.metrics.members.set(i64::from(view.hosts));
         self.update_snapshot(|snapshot| snapshot.view = Arc::new(view));
@@ -197,7 +222,8 @@
     loop {
         let has_reply = control.exchange_once().await;
         // A failed exchange is repeated before the contact counts as lost.
-        sleep(if has_reply {
+        let expects_part = lock(&control.contact).expects_part;
+        sleep(if has_reply && !expects_part {
             exchange_interval(control.state.host_count())
         } else {
             EXCHANGE_INTERVAL
--- a/crates/skylarkgw/src/gateway/control/knowledge.rs
+++ b/crates/skylarkgw/src/gateway/control/knowledge.rs
@@ -88,7 +88,11 @@
             let mut contact = lock(&self.contact);
             if let Some(delta) = registry {
                 contact.registry_version = delta.version;
+                let is_last = delta.is_last;
                 delta.apply_to(&mut contact.engines);
+                if !is_last {
+                    return None;
+                }
                 let engines = contact.engines.iter();
                 let engines = engines.map(|(engine, listed)| (engine.clone(), listed.number));
                 numbers = Some(Arc::new(engines.collect()));
--- a/crates/skylarkgw/src/gateway/control/load.rs
+++ b/crates/skylarkgw/src/gateway/control/load.rs
@@ -7,6 +7,7 @@
 use tokio::time::{Instant, sleep};
 
 use crate::decision::coordinator::CoordinatorReply;
+use crate::decision::engine_loads::EngineLoads;
 use crate::gateway::clock::time_since_boot;
 use crate::gateway::control::{ControlContext, lock};
 use crate::telemetry::CoordinatorWork;
@@ -26,7 +27,7 @@
     /// Counts the entries of a reply.
     pub(super) fn count_reply(&self, reply: &CoordinatorReply) {
         let count = |part, items| self.state.metrics.fleet.count_reply_items(part, items);
-        count("counts", reply.loads.len());
+        count("counts", reply.loads.as_ref().map_or(0, EngineLoads::len));
         count("grants", reply.grants.len());
         if let Some(delta) = &reply.notices {
             count("notices", delta.changed.len());
--- a/crates/skylarkgw/src/gateway/peers.rs
+++ b/crates/skylarkgw/src/gateway/peers.rs
@@ -28,7 +28,7 @@
 /// Longest time to wait for the reply to one call that places an adapter.
 const ADAPTER_CALL_TIMEOUT: Duration = Duration::from_millis(200);
 /// Longest frame, in bytes, that either side accepts.
-const MAX_FRAME_BYTES: usize = 512 * 1024;
+const MAX_FRAME_BYTES: usize = 2 * 1024 * 1024;
 /// Delay before the next `accept` after one has failed.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(100);
 /// Time without a call after which the server closes a connection.
--- a/crates/skylarkgw/src/gateway/state.rs
+++ b/crates/skylarkgw/src/gateway/state.rs
@@ -88,8 +88,8 @@
     pub loads: EngineLoads,
     /// Numbers of the engines in `loads`.
     pub numbers: Arc<HashMap<EndpointId, EngineNumber>>,
-    /// Requests of this host that are part of `loads`.
-    pub reported: HashMap<EndpointId, u32>,
+    /// Requests of this host that are part of `loads`, by the number of the engine.
+    pub reported: HashMap<EngineNumber, u32>,
     /// Placement on each engine.
     pub placement: Arc<HashMap<EndpointId, Arc<EngineNotice>>>,
 }
@@ -97,9 +97,9 @@
 impl FleetView {
     /// Returns the number of requests of other hosts that run at an engine.
     pub fn running_elsewhere(&self, engine: &EndpointId) -> u32 {
-        let total = self.numbers.get(engine).map(|number| self.loads.get(*number));
-        let own = self.reported.get(engine).copied().unwrap_or_default();
-        total.unwrap_or_default().saturating_sub(own)
+        let Some(number) = self.numbers.get(engine) else { return 0 };
+        let own = self.reported.get(number).copied().unwrap_or_default();
+        self.loads.get(*number).saturating_sub(own)
     }
 }
 
--- a/crates/skylarkgw/tests/decisions/coordinator.rs
+++ b/crates/skylarkgw/tests/decisions/coordinator.rs
@@ -73,7 +73,7 @@
         coordinator.update_registry(RegistryStamp::default(), &engines);
         let report = |number: usize| HostReport {
             host: format!("edge-muscat-a-{number}").into(),
-            running: (0..ENGINES).map(|engine| (engine_name(engine), 3)).collect(),
+            running: (0..ENGINES).map(|engine| (engine as u32, 3)).collect(),
             wanted: declaration
                 .workspaces
                 .iter()
--- a/crates/skylarkgw/tests/decisions/freshness.rs
+++ b/crates/skylarkgw/tests/decisions/freshness.rs
@@ -4,7 +4,7 @@
 
 use skylarkgw::decision::freshness::{
     COORDINATOR_BATCH_DELAY, EXCHANGE_INTERVAL, EXCHANGE_TIMEOUT, WATCH_WAIT, can_check_keys,
-    contact_timeout, exchange_interval, needs_store_read, watch_wait,
+    contact_timeout, exchange_interval, needs_store_read, silence_timeout, watch_wait,
 };
 
 use crate::samples::ms;
@@ -75,3 +75,24 @@
         assert!(read_at < IN_FORCE_BOUND, "{hosts} hosts: change known after {read_at:?}");
     }
 }
+
+/// Size of the largest fleet that is planned for.
+const MAX_HOSTS: u32 = 1_100;
+/// Bound within which the largest deployments put a declaration into force.
+const LARGE_IN_FORCE_BOUND: Duration = Duration::from_millis(4_000);
+
+/// Pattern: any number of hosts, each of which reports at its interval. Guards against a
+/// fleet of 295 hosts in which every host counted as silent between two reports: half of
+/// its quotas was withheld, and half of the running requests were not counted.
+#[test]
+fn no_host_that_reports_at_its_interval_counts_as_silent_or_lost() {
+    for hosts in 1..=MAX_HOSTS {
+        let second_reply = exchange_interval(hosts) + EXCHANGE_TIMEOUT + EXCHANGE_INTERVAL;
+        assert!(second_reply < contact_timeout(hosts), "{hosts} hosts");
+        let late_report = exchange_interval(hosts) + EXCHANGE_INTERVAL;
+        assert!(late_report < silence_timeout(hosts), "{hosts} hosts");
+        let read_at = contact_timeout(hosts) + WATCH_WAIT + STORE_READ_TIME;
+        let bound = if hosts <= 295 { IN_FORCE_BOUND } else { LARGE_IN_FORCE_BOUND };
+        assert!(read_at < bound, "{hosts} hosts: change known after {read_at:?}");
+    }
+}
--- a/crates/skylarkgw/tests/decisions/quota.rs
+++ b/crates/skylarkgw/tests/decisions/quota.rs
@@ -9,6 +9,7 @@
 use proptest::test_runner::RngSeed;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
+use skylarkgw::decision::freshness::exchange_interval;
 use skylarkgw::decision::quota_pool::{
     FALLBACK_DURATION, LocalQuota, PoolStart, QuotaPool, QuotaTolerance,
 };
@@ -56,12 +57,32 @@
     fn exchange(&mut self, now: u64) {
         for (host, quota) in &mut self.quotas {
             self.pool.record_report(ms(now), host);
+            let returned = quota.take_unneeded(ms(now));
+            self.pool.return_tokens(ms(now), SHOP, returned);
             let wanted = quota.tokens_to_request(ms(now));
             let grant = self.pool.draw(ms(now), host, SHOP, wanted, 0).unwrap_or_default();
             quota.add_grant(ms(now), grant.tokens, grant.fallback_per_s);
         }
     }
 
+    /// Reports the hosts whose turn it is, if each reports once in `interval`
+    /// milliseconds.
+    fn exchange_some(&mut self, now: u64, interval: u64) {
+        let hosts = self.quotas.len() as u64;
+        for (number, (host, quota)) in self.quotas.iter_mut().enumerate() {
+            if !(now + number as u64 * interval / hosts).is_multiple_of(interval) {
+                continue;
+            }
+            self.pool.record_report(ms(now), host);
+            let returned = quota.take_unneeded(ms(now));
+            self.pool.return_tokens(ms(now), SHOP, returned);
+            let wanted = quota.tokens_to_request(ms(now));
+            let grant = self.pool.draw(ms(now), host, SHOP, wanted, 0).unwrap_or_default();
+            quota.set_host_count(hosts as u32);
+            quota.add_grant(ms(now), grant.tokens, grant.fallback_per_s);
+        }
+    }
+
     /// Sends a request to a host and returns whether it is admitted. Draws the
     /// missing tokens from the pool if the host has too few.
     fn request(&mut self, now: u64, host: usize, tokens: u64, has_coordinator: bool) -> bool {
@@ -212,6 +233,30 @@
     }
 }
 
+/// Pattern: hundreds of hosts, each of which reports seldom and gets few requests.
+/// Guards against refusals of a workspace within its allowance: each host counted as
+/// silent between two reports, and the pool withheld what it had drawn.
+#[test]
+fn workspace_below_its_rate_is_not_refused_in_a_large_fleet() {
+    for hosts in [12, 133, 295, 1_100] {
+        let mut fleet = Fleet::new(hosts);
+        fleet.pool = QuotaPool::new(ms(0), TOLERANCE, PoolStart::AfterLoss);
+        fleet.pool.set_workspaces(ms(0), &[workspace(SHOP, "key", RATE)]);
+        let mut random = ChaCha8Rng::seed_from_u64(hosts as u64);
+        let interval = exchange_interval(hosts as u32).as_millis() as u64;
+        let mut refused = 0;
+        for now in 0..20_000 {
+            fleet.exchange_some(now, interval);
+            // Nine tenths of the rate.
+            if now % 100 == 0 {
+                let host = random.random_range(0..hosts);
+                refused += u32::from(!fleet.request(now, host, RATE * 9 / 100, true));
+            }
+        }
+        assert_eq!(refused, 0, "{hosts} hosts");
+    }
+}
+
 proptest! {
     #![proptest_config(ProptestConfig { rng_seed: RngSeed::Fixed(20_261_204), ..ProptestConfig::default() })]
 
--- a/crates/skylarkgw/tests/decisions/scale.rs
+++ b/crates/skylarkgw/tests/decisions/scale.rs
@@ -7,6 +7,7 @@
 use bincode::Options;
 use skylarkgw::decision::coordinator::{Coordinator, CoordinatorReply, HostReport};
 use skylarkgw::decision::directory::RegistryStamp;
+use skylarkgw::decision::engine_loads::EngineLoads;
 use skylarkgw::decision::freshness::exchange_interval;
 use skylarkgw::decision::model_demand::ModelUse;
 use skylarkgw::decision::quota_pool::{PoolStart, QuotaTolerance};
@@ -126,7 +127,7 @@
                 if report.running.len() >= requests / hosts + 4 {
                     report.running.remove(0);
                 }
-                report.running.push((engine_name(engine % self.engines.len()), 1));
+                report.running.push(((engine % self.engines.len()) as u32, 1));
             }
             for host in 0..hosts {
                 let mut report = self.reports[host].clone();
@@ -180,18 +181,22 @@
 /// engine, and at 300 hosts and 3,000 engines the fleet refused most requests.
 #[test]
 fn bytes_of_a_host_stay_within_the_bound_while_the_fleet_grows() {
-    for (hosts, engines) in [(34, 300), (100, 1_002), (295, 204), (301, 3_000)] {
+    for (hosts, engines) in [(34, 300), (100, 1_002), (295, 204), (301, 3_000), (1_100, 4_700)] {
         let mut fleet = ScaledFleet::new(hosts, engines);
         fleet.run_second(2);
-        fleet.now += 1_000;
-        let report = fleet.reports[0].clone();
-        let report_bytes = bincode::options().serialized_size(&report).expect("a size");
-        let reply = fleet.coordinator.exchange(ms(fleet.now), report);
-        assert!(reply.loads.len() > engines / 2, "most engines are busy");
-        let reply = CoordinatorReply { notices: None, registry: None, ..reply };
-        let reply_bytes = bincode::options().serialized_size(&reply).expect("a size");
-        let interval = exchange_interval(hosts as u32).as_secs_f64();
-        let rate = (report_bytes + reply_bytes) as f64 / interval;
+        let (mut bytes, mut counts, seconds) = (0.0, 0, 4);
+        let interval = exchange_interval(hosts as u32).as_millis() as u64;
+        for _ in 0..seconds * 1_000 / interval {
+            fleet.now += interval;
+            let report = fleet.reports[0].clone();
+            bytes += bincode::options().serialized_size(&report).expect("a size") as f64;
+            let reply = fleet.coordinator.exchange(ms(fleet.now), report);
+            counts = counts.max(reply.loads.as_ref().map_or(0, EngineLoads::len));
+            let reply = CoordinatorReply { notices: None, registry: None, ..reply };
+            bytes += bincode::options().serialized_size(&reply).expect("a size") as f64;
+        }
+        let rate = bytes / seconds as f64;
+        assert!(counts > engines / 2, "most engines are busy");
         assert!(rate < HOST_BYTES_PER_S, "{hosts} hosts, {engines} engines: {rate:.0} bytes/s");
     }
 }
@@ -217,7 +222,7 @@
     let host = HostReport { notice_version: known, ..host };
     let delta = fleet.coordinator.exchange(ms(fleet.now), host).notices.expect("a change");
     let changed: Vec<_> = delta.changed.iter().map(|(id, _)| id.clone()).collect();
-    assert_eq!(changed, [engine.id.clone()]);
+    assert_eq!(changed, std::slice::from_ref(&engine.id));
 }
 
 /// Guards against plans whose work grows faster than the fleet.
