Displace the least recently used adapter of equally full engines

With all places taken, orders for adapters went to the first engine by name alone, which gave up adapters in use while the others kept idle ones.

--- a/crates/skylarkgw/src/decision/fleet_planner/adapters.rs
+++ b/crates/skylarkgw/src/decision/fleet_planner/adapters.rs
@@ -185,7 +185,7 @@
     /// Returns how to proceed with a request for an adapter.
     ///
     /// If no engine holds the adapter, the order loads it. If the engine with the
-    /// fewest adapters has no free adapter slot, the order unloads its least recently
+    /// fewest adapters, or the least recently used one, has no free adapter slot, the order unloads its least recently
     /// used adapter instead, unless that was used within `ADAPTER_MIN_IDLE`.
     ///
     /// `token` is the fencing token, if this host may send orders, and `slots`
@@ -230,7 +230,13 @@
         let Some(token) = token else { return AdapterDecision::NoEngine };
         // An engine refuses other orders while it loads or unloads a model.
         let usable = holders.into_iter().filter(|ledger| ledger.can_take_adapter_order());
-        let Some(ledger) = usable.min_by_key(|ledger| ledger.adapters.len()) else {
+        // Among engines that are equally full, the adapter that was used least recently
+        // of all gives way.
+        let order = |ledger: &&mut EngineLedger| {
+            let oldest_use = ledger.adapters.iter().map(|held| held.used_at).min();
+            (ledger.adapters.len(), oldest_use)
+        };
+        let Some(ledger) = usable.min_by_key(order) else {
             return AdapterDecision::Wait;
         };
         if ledger.adapters.len() + ledger.kept_places(now, model, adapter) < slots as usize {
