Let deputies read the store for a large fleet

The coordinator names two deputies in each data centre of a fleet of more than 30 hosts, the hosts of the largest capacity. Without a coordinator only they read the store and compete for the lease; the others ask one of them for the declaration, the registry and the coordinator's name, another one after a silence, and turn to the store if none answers for a second. A host that has restarted looks for the coordinator for 0.6 s first, as at the first start. Considered: an exchange in two levels (the reports of 295 hosts fit one coordinator now, see docs/CAPACITY.md), and hosts that wait with old state.

Tests in decisions/deputies.rs.

--- a/crates/skylarkgw/src/decision.rs
+++ b/crates/skylarkgw/src/decision.rs
@@ -10,6 +10,7 @@
 pub mod allowance;
 pub mod coordinator;
 pub mod coordinator_lease;
+pub mod deputies;
 pub mod directory;
 pub mod engine_choice;
 pub mod engine_loads;
--- a/crates/skylarkgw/src/decision/coordinator.rs
+++ b/crates/skylarkgw/src/decision/coordinator.rs
@@ -10,6 +10,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::decision::deputies::{DeputyHost, choose_deputies};
 use crate::decision::directory::RegistryStamp;
 use crate::decision::engine_loads::{EngineLoads, EngineNumber, LoadTable};
 use crate::decision::engine_statements::{
@@ -22,7 +23,7 @@
 use crate::decision::prompt_guard::PromptReport;
 use crate::decision::prompt_quarantine::{PromptQuarantine, QuarantineEvent, QuarantineState};
 use crate::decision::quota_pool::{PoolStart, QuotaPool, QuotaTolerance};
-use crate::decision::shared_map::{MapDelta, SharedMap, version_token};
+use crate::decision::shared_map::{MapDelta, SharedMap, first_version, version_token};
 use crate::gateway::declaration::{FleetDeclaration, ServiceName};
 use crate::gateway::ports::{EngineOrder, EngineReport, OrderAnswer};
 use crate::gateway::registry::EngineEntry;
@@ -36,6 +37,8 @@
 /// Time for which a new coordinator collects demand before it moves models.
 const WARM_UP_TIME: Duration = Duration::from_millis(1_200);
 
+/// Minimum time between two choices of the deputies.
+const DEPUTY_INTERVAL: Duration = Duration::from_millis(500);
 /// Number of counts of engines that a host gets per second. In a fleet with thousands of
 /// engines not every reply contains them.
 const LOAD_COUNTS_PER_S: f64 = 4_500.0;
@@ -62,6 +65,10 @@
     pub adapter_uses: Vec<(EndpointId, ModelName, Arc<str>)>,
     /// Capacity of the host to coordinate the fleet, from 0 to 1.
     pub capacity: f64,
+    /// The host as a deputy; `None` if it stops.
+    pub deputy: Option<DeputyHost>,
+    /// Version of the list of deputies that the host has.
+    pub deputy_version: u64,
     /// Version of the placement notices that the host has.
     pub notice_version: u64,
     /// Version of the registry that the host has.
@@ -129,6 +136,8 @@
     pub statements: Option<MapDelta<EngineStatement>>,
     /// Refused prompt parts of which the host may forward one request.
     pub trials: Vec<PartHash>,
+    /// Version and list of the deputies, if the host has a different version.
+    pub deputies: Option<(u64, Vec<DeputyHost>)>,
     /// Revision and ages of the coordinator's declaration and registry.
     pub age: KnowledgeAge,
     /// Version of the lease record and the remaining time of the lease, if the
@@ -153,6 +162,7 @@
     /// Time at which the loads were last sent to the host.
     loads_sent_at: Option<Duration>,
     capacity: f64,
+    deputy: Option<DeputyHost>,
     /// Whether `running` is part of the totals. A host that no longer reports may
     /// have stopped, and its requests with it.
     is_counted: bool,
@@ -181,6 +191,9 @@
     registry_stamp: RegistryStamp,
     quarantine: PromptQuarantine,
     statements: StatementBook,
+    deputies: Vec<DeputyHost>,
+    deputy_version: u64,
+    deputies_chosen_at: Option<Duration>,
 }
 
 impl Coordinator {
@@ -211,6 +224,9 @@
             registry_stamp: RegistryStamp::default(),
             quarantine: PromptQuarantine::new(token),
             statements: StatementBook::new(token),
+            deputies: Vec::new(),
+            deputy_version: first_version(token),
+            deputies_chosen_at: None,
         }
     }
 
@@ -374,6 +390,7 @@
         now: Duration,
         host: &HostId,
         capacity: f64,
+        deputy: Option<DeputyHost>,
         running: Vec<(EngineNumber, u32)>,
     ) -> Option<EngineLoads> {
         self.remove_silent_hosts(now);
@@ -386,12 +403,29 @@
         let interval = Duration::from_secs_f64(self.loads.len() as f64 / LOAD_COUNTS_PER_S);
         let is_due = sent_at.is_none_or(|sent_at| now.saturating_sub(sent_at) >= interval);
         let loads_sent_at = if is_due { Some(now) } else { sent_at };
+        let reported_at = now;
         let state =
-            HostState { running, reported_at: now, loads_sent_at, capacity, is_counted: true };
+            HostState { running, reported_at, loads_sent_at, capacity, deputy, is_counted: true };
         self.hosts.insert(host.clone(), state);
         is_due.then(|| self.loads.loads())
     }
 
+    /// Chooses the deputies anew, at most once in [`DEPUTY_INTERVAL`].
+    fn update_deputies(&mut self, now: Duration) {
+        let is_recent = |at: Duration| now.saturating_sub(at) < DEPUTY_INTERVAL;
+        if self.deputies_chosen_at.is_some_and(is_recent) {
+            return;
+        }
+        self.deputies_chosen_at = Some(now);
+        let hosts = self.hosts.values().filter(|host| host.is_counted);
+        let hosts = hosts.filter_map(|host| Some((host.deputy.as_ref()?, host.capacity)));
+        let deputies = choose_deputies(hosts);
+        if deputies != self.deputies {
+            self.deputies = deputies;
+            self.deputy_version += 1;
+        }
+    }
+
     /// Processes the report of a host and returns the reply.
     ///
     /// The fields `age` and `lease` of the reply are not set; the caller sets
@@ -408,7 +442,9 @@
         // The numbers of a predecessor mean other engines.
         let is_numbered = version_token(report.registry_version) == self.token;
         let running = if is_numbered { report.running } else { Vec::new() };
-        let loads = self.record_running(now, &report.host, report.capacity, running);
+        let (host, capacity) = (&report.host, report.capacity);
+        let loads = self.record_running(now, host, capacity, report.deputy, running);
+        self.update_deputies(now);
         for observation in report.statements.observations {
             let at = now.saturating_sub(observation.age);
             let (engine, started_ms) = (&observation.engine, observation.started_ms);
@@ -432,6 +468,8 @@
             hosts: self.hosts.len() as u32,
             largest_capacity: self.hosts.values().map(|host| host.capacity).fold(0.0, f64::max),
             loads,
+            deputies: (report.deputy_version != self.deputy_version)
+                .then(|| (self.deputy_version, self.deputies.clone())),
             grants,
             notices: self.notices.delta_since(report.notice_version),
             registry: self.registry.delta_since(report.registry_version),
--- a/crates/skylarkgw/src/decision/coordinator_lease.rs
+++ b/crates/skylarkgw/src/decision/coordinator_lease.rs
@@ -107,6 +107,8 @@
     /// The record as the store last returned it. `None` before that, if the record
     /// does not exist, or after the lease of this host has expired.
     seen: Option<SeenRecord>,
+    /// Coordinator that another host has named since the record was read.
+    named: Option<(HostId, SocketAddr)>,
     /// Whether the store last answered that the record does not exist.
     is_missing: bool,
     /// Whether the last call got an answer.
@@ -140,6 +142,7 @@
             address,
             lease_duration,
             seen: None,
+            named: None,
             is_missing: false,
             is_store_reachable: false,
             free_since: None,
@@ -200,11 +203,21 @@
 
     /// Returns the name and address of the coordinator in the last seen record,
     /// or `None` if there is no such record or the lease was released.
+    ///
+    /// One that another host has named since then comes first.
     pub fn coordinator(&self) -> Option<(HostId, SocketAddr)> {
+        if let Some(named) = &self.named {
+            return Some(named.clone());
+        }
         let record = self.seen.as_ref()?.record.as_ref()?;
         (!record.is_released).then(|| (record.holder.clone(), record.address))
     }
 
+    /// Records the coordinator that another host has named.
+    pub fn record_coordinator(&mut self, holder: HostId, address: SocketAddr) {
+        self.named = Some((holder, address));
+    }
+
     /// Sets the refused prompt parts that the record holds, each with the time until a
     /// trial is due. A holder writes a change at once.
     pub fn set_refused_parts(&mut self, now: Duration, refused: &[(PartHash, Duration)]) {
@@ -330,6 +343,7 @@
     fn apply_answer(&mut self, now: Duration, sent_at: Duration, answer: LeaseAnswer) {
         match answer {
             LeaseAnswer::Found { version, record, is_written } => {
+                self.named = None;
                 self.is_missing = false;
                 if let Some(record) = record.as_ref().filter(|_| !is_written) {
                     self.keep_refused_parts(now, record);
--- a/crates/skylarkgw/src/decision/freshness.rs
+++ b/crates/skylarkgw/src/decision/freshness.rs
@@ -23,8 +23,8 @@
 /// Age of the coordinator's state above which a host reads the store itself. It
 /// exceeds [`WATCH_WAIT`] plus the time of an exchange.
 pub const STORE_READ_AGE: Duration = Duration::from_millis(1_050);
-/// Time after the first start of a fleet for which hosts look for the coordinator
-/// before they read the store. All of them start at once, and clients come later.
+/// Time after its start for which a host looks for the coordinator before it reads the
+/// store. Where all hosts start at once, the store would get the calls of all of them.
 const COORDINATOR_SEARCH_TIME: Duration = Duration::from_millis(600);
 /// Minimum time between two exchanges of a host with the coordinator.
 pub const EXCHANGE_INTERVAL: Duration = Duration::from_millis(80);
@@ -57,12 +57,10 @@
     is_coordinator || is_behind || age > STORE_READ_AGE
 }
 
-/// Returns whether a host leaves the store to the coordinator that it still looks for.
-///
-/// `is_first_start` is whether the whole fleet starts for the first time, and `uptime`
-/// is the time since the start of this host.
-pub fn is_searching_coordinator(is_first_start: bool, uptime: Duration) -> bool {
-    is_first_start && uptime < COORDINATOR_SEARCH_TIME
+/// Returns whether a host leaves the store to the coordinator that it still looks for, at
+/// `uptime` after its start.
+pub fn is_searching_coordinator(uptime: Duration) -> bool {
+    uptime < COORDINATOR_SEARCH_TIME
 }
 
 /// Returns whether a declaration of the given age may be used to check keys.
--- a/crates/skylarkgw/src/gateway/control.rs
+++ b/crates/skylarkgw/src/gateway/control.rs
@@ -4,6 +4,7 @@
 //! coordinator lease, exchange reports with the coordinator and, on the
 //! coordinator, plan the placement of models.
 
+mod deputy;
 mod exchange;
 mod knowledge;
 mod load;
@@ -24,6 +25,7 @@
 use crate::decision::coordinator_lease::{
     CoordinatorLease, LeaseAction, compute_capacity, takeover_delay,
 };
+use crate::decision::deputies::DeputyGuide;
 use crate::decision::directory::EngineDirectory;
 use crate::decision::fleet_planner::{AdapterDecision, PlannerCall};
 use crate::decision::quota_pool::PoolStart;
@@ -80,6 +82,7 @@
     /// Change count of the directory when its engines were last published.
     published: Mutex<Option<u64>>,
     contact: Mutex<CoordinatorContact>,
+    guide: Mutex<DeputyGuide>,
     lease_calls: mpsc::Sender<LeaseCall>,
     engine_calls: mpsc::Sender<EngineCall>,
     watch_declarations: watch::Sender<WatchMode>,
@@ -127,6 +130,7 @@
             directory: Mutex::default(),
             published: Mutex::default(),
             contact: Mutex::default(),
+            guide: Mutex::default(),
             lease_calls: ports.lease_calls,
             engine_calls: ports.engine_calls,
             watch_declarations: ports.watch_declarations,
@@ -358,7 +362,8 @@
 pub async fn maintain_lease(control: Arc<ControlContext>) {
     loop {
         let now = time_since_boot();
-        let has_contact = control.has_contact(now);
+        // A host that asks deputies leaves the lease to them.
+        let has_contact = control.has_contact(now) || control.asks_deputies(now);
         let (action, token) = {
             let mut lease = lock(&control.lease);
             let action = lease.step(now, has_contact);
--- a/crates/skylarkgw/src/gateway/control/exchange.rs
+++ b/crates/skylarkgw/src/gateway/control/exchange.rs
@@ -9,6 +9,7 @@
 
 use crate::decision::coordinator::{CoordinatorReply, HostReport, RegisteredEngine};
 use crate::decision::coordinator_lease::takeover_delay;
+use crate::decision::deputies::DeputyHost;
 use crate::decision::engine_loads::EngineNumber;
 use crate::decision::fleet_planner::EngineNotice;
 use crate::decision::freshness::{EXCHANGE_INTERVAL, contact_timeout, exchange_interval};
@@ -84,6 +85,12 @@
                 .map(|(workspace, quota)| (workspace.clone(), quota.tokens_to_request(now)))
                 .collect(),
             capacity: self.capacity,
+            deputy: (!self.state.is_draining()).then(|| DeputyHost {
+                host: self.state.settings.host.clone(),
+                address: self.state.settings.peers,
+                data_centre: self.state.settings.data_centre.clone(),
+            }),
+            deputy_version: lock(&self.guide).version(),
             notice_version,
             registry_version,
             prompts,
@@ -107,6 +114,11 @@
             let (capacity, largest) = (self.capacity, reply.largest_capacity);
             info!("coordinator lease handed over", kv: { capacity, largest });
         }
+        if let Some((version, deputies)) = reply.deputies {
+            let (host, centre) = (&self.state.settings.host, &self.state.settings.data_centre);
+            let seed = self.state.settings.peers.ip().to_string().bytes().map(usize::from).sum();
+            lock(&self.guide).set_deputies(version, deputies, host, centre, seed);
+        }
         let has_registry_part = reply.registry.as_ref().is_some_and(|delta| !delta.is_last);
         let numbers = self.apply_fleet_state(sent.sent_at, &reply.age, reply.registry);
         self.state.lock_prompt_guard().apply_reply(now, reply.prompts, reply.trials);
@@ -221,6 +233,7 @@
 pub async fn run_exchange(control: Arc<ControlContext>) {
     loop {
         let has_reply = control.exchange_once().await;
+        control.consult_deputy().await;
         // A failed exchange is repeated before the contact counts as lost.
         let expects_part = lock(&control.contact).expects_part;
         sleep(if has_reply && !expects_part {
--- a/crates/skylarkgw/src/gateway/control/knowledge.rs
+++ b/crates/skylarkgw/src/gateway/control/knowledge.rs
@@ -10,6 +10,7 @@
 use tokio::time::sleep;
 
 use crate::decision::coordinator::{KnowledgeAge, RegisteredEngine};
+use crate::decision::deputies::StoreAccess;
 use crate::decision::directory::RegistryStamp;
 use crate::decision::engine_loads::EngineNumber;
 use crate::decision::freshness::{batch_delay, is_searching_coordinator, needs_store_read};
@@ -30,7 +31,7 @@
     ///
     /// The revision in force never decreases, even if the store returns an older
     /// one.
-    fn apply_declaration(&self, declaration: Arc<FleetDeclaration>) {
+    pub(super) fn apply_declaration(&self, declaration: Arc<FleetDeclaration>) {
         let current = self.state.snapshot.load().declaration.clone();
         if current.is_some_and(|current| current.revision >= declaration.revision) {
             return;
@@ -116,7 +117,12 @@
     }
 
     /// Records where the entries of the directory came from.
-    fn record_registry_copy(&self, source: RegistrySource, stamp: RegistryStamp, is_used: bool) {
+    pub(super) fn record_registry_copy(
+        &self,
+        source: RegistrySource,
+        stamp: RegistryStamp,
+        is_used: bool,
+    ) {
         self.state.metrics.fleet.count_registry_copy(source.label(), !is_used);
         if is_used {
             let origin = RegistryOrigin { revision: stamp.revision, source };
@@ -132,19 +138,23 @@
     }
 
     /// Starts or stops the watches of the store, unless this host still looks for the
-    /// coordinator.
+    /// coordinator or asks deputies.
     ///
     /// `age` is the age of the coordinator's copies, or `None` if there is no
     /// contact with it.
     fn set_watches(&self, declaration: bool, engines: bool, age: Option<&KnowledgeAge>) {
         let now = time_since_boot();
         let is_coordinator = lock(&self.lease).token(now).is_some();
-        let is_first_start = self.state.settings.is_first_start;
         let uptime = now.saturating_sub(self.started_at);
-        let is_searching = !is_coordinator && is_searching_coordinator(is_first_start, uptime);
+        let is_searching = !is_coordinator && is_searching_coordinator(uptime);
+        let asks_deputies = {
+            let mut guide = lock(&self.guide);
+            guide.set_needed(now, !is_coordinator && (declaration || engines));
+            guide.is_needed() && guide.access(now) == StoreAccess::Deputy
+        };
         let set_mode = |mode: &watch::Sender<WatchMode>, is_on: bool| {
             let batch_delay = batch_delay(is_coordinator);
-            let is_on = is_on && !is_searching;
+            let is_on = is_on && !is_searching && !asks_deputies;
             let value = if is_on { WatchMode::On { batch_delay } } else { WatchMode::Off };
             mode.send_if_modified(|current| std::mem::replace(current, value) != value)
         };
--- a/crates/skylarkgw/src/gateway/peers.rs
+++ b/crates/skylarkgw/src/gateway/peers.rs
@@ -12,11 +12,13 @@
 use tokio::time::{sleep, timeout};
 use tokio_util::codec::LengthDelimitedCodec;
 
-use crate::decision::coordinator::{CoordinatorReply, HostReport, QuotaAnswer};
+use crate::decision::coordinator::{CoordinatorReply, HostReport, KnowledgeAge, QuotaAnswer};
 use crate::decision::freshness::EXCHANGE_TIMEOUT;
 use crate::gateway::control::ControlContext;
 use crate::gateway::declaration::{FleetDeclaration, ServiceName};
-use crate::ids::{EndpointId, HostId, ModelName, Tokens, WorkspaceId};
+use crate::gateway::registry::EngineEntry;
+use crate::ids::{EndpointId, HostId, ModelName, ObjectVersion, Revision, Tokens, WorkspaceId};
+use serde::{Deserialize, Serialize};
 
 /// Longest time to open a connection to the coordinator.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
@@ -34,7 +36,31 @@
 /// Time without a call after which the server closes a connection.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(5);
 
-/// Calls that the coordinator answers for other hosts.
+/// What a host knows when it asks a deputy.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct DeputyQuestion {
+    /// Revision of its declaration.
+    pub revision: Revision,
+    /// Revision of the store up to which its registry contains all changes.
+    pub registry_revision: ObjectVersion,
+}
+
+/// What a deputy knows.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct DeputyAnswer {
+    /// The coordinator, if it answers the deputy.
+    pub coordinator: Option<(HostId, SocketAddr)>,
+    /// Revisions and ages of the deputy's declaration and registry.
+    pub age: KnowledgeAge,
+    /// The declaration, if it is newer than that of the asking host.
+    pub declaration: Option<Arc<FleetDeclaration>>,
+    /// All engines, if the registry is newer than that of the asking host.
+    pub engines: Option<Vec<Arc<EngineEntry>>>,
+}
+
+/// Calls that the coordinator answers for other hosts, and one that any host answers.
 ///
 /// A host that is not the coordinator returns `None` for every call.
 #[tarpc::service]
@@ -43,6 +69,8 @@
     async fn exchange(report: HostReport) -> Option<CoordinatorReply>;
     /// Returns the declaration in force.
     async fn declaration() -> Option<Arc<FleetDeclaration>>;
+    /// Returns what this host knows, also if it is not the coordinator.
+    async fn ask(question: DeputyQuestion) -> DeputyAnswer;
     /// Draws quota tokens for one client request.
     async fn draw(host: HostId, workspace: WorkspaceId, tokens: Tokens) -> Option<QuotaAnswer>;
     /// Draws one request to an engine from the limit that it named, in requests per
@@ -70,6 +98,10 @@
         self.control.declaration_as_coordinator()
     }
 
+    async fn ask(self, _: context::Context, question: DeputyQuestion) -> DeputyAnswer {
+        self.control.answer_question(question)
+    }
+
     async fn draw(
         self,
         _: context::Context,
@@ -157,6 +189,11 @@
         self.client.declaration(context_with_timeout(DECLARATION_TIMEOUT)).await.ok()?
     }
 
+    /// Asks what the host knows, or returns `None` if no answer arrived.
+    pub async fn ask_deputy(&self, question: DeputyQuestion) -> Option<DeputyAnswer> {
+        self.client.ask(context_with_timeout(DECLARATION_TIMEOUT), question).await.ok()
+    }
+
     /// Draws quota tokens for one client request.
     ///
     /// `None` means that the outcome is unknown, or that the host is not the
--- a/crates/skylarkgw/src/gateway/state.rs
+++ b/crates/skylarkgw/src/gateway/state.rs
@@ -67,6 +67,8 @@
     Store,
     /// Received from the coordinator.
     Coordinator,
+    /// Received from a deputy.
+    Deputy,
 }
 
 impl RegistrySource {
@@ -75,6 +77,7 @@
         match self {
             RegistrySource::Store => "store",
             RegistrySource::Coordinator => "coordinator",
+            RegistrySource::Deputy => "deputy",
         }
     }
 }
--- a/crates/skylarkgw/tests/decisions/main.rs
+++ b/crates/skylarkgw/tests/decisions/main.rs
@@ -3,6 +3,7 @@
 
 mod choice;
 mod coordinator;
+mod deputies;
 mod directory;
 mod event_buffer;
 mod event_sequence;
