--- a/crates/skylarkgw/tests/decisions/shared_map.rs
+++ b/crates/skylarkgw/tests/decisions/shared_map.rs
@@ -5,7 +5,7 @@
 
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
-use skylarkgw::decision::shared_map::SharedMap;
+use skylarkgw::decision::shared_map::{MAX_PART_ENTRIES, SharedMap};
 
 type Copy = (u64, HashMap<Arc<str>, u32>);
 
@@ -74,3 +74,33 @@
         }
     }
 }
+
+/// Guards against a copy of thousands of entries that never arrives within the time for a
+/// reply, and against engines that are lost between its parts.
+#[test]
+fn large_map_arrives_in_parts_while_it_changes() {
+    let name = |number: u32| -> Arc<str> { format!("e{number}").into() };
+    let mut values: HashMap<Arc<str>, u32> = (0..1_500).map(|number| (name(number), 0)).collect();
+    let mut map = SharedMap::new(1);
+    map.replace(entries(&values));
+    let mut copy = Copy::default();
+    for part in 0..20 {
+        let Some(delta) = map.delta_since(copy.0) else { break };
+        assert!(delta.changed.len() <= MAX_PART_ENTRIES);
+        assert_eq!(delta.is_complete, part == 0);
+        assert!(delta.version > copy.0 && (delta.is_last || delta.changed.len() > 1));
+        copy.0 = delta.version;
+        delta.apply_to(&mut copy.1);
+        // Entries of parts that were sent and of others change, and some are removed.
+        if part < 4 {
+            for number in [part, part + 700, part + 1_400] {
+                values.insert(name(number), part + 1);
+                map.set(&name(number), part + 1);
+            }
+            values.remove(&name(part + 100));
+            map.retain(|engine| *engine != name(part + 100));
+        }
+    }
+    assert_eq!(map.delta_since(copy.0), None);
+    assert_eq!(copy.1, values);
+}
