--- a/crates/skylarkgw/src/decision/shared_map.rs
+++ b/crates/skylarkgw/src/decision/shared_map.rs
@@ -121,11 +121,6 @@
         removed
     }
 
-    /// Returns the keys of the map.
-    pub fn engines(&self) -> impl Iterator<Item = &EndpointId> {
-        self.entries.keys()
-    }
-
     /// Returns the entry of an engine.
     pub fn get(&self, engine: &EndpointId) -> Option<&T> {
         self.entries.get(engine).map(|(_, entry)| entry)
