--- a/crates/skylarkgw/src/decision/coordinator.rs
+++ b/crates/skylarkgw/src/decision/coordinator.rs
@@ -263,9 +263,9 @@
         }
         for entry in engines {
             if self.listed.get(&entry.id) != Some(entry) {
-                let number = self.loads.add_engine(&entry.id);
+                let (id, number) = (&entry.id, self.loads.add_engine(&entry.id));
                 let entry = Arc::new(entry.without_inventory());
-                self.registry.set(&entry.id.clone(), RegisteredEngine { number, entry });
+                self.registry.set(id, RegisteredEngine { number, entry });
             }
         }
         self.listed = listed;
--- a/crates/skylarkgw/src/decision/quota_pool.rs
+++ b/crates/skylarkgw/src/decision/quota_pool.rs
@@ -165,9 +165,7 @@
         }
         QuotaGrant { tokens: granted as Tokens, fallback_per_s, retry_after }
     }
-}
 
-impl RateBucket {
     /// Takes back tokens that were granted and not spent.
     ///
     /// They leave the log at its newest grants, so a window counts what was granted less
--- a/crates/skylarkgw/src/gateway/control/exchange.rs
+++ b/crates/skylarkgw/src/gateway/control/exchange.rs
@@ -148,8 +148,8 @@
             info!("coordinator found", kv: { hosts });
         }
         contact.last_reply_at = Some(now);
-        let parts = [has_registry_part, reply.notices.as_ref().is_some_and(|delta| !delta.is_last)];
-        contact.expects_part = parts.contains(&true);
+        let has_notice_part = reply.notices.as_ref().is_some_and(|delta| !delta.is_last);
+        contact.expects_part = has_registry_part || has_notice_part;
         if let Some(delta) = reply.notices {
             contact.notice_version = delta.version;
             let is_last = delta.is_last;
