Log each client connection that a host closes

A request that no handler sees left no line on any host, so a request that ended without an answer could not be traced. Each close of a client connection is now counted by who closed it and why, and logged unless the client closed it: the last request, how long nothing was transferred, whether bytes of a next request had arrived, and the revision in force. The line of a declaration tells its idle limit.

--- a/crates/skylarkgw/src/edge/forward.rs
+++ b/crates/skylarkgw/src/edge/forward.rs
@@ -5,6 +5,7 @@
 //! `send` sends it and evaluates the response; `relay` relays an event stream.
 
 mod admit;
+mod connection;
 mod crash;
 mod record;
 mod refusal;
@@ -21,31 +22,23 @@
 use http::{Request, Response};
 use http_body_util::combinators::UnsyncBoxBody;
 use hyper::body::Incoming;
-use hyper::server::conn::http1;
-use hyper::service::service_fn;
-use hyper_util::rt::{TokioIo, TokioTimer};
 use thiserror::Error;
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::TcpListener;
 use tokio::sync::watch;
 use tokio::time::sleep;
 
 use crate::edge::forward::admit::admit_request;
+use crate::edge::forward::connection::serve_connection;
 use crate::edge::forward::record::RequestRecord;
 use crate::edge::forward::send::serve_admitted;
 use crate::gateway::state::GatewayState;
+use crate::gateway::wire::ClientHeaders;
 
 pub use record::format_parts;
 
 /// Body of a response to a client.
 type ResponseBody = UnsyncBoxBody<Bytes, ResponseAborted>;
 
-/// Idle timeout of client connections until the first declaration is received.
-const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(15);
-/// Maximum buffer size of a client connection until the first declaration is
-/// received; the buffer has to hold a request head.
-const DEFAULT_BUFFER_BYTES: usize = 16 * 1024;
-/// Lower limit of the configured buffer size.
-const MIN_BUFFER_BYTES: usize = 8 * 1024;
 /// Delay after a failed accept, and between two checks for open connections while
 /// the proxy shuts down.
 const RETRY_DELAY: Duration = Duration::from_millis(50);
@@ -79,7 +72,11 @@
                     // Without TCP_NODELAY the connection works, but with a
                     // higher latency.
                     let _ = stream.set_nodelay(true);
-                    tokio::spawn(serve_connection(stream, state.clone(), shutdown_signal.clone()));
+                    let (state, signal) = (state.clone(), shutdown_signal.clone());
+                    tokio::spawn(async move {
+                        let _guard = ConnectionGuard::new(state.clone());
+                        serve_connection(stream, state, signal).await;
+                    });
                 }
                 Err(_) => sleep(RETRY_DELAY).await,
             },
@@ -99,47 +96,25 @@
     state: Arc<GatewayState>,
 }
 
-impl Drop for ConnectionGuard {
-    fn drop(&mut self) {
-        self.state.open_connections.fetch_sub(1, Ordering::Relaxed);
+impl ConnectionGuard {
+    fn new(state: Arc<GatewayState>) -> ConnectionGuard {
+        state.open_connections.fetch_add(1, Ordering::Relaxed);
+        ConnectionGuard { state }
     }
 }
 
-async fn serve_connection(
-    stream: TcpStream,
-    state: Arc<GatewayState>,
-    mut shutdown: watch::Receiver<bool>,
-) {
-    state.open_connections.fetch_add(1, Ordering::Relaxed);
-    let _guard = ConnectionGuard { state: state.clone() };
-    let limits =
-        state.snapshot.load().declaration.as_ref().map(|declaration| declaration.limits.clone());
-    let idle_timeout = limits.as_ref().map_or(DEFAULT_IDLE_TIMEOUT, |limits| limits.idle_timeout);
-    let buffer_bytes =
-        limits.map_or(DEFAULT_BUFFER_BYTES, |limits| limits.header_bytes.max(MIN_BUFFER_BYTES));
-    let service = service_fn(|request: Request<Incoming>| handle_request(state.clone(), request));
-    // hyper counts the idle time before a request as part of the time for reading
-    // its head, so this timeout also limits how long a connection may be idle.
-    let connection = http1::Builder::new()
-        .timer(TokioTimer::new())
-        .header_read_timeout(idle_timeout)
-        .max_buf_size(buffer_bytes)
-        .serve_connection(TokioIo::new(stream), service);
-    let mut connection = std::pin::pin!(connection);
-    tokio::select! {
-        // The result is ignored, as failures are in the records of the requests.
-        _ = connection.as_mut() => return,
-        _ = shutdown.wait_for(|shutdown| *shutdown) => connection.as_mut().graceful_shutdown(),
+impl Drop for ConnectionGuard {
+    fn drop(&mut self) {
+        self.state.open_connections.fetch_sub(1, Ordering::Relaxed);
     }
-    let _ = connection.await;
 }
 
 /// Handles one request, from its arrival to the start of its response.
 async fn handle_request(
     state: Arc<GatewayState>,
     request: Request<Incoming>,
+    header: ClientHeaders,
 ) -> Result<Response<ResponseBody>, ResponseAborted> {
-    let header = (state.codec.decode_client_headers)(request.headers());
     let mut record = RequestRecord::new(state.clone(), header.request_id.clone());
     let result = match admit_request(&state, request, header, &mut record).await {
         Ok(admitted) => serve_admitted(admitted, record).await,
--- a/crates/skylarkgw/src/gateway/control/knowledge.rs
+++ b/crates/skylarkgw/src/gateway/control/knowledge.rs
@@ -39,7 +39,8 @@
         let route_table = Arc::new(RouteTable::new(&declaration));
         let (revision, routes) = (declaration.revision, declaration.routes.len());
         let services = declaration.services.len();
-        info!("declaration in force", kv: { revision, routes, services });
+        let idle_timeout_ms = declaration.limits.idle_timeout.as_millis() as u64;
+        info!("declaration in force", kv: { revision, routes, services, idle_timeout_ms });
         // As for the registry, a lapse of the lease must not lose the update.
         if let Some(coordinator) = lock(&self.coordinator).as_mut() {
             coordinator.apply_declaration(time_since_boot(), &declaration);
--- a/crates/skylarkgw/src/telemetry/fleet_metrics.rs
+++ b/crates/skylarkgw/src/telemetry/fleet_metrics.rs
@@ -41,6 +41,7 @@
     reply_items: IntCounterVec,
     work: CounterVec,
     connections: IntCounterVec,
+    closed_connections: IntCounterVec,
     interruptions: IntCounterVec,
     limited_requests: IntCounter,
     statement_changes: IntCounterVec,
@@ -121,6 +122,11 @@
                 "Connections taken for requests to engines by origin",
                 &["origin"],
             )?,
+            closed_connections: counter(
+                "skylark_client_connections_closed_total",
+                "Client connections that were closed by who closed them and why",
+                &["reason"],
+            )?,
             interruptions: counter(
                 "skylark_interrupted_answers_total",
                 "Attempts that ended without a complete answer by how far the answer had come",
@@ -175,6 +181,11 @@
         self.connections.with_label_values(&[if is_reused { "reused" } else { "opened" }]).inc();
     }
 
+    /// Counts a client connection that was closed.
+    pub fn count_closed_connection(&self, reason: &str) {
+        self.closed_connections.with_label_values(&[reason]).inc();
+    }
+
     /// Counts an attempt that ended without a complete answer.
     pub fn count_interruption(&self, progress: AnswerProgress) {
         self.interruptions.with_label_values(&[progress.label()]).inc();
