Accept client connections until a stopping host ends

A host that stops no longer accepted connections once it had closed the idle ones, but its listener stayed open. A request on a connection that the system had completed for it got no answer until the process ended.

Connections are accepted until no connection is open.

--- a/crates/skylarkgw/src/edge/forward.rs
+++ b/crates/skylarkgw/src/edge/forward.rs
@@ -55,41 +55,49 @@
 
 /// Serves clients until `shutdown` is set and all connections have been closed.
 ///
+/// Connections are accepted until then, since a client whose connection waits in the
+/// queue of the listener would get no answer.
+///
 /// # Errors
 ///
 /// The error of the operating system if the listener cannot be used.
 pub async fn serve_proxy(
     listener: std::net::TcpListener,
     state: Arc<GatewayState>,
-    mut shutdown: watch::Receiver<bool>,
+    shutdown: watch::Receiver<bool>,
 ) -> std::io::Result<()> {
     listener.set_nonblocking(true)?;
     let listener = TcpListener::from_std(listener)?;
-    let shutdown_signal = shutdown.clone();
+    let mut end = std::pin::pin!(wait_for_end(&state, shutdown.clone()));
     loop {
         tokio::select! {
+            biased;
             accepted = listener.accept() => match accepted {
                 Ok((stream, _)) => {
                     // Without TCP_NODELAY the connection works, but with a
                     // higher latency.
                     let _ = stream.set_nodelay(true);
-                    let (state, signal) = (state.clone(), shutdown_signal.clone());
+                    let (state, signal) = (state.clone(), shutdown.clone());
+                    let guard = ConnectionGuard::new(state.clone());
                     tokio::spawn(async move {
-                        let _guard = ConnectionGuard::new(state.clone());
+                        let _guard = guard;
                         serve_connection(stream, state, signal).await;
                     });
                 }
                 Err(_) => sleep(RETRY_DELAY).await,
             },
-            // An error means that the sender was dropped, so the process is
-            // exiting as well.
-            _ = shutdown.wait_for(|shutdown| *shutdown) => break,
+            () = end.as_mut() => return Ok(()),
         }
     }
+}
+
+/// Waits until `shutdown` is set and no connection is open.
+async fn wait_for_end(state: &GatewayState, mut shutdown: watch::Receiver<bool>) {
+    // An error means that the sender was dropped, so the process is exiting as well.
+    let _ = shutdown.wait_for(|shutdown| *shutdown).await;
     while state.open_connections.load(Ordering::Relaxed) > 0 {
         sleep(RETRY_DELAY).await;
     }
-    Ok(())
 }
 
 /// Counts an open client connection until it is dropped.
