Read the body of a refused request before its connection is closed

A request that is refused before its body had arrived, for example for an unknown route, was answered without Connection: close, and its connection was closed after the answer. The next request on it was cut. If bytes of the body were still unread, the close reset the connection, which can take back the refusal.

The rest of the body is read for up to 250 ms and the connection is kept.

--- a/crates/skylarkgw/src/edge/forward.rs
+++ b/crates/skylarkgw/src/edge/forward.rs
@@ -21,11 +21,12 @@
 use http::header::{CONNECTION, HeaderValue};
 use http::{HeaderMap, Request, Response};
 use http_body_util::combinators::UnsyncBoxBody;
-use hyper::body::Incoming;
+use http_body_util::{BodyExt, Limited};
+use hyper::body::{Body, Incoming};
 use thiserror::Error;
 use tokio::net::TcpListener;
 use tokio::sync::watch;
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 use crate::decision::connection_clock::announced_reuse_s;
 use crate::edge::forward::admit::admit_request;
@@ -43,6 +44,8 @@
 /// Delay after a failed accept, and between two checks for open connections while
 /// the proxy shuts down.
 const RETRY_DELAY: Duration = Duration::from_millis(50);
+/// Longest time for which a refusal waits for the rest of the request's body.
+const DISCARD_TIME: Duration = Duration::from_millis(250);
 
 /// Error that aborts the connection to the client, so that a partial response does
 /// not appear complete.
@@ -53,6 +56,10 @@
     CutOff,
 }
 
+/// Marks the response to a request whose body has not been read to its end.
+#[derive(Clone, Copy, Debug)]
+struct UnreadBody;
+
 /// Serves clients until `shutdown` is set and all connections have been closed.
 ///
 /// Connections are accepted until then, since a client whose connection waits in the
@@ -126,17 +133,39 @@
 ) -> Result<Response<ResponseBody>, ResponseAborted> {
     let mut record = RequestRecord::new(state.clone(), header.request_id.clone());
     let closes = closes_connection(request.headers());
-    let result = match admit_request(&state, request, header, &mut record).await {
+    let (parts, mut body) = request.into_parts();
+    let result = match admit_request(&state, parts, &mut body, header, &mut record).await {
         Ok(admitted) => serve_admitted(admitted, record).await,
-        Err(refusal) => Ok(refusal.into_response(record)),
+        Err(refusal) => {
+            let is_read = discard_body(&state, &mut body).await;
+            let mut response = refusal.into_response(record);
+            if !is_read {
+                response.extensions_mut().insert(UnreadBody);
+            }
+            Ok(response)
+        }
     };
     result.map(|mut response| {
-        let is_last = closes || state.is_draining();
+        let is_unread = response.extensions().get::<UnreadBody>().is_some();
+        let is_last = closes || is_unread || state.is_draining();
         announce_reuse(&state, response.headers_mut(), is_last);
         response
     })
 }
 
+/// Reads the rest of the body of a refused request, so that its connection can be kept,
+/// and returns whether it has ended.
+async fn discard_body(state: &GatewayState, body: &mut Incoming) -> bool {
+    if body.is_end_stream() {
+        return true;
+    }
+    let declaration = state.snapshot.load().declaration.clone();
+    let limit = declaration.map_or(0, |declaration| declaration.limits.body_bytes);
+    let is_too_long = body.size_hint().lower() > limit as u64;
+    let collected = timeout(DISCARD_TIME, Limited::new(body, limit).collect());
+    !is_too_long && matches!(collected.await, Ok(Ok(_)))
+}
+
 /// Tells the client in the headers of a response whether, and for how long, it may reuse
 /// the connection.
 fn announce_reuse(state: &GatewayState, headers: &mut HeaderMap, is_last: bool) {
--- a/crates/skylarkgw/src/edge/forward/admit.rs
+++ b/crates/skylarkgw/src/edge/forward/admit.rs
@@ -5,9 +5,9 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use http::HeaderMap;
 use http::header::HOST;
 use http::request::Parts;
-use http::{HeaderMap, Request};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use rand::Rng;
@@ -100,11 +100,11 @@
 /// [`RequestRefusal`] if the request must not be sent.
 pub async fn admit_request(
     state: &Arc<GatewayState>,
-    request: Request<Incoming>,
+    parts: Parts,
+    body: &mut Incoming,
     header: ClientHeaders,
     record: &mut RequestRecord,
 ) -> Result<AdmittedRequest, RequestRefusal> {
-    let (parts, body) = request.into_parts();
     let snapshot = state.snapshot.load_full();
     let age = state.declaration_age(time_since_boot());
     let declaration = snapshot.declaration.as_ref();
@@ -225,7 +225,7 @@
 /// Reads the complete request body, of at most `limit` bytes.
 async fn read_body(
     headers: &HeaderMap,
-    body: Incoming,
+    body: &mut Incoming,
     limit: usize,
     deadline: Instant,
 ) -> Result<Bytes, RequestRefusal> {
--- a/crates/skylarkgw/src/edge/forward/connection.rs
+++ b/crates/skylarkgw/src/edge/forward/connection.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::Request;
+use http::{Request, Response};
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -22,7 +22,7 @@
 use tokio::time::{Instant, sleep_until, timeout};
 
 use crate::decision::connection_clock::{ConnectionClock, DueReason};
-use crate::edge::forward::{ResponseAborted, ResponseBody, handle_request};
+use crate::edge::forward::{ResponseAborted, ResponseBody, UnreadBody, handle_request};
 use crate::gateway::clock::time_since_boot;
 use crate::gateway::declaration::ClientLimits;
 use crate::gateway::state::GatewayState;
@@ -59,6 +59,8 @@
     Stop,
     /// Either side announced the close with the last answer.
     Answered,
+    /// A request was refused before its body had arrived.
+    UnreadBody,
     /// A response was broken off, so that it does not appear complete.
     ResponseAborted,
     /// The client sent something that is no request.
@@ -85,6 +87,7 @@
             CloseReason::HeadTimeout => "head-timeout",
             CloseReason::Stop => "stop",
             CloseReason::Answered => "answered",
+            CloseReason::UnreadBody => "unread-body",
             CloseReason::ResponseAborted => "response-aborted",
             CloseReason::Malformed => "malformed",
             CloseReason::Failed => "failed",
@@ -102,6 +105,8 @@
     /// Time of the last byte in either direction, since the connection was accepted.
     last_byte_at: Duration,
     clock: ConnectionClock,
+    /// Whether the last request was refused before its body had arrived.
+    has_unread_body: bool,
     /// Whether the client has closed its side or reset the connection.
     is_closed_by_client: bool,
 }
@@ -120,6 +125,7 @@
             last_request: None,
             last_byte_at: Duration::ZERO,
             clock: ConnectionClock::new(Duration::ZERO),
+            has_unread_body: false,
             is_closed_by_client: false,
         };
         ClientConnection { stream, accepted_at: Instant::now(), record: Mutex::new(record) }
@@ -144,8 +150,10 @@
     }
 
     /// Records what the head of an answer announces.
-    fn record_answer(&self, limits: &ClientLimits) {
-        self.lock_record().clock.record_announcement(limits);
+    fn record_answer(&self, response: &Response<ResponseBody>, limits: &ClientLimits) {
+        let mut record = self.lock_record();
+        record.clock.record_announcement(limits);
+        record.has_unread_body = response.extensions().get::<UnreadBody>().is_some();
     }
 
     /// Records that the answer to the last request has ended.
@@ -339,7 +347,7 @@
         let state = state.clone();
         async move {
             let response = answer.await?;
-            guard.connection.record_answer(&current_limits(&state));
+            guard.connection.record_answer(&response, &current_limits(&state));
             Ok::<_, ResponseAborted>(response.map(|body| GuardedBody { body, _guard: guard }))
         }
     });
@@ -397,6 +405,7 @@
             let _ = client.stream.try_write(HEAD_TIMEOUT_ANSWER);
             linger(&client.stream).await;
         }
+        CloseReason::UnreadBody | CloseReason::Malformed => linger(&client.stream).await,
         _ => {}
     }
 }
@@ -440,6 +449,7 @@
         _ if record.is_closed_by_client => CloseReason::Client,
         Err(error) if error.is_parse() => CloseReason::Malformed,
         Err(_) => CloseReason::Failed,
+        Ok(()) if record.has_unread_body => CloseReason::UnreadBody,
         Ok(()) => CloseReason::Answered,
     }
 }
