Keep a connection open while its answer is being sent

A client that read a long answer slowly got a part of it when the host closed idle connections at a stop: an answer counted as ended once its last frame was read, while megabytes of it waited to be written. The clock of a connection now tells this transfer apart, and ends it when all bytes are written. It is closed if the client takes nothing for the idle limit.

Found by review. Also: HTTP/1.0 clients were told that their connection is kept, though it is closed; and discarding what a client still sends gives way to other connections.

--- a/crates/skylarkgw/src/decision/connection_clock.rs
+++ b/crates/skylarkgw/src/decision/connection_clock.rs
@@ -29,6 +29,9 @@
     Head { since: Duration },
     /// The end of an answer.
     Answer,
+    /// The transfer of the rest of an answer whose last frame was read, since the last
+    /// byte of it.
+    Transfer { since: Duration },
 }
 
 /// Why a connection is due to be closed.
@@ -63,9 +66,10 @@
 
     /// Records that bytes of the client have arrived.
     pub fn record_bytes(&mut self, now: Duration) {
-        if let ConnectionPhase::Idle { .. } = self.phase {
-            self.phase = ConnectionPhase::Head { since: now };
-        }
+        let (ConnectionPhase::Idle { .. } | ConnectionPhase::Transfer { .. }) = self.phase else {
+            return;
+        };
+        self.phase = ConnectionPhase::Head { since: now };
     }
 
     /// Records that a request head is complete.
@@ -78,20 +82,27 @@
         self.promised_idle = limits.idle_timeout;
     }
 
-    /// Records that an answer has ended.
+    /// Records that the last frame of an answer was read. Bytes of it may still have to be
+    /// sent.
     pub fn end_answer(&mut self, now: Duration) {
-        self.phase = ConnectionPhase::Idle { since: now };
+        self.phase = ConnectionPhase::Transfer { since: now };
         self.has_served = true;
     }
 
-    /// Records that bytes of an answer were sent, which may be after its last frame was
-    /// read.
+    /// Records that bytes of an answer were sent.
     pub fn record_sent_bytes(&mut self, now: Duration) {
-        if let ConnectionPhase::Idle { since } = &mut self.phase {
+        if let ConnectionPhase::Transfer { since } = &mut self.phase {
             *since = now;
         }
     }
 
+    /// Records that all bytes of answers so far were sent.
+    pub fn record_flush(&mut self, now: Duration) {
+        if let ConnectionPhase::Transfer { .. } = self.phase {
+            self.phase = ConnectionPhase::Idle { since: now };
+        }
+    }
+
     /// Returns whether a part of a request head has arrived.
     pub fn has_partial_head(&self) -> bool {
         matches!(self.phase, ConnectionPhase::Head { .. })
@@ -105,7 +116,7 @@
                 let time = if self.has_served { Duration::ZERO } else { FIRST_REQUEST_TIME };
                 Some((since + time, DueReason::Stop))
             }
-            ConnectionPhase::Idle { since } => {
+            ConnectionPhase::Idle { since } | ConnectionPhase::Transfer { since } => {
                 Some((since + limits.idle_timeout.max(self.promised_idle), DueReason::Idle))
             }
             ConnectionPhase::Head { since } => {
--- a/crates/skylarkgw/src/edge/forward.rs
+++ b/crates/skylarkgw/src/edge/forward.rs
@@ -19,7 +19,7 @@
 
 use bytes::Bytes;
 use http::header::{CONNECTION, HeaderValue};
-use http::{HeaderMap, Request, Response};
+use http::{HeaderMap, Request, Response, Version};
 use http_body_util::combinators::UnsyncBoxBody;
 use http_body_util::{BodyExt, Limited};
 use hyper::body::{Body, Incoming};
@@ -132,7 +132,7 @@
     header: ClientHeaders,
 ) -> Result<Response<ResponseBody>, ResponseAborted> {
     let mut record = RequestRecord::new(state.clone(), header.request_id.clone());
-    let closes = closes_connection(request.headers());
+    let closes = closes_connection(request.headers()) || request.version() < Version::HTTP_11;
     let (parts, mut body) = request.into_parts();
     let result = match admit_request(&state, parts, &mut body, header, &mut record).await {
         Ok(admitted) => serve_admitted(admitted, record).await,
--- a/crates/skylarkgw/src/edge/forward/connection.rs
+++ b/crates/skylarkgw/src/edge/forward/connection.rs
@@ -312,7 +312,10 @@
         true
     }
 
+    /// hyper flushes the stream once it has written all that it holds.
     fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<Result<()>> {
+        let now = self.connection.age();
+        self.connection.lock_record().clock.record_flush(now);
         Poll::Ready(Ok(()))
     }
 
@@ -431,7 +434,8 @@
             match stream.try_read(&mut buffer) {
                 Ok(0) => return,
                 Err(error) if error.kind() != std::io::ErrorKind::WouldBlock => return,
-                _ => {}
+                // Reads without a pause would delay other connections and the timeout.
+                _ => yield_now().await,
             }
         }
     };
--- a/crates/skylarkgw/tests/decisions/connection_clock.rs
+++ b/crates/skylarkgw/tests/decisions/connection_clock.rs
@@ -22,6 +22,7 @@
     clock.begin_request();
     clock.record_announcement(limits);
     clock.end_answer(ms(to));
+    clock.record_flush(ms(to));
 }
 
 /// Guards against a close that crosses a request: every change of the idle limit leaves
@@ -67,10 +68,26 @@
     clock.record_sent_bytes(ms(6_000));
     assert_eq!(clock.due(&limits(1_000), false), None);
     clock.end_answer(ms(7_000));
-    clock.record_sent_bytes(ms(7_020));
+    clock.record_flush(ms(7_020));
     assert_eq!(clock.due(&limits(1_000), false), Some((ms(8_020), DueReason::Idle)));
 }
 
+/// Guards against an answer that is cut at a stop, because its client reads slowly and a
+/// part of it has not been sent when its last frame is read.
+#[test]
+fn answer_that_is_being_sent_is_not_idle() {
+    let mut clock = ConnectionClock::new(ms(0));
+    clock.record_bytes(ms(0));
+    clock.begin_request();
+    clock.record_announcement(&limits(1_000));
+    clock.end_answer(ms(100));
+    assert_eq!(clock.due(&limits(1_000), true), Some((ms(1_100), DueReason::Idle)));
+    clock.record_sent_bytes(ms(900));
+    assert_eq!(clock.due(&limits(1_000), true), Some((ms(1_900), DueReason::Idle)));
+    clock.record_flush(ms(1_200));
+    assert_eq!(clock.due(&limits(1_000), true), Some((ms(1_200), DueReason::Stop)));
+}
+
 /// Guards against a new connection that is closed at a stop before its first request has
 /// had the time to arrive.
 #[test]
