Keep a silent stream until another engine has taken it

Callers saw a stream cut whose engine was silent for more than 1.5 s and would have gone on: its connection was closed as soon as another engine was selected, and when that engine refused the rest, had ended or accepted no connection, and no third one was left, nothing remained to continue with.

The silent source is now kept until the other engine has answered, and goes on if that engine has certainly not run the request. It is held for at most 0.3 s, since two engines may work on one stream for 0.4 s; the connection to the other engine must be open after 0.2 s, so that it cannot fail after that. Once the other engine may have run the request, the silent one is left as before. Attempts are recorded by the index of the answer that is relayed, as the last attempt may be one that was refused.

silent_stream_goes_on_where_the_next_engine_refuses_it, .._has_ended and .._accepts_no_connection failed ("unexpected EOF during chunk size line") and pass.

--- a/crates/skylarkgw/src/edge/forward/relay.rs
+++ b/crates/skylarkgw/src/edge/forward/relay.rs
@@ -2,6 +2,7 @@
 //! stream at another engine.
 
 use std::collections::HashSet;
+use std::pin::pin;
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
@@ -10,7 +11,7 @@
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::{Frame, Incoming};
 use tokio::task::yield_now;
-use tokio::time::{Instant, timeout_at};
+use tokio::time::{Instant, timeout, timeout_at};
 
 use crate::decision::event_buffer::EventBuffer;
 use crate::decision::event_sequence::{EventSequence, ResumePoint, SequenceFault};
@@ -21,8 +22,9 @@
 use crate::edge::forward::record::{RequestEnd, RequestRecord};
 use crate::edge::forward::select::{SelectedEngine, select_engine};
 use crate::edge::forward::send::{
-    AttemptOutcome, EngineRequestGuard, PendingResponse, begin_attempt, closes_connection,
-    may_run_again, remove_hop_by_hop_headers, send_once, spend_retry_budget,
+    AttemptOutcome, AttemptTerms, CONNECT_TIMEOUT, EngineRequestGuard, PendingResponse,
+    begin_attempt, closes_connection, may_run_again, remove_hop_by_hop_headers, send_once,
+    spend_retry_budget,
 };
 use crate::edge::forward::{ResponseAborted, ResponseBody};
 use crate::endpoint::HttpConnection;
@@ -36,6 +38,13 @@
 /// stalled. It continues at another engine if there is one that can take it, and is left
 /// to its engine otherwise.
 const STALL_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Longest time for which a silent engine keeps a stream after its rest was sent to
+/// another one. Two engines may work on one stream for 400 ms.
+const HOLD_TIME: Duration = Duration::from_millis(300);
+/// Time limit for opening a connection to that engine. It ends before [`HOLD_TIME`], so
+/// that the stream can go on at the silent engine.
+const SUCCESSOR_CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
+const _: () = assert!(SUCCESSOR_CONNECT_TIMEOUT.as_millis() < HOLD_TIME.as_millis());
 /// Maximum number of attempts to resume one stream, including refused ones.
 const MAX_RESUME_ATTEMPTS: usize = 3;
 
@@ -56,6 +65,8 @@
     tried: HashSet<EndpointId>,
     /// Number of times that the request may have been executed.
     runs: u32,
+    /// Index of the attempt whose answer is the source.
+    source_attempt: usize,
     /// Whether no event of the source has been relayed yet.
     is_source_new: bool,
     /// Number of attempts to resume the stream.
@@ -117,6 +128,7 @@
         record.status = pending.parts.status.as_u16();
         let (head, source) = StreamSource::new(pending);
         let media_type = head.headers.get(header::CONTENT_TYPE).cloned();
+        let source_attempt = record.attempts.len().saturating_sub(1);
         StreamRelay {
             admitted,
             source: Some(source),
@@ -127,6 +139,7 @@
             fault: None,
             tried,
             runs,
+            source_attempt,
             is_source_new: true,
             resume_attempts: 0,
             record,
@@ -142,8 +155,7 @@
     /// [`ResponseAborted`] if the stream was interrupted and cannot be resumed.
     async fn next_events(&mut self) -> Option<Result<Bytes, ResponseAborted>> {
         loop {
-            let mut successor = None;
-            let reason = match self.read_source().await {
+            let (reason, is_continued) = match self.read_source().await {
                 SourceRead::Events(events) => {
                     self.record_events();
                     return Some(Ok(events));
@@ -155,19 +167,13 @@
                     self.release_connection();
                     return None;
                 }
-                // The silence of an engine is no reason to end a stream that no other
-                // engine takes over.
-                SourceRead::Stalled => {
-                    successor = self.select_successor().await;
-                    if successor.is_none() {
-                        continue;
-                    }
-                    "stream-silent"
+                SourceRead::Stalled => ("stream-silent", self.replace_silent_source().await),
+                SourceRead::Interrupted(reason) => {
+                    let is_suspect = self.record_interruption(reason).await;
+                    (reason, !is_suspect && self.resume().await)
                 }
-                SourceRead::Interrupted(reason) => reason,
             };
-            let is_suspect = self.record_interruption(reason).await;
-            if is_suspect || !self.resume(successor).await {
+            if !is_continued {
                 self.record.reason = reason;
                 self.record.finish(RequestEnd::Failed);
                 // The connection writes what it holds only while no data is ready, and
@@ -185,8 +191,8 @@
     /// one engine.
     fn record_events(&mut self) {
         self.record.record_events();
-        if let Some(last) = self.record.attempts.last_mut() {
-            last.progress = AnswerProgress::Streaming;
+        if let Some(attempt) = self.record.attempts.get_mut(self.source_attempt) {
+            attempt.progress = AnswerProgress::Streaming;
         }
         let is_first = std::mem::take(&mut self.is_source_new);
         if let Some(source) = self.source.as_ref().filter(|_| is_first) {
@@ -200,7 +206,8 @@
         self.record.record_first_event();
         self.record.record_service();
         let (Some(source), Some(first)) = (&self.source, self.record.first_latency) else { return };
-        let running = self.record.attempts.last().map_or(0, |last| last.running);
+        let attempt = self.record.attempts.get(self.source_attempt);
+        let running = attempt.map_or(0, |attempt| attempt.running);
         if self.runs == 1 && running * 2 < source.engine.entry.slots {
             self.update_model_use(|model_use| {
                 model_use.reads += 1;
@@ -209,10 +216,15 @@
         }
     }
 
+    /// Returns how far the answer of the source has come.
+    fn source_progress(&self) -> AnswerProgress {
+        let attempt = self.record.attempts.get(self.source_attempt);
+        attempt.map_or(AnswerProgress::Begun, |attempt| attempt.progress)
+    }
+
     /// Records that the last engine has answered the prompt, if it sent any event.
     fn record_proof(&self) {
-        let last = self.record.attempts.last();
-        if last.is_some_and(|last| last.progress == AnswerProgress::Streaming) {
+        if self.source_progress() == AnswerProgress::Streaming {
             let mut guard = self.admitted.state.lock_prompt_guard();
             guard.record_answer(time_since_boot(), &self.admitted.shared_parts);
         }
@@ -293,28 +305,30 @@
         }
     }
 
-    /// Records the interruption of the source, drops it, and discards a partial
-    /// event.
+    /// Records the interruption of the source and drops it.
     ///
     /// Returns whether the request must not be sent to another engine, because it may
     /// have ended this one.
     async fn record_interruption(&mut self, reason: &'static str) -> bool {
-        self.buffer.begin_rest();
-        self.sequence.begin_rest();
-        let mut progress = AnswerProgress::Begun;
-        if let Some(last) = self.record.attempts.last_mut() {
-            last.outcome = reason;
-            progress = last.progress;
-        }
-        let Some(source) = self.source.take() else { return false };
+        let Some(source) = &self.source else { return false };
         let entry = source.engine.entry.clone();
-        drop(source);
+        let progress = self.source_progress();
+        self.drop_source(reason, &entry.id);
+        examine_interruption(&self.admitted, &entry, progress).await
+    }
+
+    /// Drops the source, if it is still there, and records that its engine has failed for
+    /// `reason`.
+    fn drop_source(&mut self, reason: &'static str, engine: &EndpointId) {
+        self.source = None;
+        if let Some(attempt) = self.record.attempts.get_mut(self.source_attempt) {
+            attempt.outcome = reason;
+        }
         let (now, state) = (time_since_boot(), &self.admitted.state);
-        state.lock_traffic().record_outcome(now, &entry.id, true);
+        state.lock_traffic().record_outcome(now, engine, true);
         if self.is_source_new {
-            state.lock_service_log().record_failed_attempt(now, &entry.id, false);
+            state.lock_service_log().record_failed_attempt(now, engine, false);
         }
-        examine_interruption(&self.admitted, &entry, progress).await
     }
 
     /// Selects another engine for the rest of the stream and spends a retry on it.
@@ -337,44 +351,93 @@
 
     /// Resumes the stream at another engine after the last relayed event, and returns
     /// whether that succeeded.
+    async fn resume(&mut self) -> bool {
+        loop {
+            let Some(selected) = self.select_successor().await else { return false };
+            match self.send_rest(&selected).await {
+                AttemptOutcome::NotRun(_) => continue,
+                outcome => return self.accept_rest(outcome),
+            }
+        }
+    }
+
+    /// Resumes the stream of a silent source at another engine, and returns whether the
+    /// stream goes on.
     ///
-    /// `successor` is the engine to try first, if it has been selected.
-    async fn resume(&mut self, mut successor: Option<SelectedEngine>) -> bool {
-        let last_id = match self.sequence.resume_point() {
+    /// An engine's silence is no reason to end a stream. It goes on at its engine if no
+    /// other engine can be selected, or those that are selected do not run it. Once
+    /// another engine may run it, the silent engine must not go on as well.
+    async fn replace_silent_source(&mut self) -> bool {
+        let Some(source) = &self.source else { return false };
+        let entry = source.engine.entry.clone();
+        let progress = self.source_progress();
+        let mut is_examined = false;
+        let outcome = loop {
+            let Some(selected) = self.select_successor().await else { return true };
+            if !std::mem::replace(&mut is_examined, true)
+                && examine_interruption(&self.admitted, &entry, progress).await
+            {
+                return true;
+            }
+            let outcome = self.send_rest(&selected).await;
+            if self.source.is_none() || !matches!(outcome, AttemptOutcome::NotRun(_)) {
+                break outcome;
+            }
+        };
+        self.drop_source("stream-silent", &entry.id);
+        match outcome {
+            AttemptOutcome::NotRun(_) => self.resume().await,
+            outcome => self.accept_rest(outcome),
+        }
+    }
+
+    /// Sends the request for the rest of the stream to another engine.
+    ///
+    /// A source that has stalled is kept meanwhile, for at most [`HOLD_TIME`].
+    async fn send_rest(&mut self, selected: &SelectedEngine) -> AttemptOutcome {
+        let resume_after = match self.sequence.resume_point() {
             ResumePoint::After(id, _) => Some(id.clone()),
             ResumePoint::Start | ResumePoint::Unknown => None,
         };
-        loop {
-            let selected = match successor.take() {
-                Some(selected) => selected,
-                None => match self.select_successor().await {
-                    Some(selected) => selected,
-                    None => return false,
-                },
-            };
-            let admitted = &self.admitted;
-            self.tried.insert(selected.entry.id.clone());
-            self.resume_attempts += 1;
-            let outcome =
-                send_once(admitted, &selected, last_id.as_deref(), &mut self.record).await;
-            match outcome {
-                AttemptOutcome::NotRun(_) => continue,
-                AttemptOutcome::Answered(pending) if pending.parts.status.is_success() => {
-                    self.runs += 1;
-                    if !is_rest_of_stream(&pending.parts, self.media_type.as_ref()) {
-                        self.record_wrong_answer(&pending);
-                        return false;
-                    }
-                    admitted.state.metrics.resumes.inc();
-                    self.source = Some(StreamSource::new(*pending).1);
-                    self.is_source_new = true;
-                    return true;
-                }
-                AttemptOutcome::MayHaveRun(_) | AttemptOutcome::Answered(_) => return false,
+        let is_held = self.source.is_some();
+        let terms = AttemptTerms {
+            resume_after: resume_after.as_deref(),
+            connect_timeout: if is_held { SUCCESSOR_CONNECT_TIMEOUT } else { CONNECT_TIMEOUT },
+        };
+        self.tried.insert(selected.entry.id.clone());
+        self.resume_attempts += 1;
+        let mut attempt = pin!(send_once(&self.admitted, selected, terms, &mut self.record));
+        match timeout(HOLD_TIME, attempt.as_mut()).await {
+            Ok(outcome) => outcome,
+            Err(_) => {
+                self.source = None;
+                attempt.await
             }
         }
     }
 
+    /// Continues the stream with the answer of another engine, and returns whether that
+    /// is possible.
+    fn accept_rest(&mut self, outcome: AttemptOutcome) -> bool {
+        let pending = match outcome {
+            AttemptOutcome::Answered(pending) if pending.parts.status.is_success() => pending,
+            _ => return false,
+        };
+        self.runs += 1;
+        if !is_rest_of_stream(&pending.parts, self.media_type.as_ref()) {
+            self.record_wrong_answer(&pending);
+            return false;
+        }
+        self.admitted.state.metrics.resumes.inc();
+        // A partial event of the last source is discarded.
+        self.buffer.begin_rest();
+        self.sequence.begin_rest();
+        self.source = Some(StreamSource::new(*pending).1);
+        self.source_attempt = self.record.attempts.len().saturating_sub(1);
+        self.is_source_new = true;
+        true
+    }
+
     /// Records that the last engine answered with something other than the rest of the
     /// stream.
     fn record_wrong_answer(&mut self, pending: &PendingResponse) {
--- a/crates/skylarkgw/src/edge/forward/send.rs
+++ b/crates/skylarkgw/src/edge/forward/send.rs
@@ -34,7 +34,7 @@
 /// memory for all held bodies.
 const MAX_WHOLE_BODY_BYTES: usize = 8 * 1024 * 1024;
 /// Time limit for opening a connection to an engine.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 /// Longest idle time of a pooled connection that is used for a request that may be
 /// repeated or resumed.
 const REPEATABLE_MAX_IDLE: Duration = Duration::from_secs(10);
@@ -108,6 +108,22 @@
     pub engine: EngineRequestGuard,
 }
 
+/// How one attempt is made.
+#[derive(Clone, Copy, Debug)]
+pub struct AttemptTerms<'a> {
+    /// Identifier of the last event that was relayed to the client, if a stream is
+    /// resumed.
+    pub resume_after: Option<&'a str>,
+    /// Time limit for opening a connection.
+    pub connect_timeout: Duration,
+}
+
+impl Default for AttemptTerms<'_> {
+    fn default() -> Self {
+        AttemptTerms { resume_after: None, connect_timeout: CONNECT_TIMEOUT }
+    }
+}
+
 /// Outcome of one attempt.
 pub enum AttemptOutcome {
     /// The engine has certainly not executed the request; holds the label of the
@@ -158,7 +174,8 @@
         }
         tried.insert(selected.entry.id.clone());
         admitted.quota.commit();
-        let outcome = send_once(&admitted, &selected, None, &mut record).await;
+        let terms = AttemptTerms::default();
+        let outcome = send_once(&admitted, &selected, terms, &mut record).await;
         let pending = match outcome {
             AttemptOutcome::NotRun(_) => continue,
             AttemptOutcome::MayHaveRun(label) => {
@@ -248,13 +265,10 @@
 
 /// Sends a request to one engine, waits for the response head, and records the
 /// attempt.
-///
-/// `resume_after` is the identifier of the last event that was relayed to the
-/// client, if a stream is resumed.
 pub async fn send_once(
     admitted: &AdmittedRequest,
     selected: &SelectedEngine,
-    resume_after: Option<&str>,
+    terms: AttemptTerms<'_>,
     record: &mut RequestRecord,
 ) -> AttemptOutcome {
     let engine = EngineRequestGuard::new(&admitted.state, selected.entry.clone());
@@ -282,7 +296,7 @@
         progress: AnswerProgress::Waiting,
         statement,
     });
-    let outcome = send_request(admitted, selected, engine, resume_after, is_resent).await;
+    let outcome = send_request(admitted, selected, engine, terms, is_resent).await;
     let (label, failed) = match &outcome {
         AttemptOutcome::NotRun(label) => (*label, !["refused", WITHDRAWN].contains(label)),
         AttemptOutcome::MayHaveRun(label) => (*label, true),
@@ -321,7 +335,7 @@
     admitted: &AdmittedRequest,
     selected: &SelectedEngine,
     engine: EngineRequestGuard,
-    resume_after: Option<&str>,
+    terms: AttemptTerms<'_>,
     is_resent: bool,
 ) -> AttemptOutcome {
     let state = &admitted.state;
@@ -330,7 +344,7 @@
     let max_idle = if at_most_once { AT_MOST_ONCE_MAX_IDLE } else { REPEATABLE_MAX_IDLE };
     let time_left = admitted.deadline.saturating_duration_since(Instant::now());
     let mut connection =
-        match state.pool.acquire(address, max_idle, CONNECT_TIMEOUT.min(time_left)).await {
+        match state.pool.acquire(address, max_idle, terms.connect_timeout.min(time_left)).await {
             Ok((connection, is_reused)) => {
                 state.metrics.fleet.count_connection(is_reused);
                 connection
@@ -340,7 +354,7 @@
     if selected.is_withdrawn(state) {
         return AttemptOutcome::NotRun(WITHDRAWN);
     }
-    let request = build_engine_request(admitted, &engine.entry, resume_after);
+    let request = build_engine_request(admitted, &engine.entry, terms.resume_after);
     let head_deadline = compute_response_deadline(admitted);
     let response = match state.wait_until(head_deadline, connection.send(request)).await {
         Some(Ok(response)) => response,
