Wait for a silent engine while another one runs the same read

Callers got 502 long before their deadline for requests that may be repeated, when the engine was silent for 0.9 s or four times the objective: its attempt was ended before it was known whether another engine could take the request, or a retry could be spent. Where one could, the caller got that engine's failure although the first would have answered.

The attempt now stays open. After the same time the request is also sent to another engine, if one can be selected and a retry spent, and the first response without a server error is returned. Each open attempt counts as a run, so the attempt limit of the route holds. An engine counts as failed for its silence only if another one has answered. The records of attempts move to a module of their own, as several can be open; a response knows its index among them.

read_waits_for_a_silent_engine_where_no_other_one_can_take_it failed with 502 no-answer, answer_of_a_silent_engine_is_returned_where_the_next_one_has_none with 500 of the other engine; both pass.

--- a/crates/skylarkgw/src/edge/forward/relay.rs
+++ b/crates/skylarkgw/src/edge/forward/relay.rs
@@ -126,9 +126,9 @@
         mut record: RequestRecord,
     ) -> StreamRelay {
         record.status = pending.parts.status.as_u16();
+        let source_attempt = pending.attempt;
         let (head, source) = StreamSource::new(pending);
         let media_type = head.headers.get(header::CONTENT_TYPE).cloned();
-        let source_attempt = record.attempts.len().saturating_sub(1);
         StreamRelay {
             admitted,
             source: Some(source),
@@ -432,8 +432,8 @@
         // A partial event of the last source is discarded.
         self.buffer.begin_rest();
         self.sequence.begin_rest();
+        self.source_attempt = pending.attempt;
         self.source = Some(StreamSource::new(*pending).1);
-        self.source_attempt = self.record.attempts.len().saturating_sub(1);
         self.is_source_new = true;
         true
     }
--- a/crates/skylarkgw/src/edge/forward/send.rs
+++ b/crates/skylarkgw/src/edge/forward/send.rs
@@ -1,5 +1,7 @@
 //! Sends a request to engines, evaluates the responses and retries where allowed.
 
+mod attempts;
+
 use std::collections::HashSet;
 use std::sync::Arc;
 use std::time::Duration;
@@ -17,10 +19,11 @@
 use crate::decision::retry_budget::RetryBudget;
 use crate::edge::forward::admit::AdmittedRequest;
 use crate::edge::forward::crash::examine_interruption;
-use crate::edge::forward::record::{AttemptRecord, RequestEnd, RequestRecord};
+use crate::edge::forward::record::{RequestEnd, RequestRecord};
 use crate::edge::forward::refusal::{RefusalReason, RequestRefusal};
 use crate::edge::forward::relay::{StreamRelay, relay_stream};
 use crate::edge::forward::select::{SelectedEngine, select_engine};
+use crate::edge::forward::send::attempts::{OpenAttempt, send_repeatable};
 use crate::edge::forward::{ResponseAborted, ResponseBody};
 use crate::endpoint::HttpConnection;
 use crate::gateway::clock::time_since_boot;
@@ -29,6 +32,8 @@
 use crate::gateway::state::GatewayState;
 use crate::gateway::wire::{EngineHeaders, ResponseMetadata};
 
+pub use attempts::send_once;
+
 /// Maximum size of a response body that is not an event stream. It is held until it
 /// is complete; a longer one is treated as incomplete, as is one that exceeds the
 /// memory for all held bodies.
@@ -43,11 +48,6 @@
 const AT_MOST_ONCE_MAX_IDLE: Duration = Duration::from_millis(1_500);
 /// Maximum number of attempts per request, including refused ones.
 const MAX_ATTEMPTS: usize = 3;
-/// Multiple of the latency objective after which a repeatable request without a
-/// response is sent to another engine.
-const RESPONSE_TIMEOUT_FACTOR: u32 = 4;
-/// Lower limit of the time after which such a request is sent to another engine.
-const MIN_RESPONSE_TIMEOUT: Duration = Duration::from_millis(900);
 /// Retry delay reported to the client after every attempt failed before the request
 /// was executed.
 const NOT_RUN_RETRY_AFTER: Duration = Duration::from_millis(500);
@@ -96,6 +96,8 @@
 
 /// A response whose body has not been read yet.
 pub struct PendingResponse {
+    /// Index of its attempt in the record of the request.
+    pub attempt: usize,
     /// Status and headers of the response.
     pub parts: Parts,
     /// Fields decoded from the headers.
@@ -136,6 +138,13 @@
     Answered(Box<PendingResponse>),
 }
 
+impl AttemptOutcome {
+    /// Returns whether the engine may have executed the request.
+    pub fn may_have_run(&self) -> bool {
+        !matches!(self, AttemptOutcome::NotRun(_))
+    }
+}
+
 /// Serves an admitted request until its response is complete or its stream begins.
 ///
 /// # Errors
@@ -172,14 +181,19 @@
         if !spend_retry_budget(&admitted, record.attempts.len()) {
             break;
         }
-        tried.insert(selected.entry.id.clone());
         admitted.quota.commit();
-        let terms = AttemptTerms::default();
-        let outcome = send_once(&admitted, &selected, terms, &mut record).await;
+        let outcome = if admitted.route.repeat == RetryPolicy::Repeatable {
+            send_repeatable(&admitted, selected, &mut tried, &mut runs, &mut record).await
+        } else {
+            tried.insert(selected.entry.id.clone());
+            let terms = AttemptTerms::default();
+            let outcome = send_once(&admitted, &selected, terms, &mut record).await;
+            runs += u32::from(outcome.may_have_run());
+            outcome
+        };
         let pending = match outcome {
             AttemptOutcome::NotRun(_) => continue,
             AttemptOutcome::MayHaveRun(label) => {
-                runs += 1;
                 if may_run_again(&admitted, runs) {
                     continue;
                 }
@@ -189,7 +203,6 @@
             }
             AttemptOutcome::Answered(pending) => *pending,
         };
-        runs += 1;
         if admitted.route.is_stream && pending.parts.status.is_success() {
             return Ok(relay_stream(StreamRelay::new(admitted, pending, tried, runs, record)));
         }
@@ -263,80 +276,16 @@
     budget.try_spend()
 }
 
-/// Sends a request to one engine, waits for the response head, and records the
-/// attempt.
-pub async fn send_once(
-    admitted: &AdmittedRequest,
-    selected: &SelectedEngine,
-    terms: AttemptTerms<'_>,
-    record: &mut RequestRecord,
-) -> AttemptOutcome {
-    let engine = EngineRequestGuard::new(&admitted.state, selected.entry.clone());
-    if let Some(target) = &admitted.header.target
-        && let Some(adapter) = &target.adapter
-    {
-        admitted.state.lock_traffic().record_adapter_use(
-            &selected.entry.id,
-            &target.model,
-            adapter,
-        );
-    }
-    let statement = admitted.state.find_statement(&selected.entry);
-    if statement.limit.is_some() {
-        admitted.state.metrics.fleet.count_limited_request();
-    }
-    let address = selected.entry.address;
-    let is_resent = record.attempts.iter().any(|attempt| attempt.address == address);
-    record.attempts.push(AttemptRecord {
-        engine: selected.entry.id.clone(),
-        address,
-        running: selected.running,
-        wait_ms: selected.wait_ms,
-        outcome: "cancelled",
-        progress: AnswerProgress::Waiting,
-        statement,
-    });
-    let outcome = send_request(admitted, selected, engine, terms, is_resent).await;
-    let (label, failed) = match &outcome {
-        AttemptOutcome::NotRun(label) => (*label, !["refused", WITHDRAWN].contains(label)),
-        AttemptOutcome::MayHaveRun(label) => (*label, true),
-        AttemptOutcome::Answered(pending) => {
-            let failed = pending.parts.status.is_server_error();
-            (if failed { "failed" } else { "answered" }, failed)
-        }
-    };
-    let now = time_since_boot();
-    // A request that was not sent shows nothing about the engine.
-    let is_sent = label != WITHDRAWN;
-    if is_sent {
-        admitted.state.lock_traffic().record_outcome(now, &selected.entry.id, failed);
-    }
-    if is_sent && (failed || matches!(outcome, AttemptOutcome::NotRun(_))) {
-        let mut log = admitted.state.lock_service_log();
-        log.record_failed_attempt(now, &selected.entry.id, label == "refused");
-    }
-    if let Some(last) = record.attempts.last_mut() {
-        last.outcome = label;
-        if matches!(outcome, AttemptOutcome::Answered(_)) {
-            last.progress = AnswerProgress::Begun;
-        }
-    }
-    if let AttemptOutcome::MayHaveRun(_) = outcome {
-        examine_interruption(admitted, &selected.entry, AnswerProgress::Waiting).await;
-    }
-    outcome
-}
-
 /// Sends a request and waits for the response head.
 ///
-/// If `is_resent`, an earlier attempt went to the same address. A refusal may then
-/// belong to that one, so it does not prove that this one was not executed.
+/// If an earlier attempt went to the same address, a refusal may belong to that one, so it
+/// does not prove that this one was not executed.
 async fn send_request(
     admitted: &AdmittedRequest,
     selected: &SelectedEngine,
     engine: EngineRequestGuard,
     terms: AttemptTerms<'_>,
-    is_resent: bool,
+    attempt: &OpenAttempt,
 ) -> AttemptOutcome {
     let state = &admitted.state;
     let address = engine.entry.address;
@@ -355,8 +304,7 @@
         return AttemptOutcome::NotRun(WITHDRAWN);
     }
     let request = build_engine_request(admitted, &engine.entry, terms.resume_after);
-    let head_deadline = compute_response_deadline(admitted);
-    let response = match state.wait_until(head_deadline, connection.send(request)).await {
+    let response = match state.wait_until(admitted.deadline, connection.send(request)).await {
         Some(Ok(response)) => response,
         Some(Err(error)) if error.is_unsent() => return AttemptOutcome::NotRun(error.label()),
         Some(Err(error)) => return AttemptOutcome::MayHaveRun(error.label()),
@@ -372,7 +320,7 @@
     }
     record_statement(admitted, &engine.entry, &info.statement, parts.status.is_success());
     if info.is_not_executed {
-        return if is_resent {
+        return if attempt.is_resent {
             AttemptOutcome::MayHaveRun("repeated-refusal")
         } else {
             AttemptOutcome::NotRun("refused")
@@ -384,7 +332,9 @@
     if parts.status.is_success() && !info.is_signed {
         return AttemptOutcome::MayHaveRun("unsigned");
     }
-    AttemptOutcome::Answered(Box::new(PendingResponse { parts, info, body, connection, engine }))
+    let attempt = attempt.index;
+    let pending = PendingResponse { attempt, parts, info, body, connection, engine };
+    AttemptOutcome::Answered(Box::new(pending))
 }
 
 /// Records what an engine states about itself in an answer, and logs a change.
@@ -407,18 +357,6 @@
     }
 }
 
-/// Computes the time until which an attempt waits for the response head.
-///
-/// Only an attempt of a repeatable request ends before the deadline of the request.
-fn compute_response_deadline(admitted: &AdmittedRequest) -> Instant {
-    if admitted.route.repeat != RetryPolicy::Repeatable {
-        return admitted.deadline;
-    }
-    let response_timeout =
-        (admitted.route.latency_objective * RESPONSE_TIMEOUT_FACTOR).max(MIN_RESPONSE_TIMEOUT);
-    admitted.deadline.min(Instant::now() + response_timeout)
-}
-
 /// Builds the request to an engine from the request of the client.
 fn build_engine_request(
     admitted: &AdmittedRequest,
@@ -498,7 +436,7 @@
     pending: PendingResponse,
     record: &mut RequestRecord,
 ) -> BodyOutcome {
-    let PendingResponse { parts, info, mut body, connection, engine } = pending;
+    let PendingResponse { attempt, parts, info, mut body, connection, engine } = pending;
     let state = &admitted.state;
     let mut held = state.held_bodies.hold_body();
     let read = state.wait_until(admitted.deadline, async {
@@ -515,8 +453,8 @@
     match read.await.unwrap_or(Err("body-silent")) {
         Ok(()) => {
             record.record_first_event();
-            if let Some(last) = record.attempts.last_mut() {
-                last.progress = AnswerProgress::Streaming;
+            if let Some(attempt) = record.attempts.get_mut(attempt) {
+                attempt.progress = AnswerProgress::Streaming;
             }
             if parts.status.is_success() {
                 let now = time_since_boot();
@@ -532,8 +470,8 @@
             let now = time_since_boot();
             state.lock_traffic().record_outcome(now, &engine.entry.id, true);
             state.lock_service_log().record_failed_attempt(now, &engine.entry.id, false);
-            if let Some(last) = record.attempts.last_mut() {
-                last.outcome = label;
+            if let Some(attempt) = record.attempts.get_mut(attempt) {
+                attempt.outcome = label;
             }
             let is_suspect =
                 examine_interruption(admitted, &engine.entry, AnswerProgress::Begun).await;
