Tell orders that were not delivered from rejected ones

A request for an adapter was refused for up to five seconds longer than necessary. When an engine accepted no connection within 0.25 s, or the right to orders had ended, the order for the adapter had the same answer as one that the engine rejects, and the engine was not asked for that adapter for 5 s. A sound engine may be silent for a moment.

An order that was not delivered has an answer of its own, which excludes no engine. The ledger still waits for a report before the next order, so an engine that stays silent gets no series of orders.

The simulated fleet uses the new answer for engines that have ended.

--- a/crates/skylarkgw/src/decision/fleet_planner.rs
+++ b/crates/skylarkgw/src/decision/fleet_planner.rs
@@ -516,7 +516,13 @@
                 ledger.add_adapters(now, &order.model, std::slice::from_ref(adapter));
             }
             (OrderAnswer::Holds, _, None) => ledger.mark_unconfirmed(now),
-            (OrderAnswer::Conflict | OrderAnswer::Rejected | OrderAnswer::Fenced, ..) => {
+            (
+                OrderAnswer::Conflict
+                | OrderAnswer::Rejected
+                | OrderAnswer::Fenced
+                | OrderAnswer::Undelivered,
+                ..,
+            ) => {
                 if let (OrderAnswer::Rejected, Some(adapter)) = (answer, &order.adapter) {
                     let key = (order.engine.clone(), order.model.clone(), adapter.clone());
                     self.rejected_adapters.insert(key, now);
--- a/crates/skylarkgw/src/decision/fleet_planner/vacancy.rs
+++ b/crates/skylarkgw/src/decision/fleet_planner/vacancy.rs
@@ -391,6 +391,7 @@
         ("load", _) if holds => "done",
         ("unload", _) if !holds => "done",
         (_, Some(OrderAnswer::Conflict | OrderAnswer::Rejected | OrderAnswer::Fenced)) => "refused",
+        (_, Some(OrderAnswer::Undelivered)) => "undelivered",
         (_, Some(OrderAnswer::Unknown)) => "unknown",
         _ => "not-reported",
     };
--- a/crates/skylarkgw/src/gateway/control.rs
+++ b/crates/skylarkgw/src/gateway/control.rs
@@ -266,9 +266,9 @@
         let answer = match may_order {
             true => match self.engine_calls.send(call).await {
                 Ok(()) => answer.await.unwrap_or(OrderAnswer::Unknown),
-                Err(_) => OrderAnswer::Rejected,
+                Err(_) => OrderAnswer::Undelivered,
             },
-            false => OrderAnswer::Rejected,
+            false => OrderAnswer::Undelivered,
         };
         let (engine, model) = (order.engine.to_string(), order.model.to_string());
         let adapter = order.adapter.as_deref().unwrap_or_default().to_owned();
--- a/crates/skylarkgw/src/gateway/ports.rs
+++ b/crates/skylarkgw/src/gateway/ports.rs
@@ -138,9 +138,11 @@
     Conflict,
     /// The engine refused the order because its fencing token is too low.
     Fenced,
-    /// The order was not delivered, or was rejected because another engine has the
-    /// address or because the order is not valid there. It will not be carried out.
+    /// The order was rejected because another engine has the address or because the order
+    /// is not valid there. It will not be carried out.
     Rejected,
+    /// The order was not delivered and will not be carried out.
+    Undelivered,
     /// The outcome is unknown; the order may still be carried out.
     Unknown,
 }
--- a/crates/skylarkgw/tests/decisions/fleet_model.rs
+++ b/crates/skylarkgw/tests/decisions/fleet_model.rs
@@ -407,7 +407,7 @@
                 OrderAnswer::Unknown
             }
             Some(engine) => engine.handle_order(now, order, rule),
-            None => OrderAnswer::Rejected,
+            None => OrderAnswer::Undelivered,
         };
         let (share, until) = self.lost_answers;
         if now < until && self.rng.random_bool(share) {
--- a/crates/skylarkgw/tests/decisions/fleet_model/engines.rs
+++ b/crates/skylarkgw/tests/decisions/fleet_model/engines.rs
@@ -76,7 +76,7 @@
         rule: &GenerationRule,
     ) -> OrderAnswer {
         if !self.is_running() {
-            return OrderAnswer::Rejected;
+            return OrderAnswer::Undelivered;
         }
         if self.in_progress.is_some() || order.expected_count != self.order_count {
             return OrderAnswer::Conflict;
--- a/crates/skylarkgw/tests/decisions/main.rs
+++ b/crates/skylarkgw/tests/decisions/main.rs
@@ -21,6 +21,7 @@
 mod samples;
 mod scale;
 mod shared_map;
+mod silence;
 mod starvation;
 mod statements;
 mod stops;
