Carry the era of the store with every revision

After a restore from an older copy the store counts its revisions from that copy's, so two revisions can be compared only if both belong to one era.

The registry's stamp becomes a `StoreStamp`, whose position is an era and a revision, and goes with the copies that hosts exchange. The line `request ended` gains `registry_era`.

Nothing is decided by the era yet: the directory and the lease compare revisions as before, and the lease record states no era.

--- a/crates/skylarkgw/src/decision.rs
+++ b/crates/skylarkgw/src/decision.rs
@@ -41,6 +41,7 @@
 pub mod shared_map;
 pub mod shares;
 pub mod stop_plan;
+pub mod store_order;
 pub mod traffic;
 
 pub use host::HostMachine;
--- a/crates/skylarkgw/src/decision/coordinator.rs
+++ b/crates/skylarkgw/src/decision/coordinator.rs
@@ -11,7 +11,6 @@
 use serde::{Deserialize, Serialize};
 
 use crate::decision::deputies::{DeputyHost, choose_deputies};
-use crate::decision::directory::RegistryStamp;
 use crate::decision::engine_loads::{EngineLoads, EngineNumber, LoadTable};
 use crate::decision::engine_statements::{
     EngineStatement, StatedFact, StatementBook, StatementReport,
@@ -24,6 +23,7 @@
 use crate::decision::prompt_quarantine::{PromptQuarantine, QuarantineEvent, QuarantineState};
 use crate::decision::quota_pool::{PoolStart, QuotaPool, QuotaTolerance};
 use crate::decision::shared_map::{MapDelta, SharedMap, first_version, version_token};
+use crate::decision::store_order::{StorePosition, StoreStamp};
 use crate::gateway::declaration::{FleetDeclaration, ServiceName};
 use crate::gateway::ports::{EngineOrder, EngineReport, OrderAnswer};
 use crate::gateway::registry::EngineEntry;
@@ -105,8 +105,8 @@
     pub declaration: Duration,
     /// Time since the registry was last confirmed to be current.
     pub registry: Duration,
-    /// Revision of the store up to which the registry contains all changes.
-    pub registry_revision: ObjectVersion,
+    /// Position of the store up to which the registry contains all changes.
+    pub registry_position: StorePosition,
 }
 
 /// Reply of the coordinator to a [`HostReport`].
@@ -188,7 +188,7 @@
     registry: SharedMap<RegisteredEngine>,
     /// Complete entries from which those of `registry` were made.
     listed: HashMap<EndpointId, Arc<EngineEntry>>,
-    registry_stamp: RegistryStamp,
+    registry_stamp: StoreStamp,
     quarantine: PromptQuarantine,
     statements: StatementBook,
     deputies: Vec<DeputyHost>,
@@ -221,7 +221,7 @@
             notices: SharedMap::new(token),
             registry: SharedMap::new(token),
             listed: HashMap::new(),
-            registry_stamp: RegistryStamp::default(),
+            registry_stamp: StoreStamp::default(),
             quarantine: PromptQuarantine::new(token),
             statements: StatementBook::new(token),
             deputies: Vec::new(),
@@ -241,17 +241,17 @@
     }
 
     /// Returns up to when the registry in replies contains all changes.
-    pub fn registry_stamp(&self) -> RegistryStamp {
+    pub fn registry_stamp(&self) -> StoreStamp {
         self.registry_stamp
     }
 
     /// Records that the registry was confirmed to be current up to `stamp`.
-    pub fn confirm_registry(&mut self, stamp: RegistryStamp) {
+    pub fn confirm_registry(&mut self, stamp: StoreStamp) {
         self.registry_stamp = stamp;
     }
 
     /// Updates the registry with the complete list of engines.
-    pub fn update_registry(&mut self, stamp: RegistryStamp, engines: &[Arc<EngineEntry>]) {
+    pub fn update_registry(&mut self, stamp: StoreStamp, engines: &[Arc<EngineEntry>]) {
         self.registry_stamp = stamp;
         let listed: HashMap<EndpointId, Arc<EngineEntry>> =
             engines.iter().map(|entry| (entry.id.clone(), entry.clone())).collect();
--- a/crates/skylarkgw/src/decision/coordinator_lease.rs
+++ b/crates/skylarkgw/src/decision/coordinator_lease.rs
@@ -342,7 +342,7 @@
 
     fn apply_answer(&mut self, now: Duration, sent_at: Duration, answer: LeaseAnswer) {
         match answer {
-            LeaseAnswer::Found { version, record, is_written } => {
+            LeaseAnswer::Found { version, record, is_written, .. } => {
                 self.named = None;
                 self.is_missing = false;
                 if let Some(record) = record.as_ref().filter(|_| !is_written) {
@@ -362,7 +362,7 @@
                     self.seen = Some(SeenRecord { version, record, expires_by });
                 }
             }
-            LeaseAnswer::Missing => {
+            LeaseAnswer::Missing { .. } => {
                 self.seen = None;
                 self.held = None;
                 self.is_missing = true;
@@ -464,6 +464,7 @@
             incarnation: self.incarnation,
             address: self.address,
             token,
+            era: None,
             is_released,
             refused_parts: refused
                 .map(|(part, until)| (*part, until.saturating_sub(now)))
--- a/crates/skylarkgw/src/decision/directory.rs
+++ b/crates/skylarkgw/src/decision/directory.rs
@@ -9,8 +9,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use crate::decision::store_order::StoreStamp;
 use crate::gateway::registry::EngineEntry;
-use crate::ids::{EndpointId, ObjectVersion};
+use crate::ids::EndpointId;
 
 /// Time without an answer from the store, with failed calls, after which entries may
 /// have expired.
@@ -23,15 +24,6 @@
 /// a watch.
 pub const REREGISTRATION_TIME: Duration = Duration::from_millis(2_400);
 
-/// Up to when a copy of the registry contains all changes.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
-pub struct RegistryStamp {
-    /// Revision of the store.
-    pub revision: ObjectVersion,
-    /// Time at which the copy was last confirmed to be current.
-    pub as_of: Duration,
-}
-
 /// The engines that may receive requests and orders.
 ///
 /// Copies of the registry come from the store and from the coordinator, in any
@@ -39,7 +31,7 @@
 #[derive(Debug, Default)]
 pub struct EngineDirectory {
     entries: HashMap<EndpointId, Arc<EngineEntry>>,
-    stamp: RegistryStamp,
+    stamp: StoreStamp,
     /// Entries that were known before an outage and are not registered now.
     missing: HashMap<EndpointId, Arc<EngineEntry>>,
     /// Whether a call to the store has failed since its last answer.
@@ -56,15 +48,15 @@
     pub fn update_from_store(
         &mut self,
         now: Duration,
-        stamp: RegistryStamp,
+        stamp: StoreStamp,
         listed: Vec<EngineEntry>,
     ) -> bool {
-        if stamp.revision < self.stamp.revision {
+        if stamp.position.revision < self.stamp.position.revision {
             return false;
         }
         let gap = stamp.as_of.saturating_sub(self.stamp.as_of);
         let limit = if self.has_failed { OUTAGE_THRESHOLD } else { UNSEEN_OUTAGE_THRESHOLD };
-        let is_first = self.stamp == RegistryStamp::default();
+        let is_first = self.stamp == StoreStamp::default();
         if !is_first && gap > limit {
             self.settling_since = Some(now);
         }
@@ -97,10 +89,10 @@
     /// The list includes entries that the coordinator kept because of an outage.
     pub fn update_from_coordinator(
         &mut self,
-        stamp: RegistryStamp,
+        stamp: StoreStamp,
         listed: impl IntoIterator<Item: Into<Arc<EngineEntry>>>,
     ) -> bool {
-        if stamp.revision < self.stamp.revision {
+        if stamp.position.revision < self.stamp.position.revision {
             return false;
         }
         self.replace(stamp, listed);
@@ -115,7 +107,7 @@
     /// Replaces the entries and returns the previous ones.
     fn replace(
         &mut self,
-        stamp: RegistryStamp,
+        stamp: StoreStamp,
         listed: impl IntoIterator<Item: Into<Arc<EngineEntry>>>,
     ) -> HashMap<EndpointId, Arc<EngineEntry>> {
         self.record_unchanged(stamp);
@@ -133,8 +125,10 @@
     }
 
     /// Records that the entries were confirmed to be current up to `stamp`.
-    pub fn record_unchanged(&mut self, stamp: RegistryStamp) {
-        self.stamp.revision = self.stamp.revision.max(stamp.revision);
+    pub fn record_unchanged(&mut self, stamp: StoreStamp) {
+        if stamp.position.revision >= self.stamp.position.revision {
+            self.stamp.position = stamp.position;
+        }
         self.stamp.as_of = self.stamp.as_of.max(stamp.as_of);
         self.has_failed = false;
     }
@@ -151,7 +145,7 @@
     }
 
     /// Returns up to when the entries contain all changes.
-    pub fn stamp(&self) -> RegistryStamp {
+    pub fn stamp(&self) -> StoreStamp {
         self.stamp
     }
 
--- a/crates/skylarkgw/src/edge/forward/record.rs
+++ b/crates/skylarkgw/src/edge/forward/record.rs
@@ -287,12 +287,14 @@
         let (revision, age_ms) = (self.declaration.0, to_millis(self.declaration.1));
         let registry_age_ms = to_millis(self.state.registry_age(time_since_boot()));
         let registry = self.state.snapshot.load().registry;
-        let (registry_revision, registry_source) = (registry.revision, registry.source.label());
+        let (registry_revision, registry_source) =
+            (registry.position.revision, registry.source.label());
+        let registry_era = registry.position.era.map_or(-1, i64::from);
         let (pause_ms, total_ms) = (to_millis(self.longest_pause), to_millis(total));
         info!("request ended", kv: {
             request = id, route, workspace, model, adapter, end, reason, status, tokens, tries, parts,
             first_ms, pause_ms, total_ms, retry_after_ms, revision, declaration_age_ms = age_ms, registry_age_ms,
-            registry_revision, registry_source
+            registry_revision, registry_era, registry_source
         });
     }
 }
--- a/crates/skylarkgw/src/gateway/control.rs
+++ b/crates/skylarkgw/src/gateway/control.rs
@@ -157,7 +157,7 @@
             revision: declaration.map_or(0, |declaration| declaration.revision),
             declaration: self.state.declaration_age(now),
             registry: now.saturating_sub(stamp.as_of),
-            registry_revision: stamp.revision,
+            registry_position: stamp.position,
         };
         self.count_reply(&reply);
         Some(CoordinatorReply { age, lease, ..reply })
--- a/crates/skylarkgw/src/gateway/control/deputy.rs
+++ b/crates/skylarkgw/src/gateway/control/deputy.rs
@@ -6,8 +6,8 @@
 
 use crate::decision::coordinator::KnowledgeAge;
 use crate::decision::deputies::StoreAccess;
-use crate::decision::directory::RegistryStamp;
 use crate::decision::freshness::STORE_READ_AGE;
+use crate::decision::store_order::StoreStamp;
 use crate::gateway::clock::time_since_boot;
 use crate::gateway::control::{ControlContext, lock};
 use crate::gateway::peers::{CoordinatorClient, DeputyAnswer, DeputyQuestion};
@@ -29,7 +29,7 @@
         let (stamp, engines) = {
             let directory = lock(&self.directory);
             let stamp = directory.stamp();
-            let is_newer = stamp.revision > question.registry_revision;
+            let is_newer = stamp.position.revision > question.registry_position.revision;
             (stamp, is_newer.then(|| directory.engines(now).cloned().collect()))
         };
         let lease = lock(&self.lease);
@@ -44,7 +44,7 @@
                 revision,
                 declaration: self.state.declaration_age(now),
                 registry: now.saturating_sub(stamp.as_of),
-                registry_revision: stamp.revision,
+                registry_position: stamp.position,
             },
             declaration: declaration.filter(|_| revision > question.revision),
             engines,
@@ -61,7 +61,7 @@
         let declaration = self.state.snapshot.load().declaration.clone();
         let question = DeputyQuestion {
             revision: declaration.map_or(0, |declaration| declaration.revision),
-            registry_revision: lock(&self.directory).stamp().revision,
+            registry_position: lock(&self.directory).stamp().position,
         };
         let answer = match CoordinatorClient::open(address).await {
             Some(client) => client.ask_deputy(question).await,
@@ -103,12 +103,12 @@
             self.state.record_declaration_time(sent_at.saturating_sub(answer.age.declaration));
         }
         let as_of = sent_at.saturating_sub(answer.age.registry);
-        let stamp = RegistryStamp { revision: answer.age.registry_revision, as_of };
+        let stamp = StoreStamp { position: answer.age.registry_position, as_of };
         let is_used = {
             let mut directory = lock(&self.directory);
             match answer.engines {
                 Some(engines) => directory.update_from_coordinator(stamp, engines),
-                None if directory.stamp().revision == stamp.revision => {
+                None if directory.stamp().position.revision == stamp.position.revision => {
                     directory.record_unchanged(stamp);
                     false
                 }
--- a/crates/skylarkgw/src/gateway/control/knowledge.rs
+++ b/crates/skylarkgw/src/gateway/control/knowledge.rs
@@ -11,11 +11,11 @@
 
 use crate::decision::coordinator::{KnowledgeAge, RegisteredEngine};
 use crate::decision::deputies::StoreAccess;
-use crate::decision::directory::RegistryStamp;
 use crate::decision::engine_loads::EngineNumber;
 use crate::decision::freshness::{batch_delay, is_searching_coordinator, needs_store_read};
 use crate::decision::route_table::RouteTable;
 use crate::decision::shared_map::MapDelta;
+use crate::decision::store_order::StoreStamp;
 use crate::gateway::clock::time_since_boot;
 use crate::gateway::control::{ControlContext, DIRECTORY_REFRESH_INTERVAL, lock};
 use crate::gateway::declaration::FleetDeclaration;
@@ -75,7 +75,7 @@
             self.state.record_declaration_time(sent_at.saturating_sub(age.declaration));
         }
         let as_of = sent_at.saturating_sub(age.registry);
-        let stamp = RegistryStamp { revision: age.registry_revision, as_of };
+        let stamp = StoreStamp { position: age.registry_position, as_of };
         self.state.record_registry_time(as_of);
         let is_coordinator = lock(&self.lease).token(time_since_boot()).is_some();
         let is_behind = revision < age.revision;
@@ -120,12 +120,12 @@
     pub(super) fn record_registry_copy(
         &self,
         source: RegistrySource,
-        stamp: RegistryStamp,
+        stamp: StoreStamp,
         is_used: bool,
     ) {
         self.state.metrics.fleet.count_registry_copy(source.label(), !is_used);
         if is_used {
-            let origin = RegistryOrigin { revision: stamp.revision, source };
+            let origin = RegistryOrigin { position: stamp.position, source };
             self.update_snapshot(|snapshot| snapshot.registry = origin);
         }
     }
@@ -211,8 +211,8 @@
     loop {
         tokio::select! {
             update = updates.recv() => match update {
-                Some(StoreUpdate::Current { value, revision, as_of }) => {
-                    let stamp = RegistryStamp { revision, as_of };
+                Some(StoreUpdate::Current { value, position, as_of }) => {
+                    let stamp = StoreStamp { position, as_of };
                     let now = time_since_boot();
                     let RegistryCopy { entries, unusable } = value;
                     let is_used = {
--- a/crates/skylarkgw/src/gateway/peers.rs
+++ b/crates/skylarkgw/src/gateway/peers.rs
@@ -14,10 +14,11 @@
 
 use crate::decision::coordinator::{CoordinatorReply, HostReport, KnowledgeAge, QuotaAnswer};
 use crate::decision::freshness::EXCHANGE_TIMEOUT;
+use crate::decision::store_order::StorePosition;
 use crate::gateway::control::ControlContext;
 use crate::gateway::declaration::{FleetDeclaration, ServiceName};
 use crate::gateway::registry::EngineEntry;
-use crate::ids::{EndpointId, HostId, ModelName, ObjectVersion, Revision, Tokens, WorkspaceId};
+use crate::ids::{EndpointId, HostId, ModelName, Revision, Tokens, WorkspaceId};
 use serde::{Deserialize, Serialize};
 
 /// Longest time to open a connection to the coordinator.
@@ -42,8 +43,8 @@
 pub struct DeputyQuestion {
     /// Revision of its declaration.
     pub revision: Revision,
-    /// Revision of the store up to which its registry contains all changes.
-    pub registry_revision: ObjectVersion,
+    /// Position of the store up to which its registry contains all changes.
+    pub registry_position: StorePosition,
 }
 
 /// What a deputy knows.
--- a/crates/skylarkgw/src/gateway/ports.rs
+++ b/crates/skylarkgw/src/gateway/ports.rs
@@ -10,9 +10,10 @@
 use serde::{Deserialize, Serialize};
 use tokio::sync::{mpsc, oneshot, watch};
 
+use crate::decision::store_order::StorePosition;
 use crate::gateway::declaration::FleetDeclaration;
 use crate::gateway::registry::RegistryCopy;
-use crate::ids::{EndpointId, ModelName, ObjectVersion, PartHash};
+use crate::ids::{EndpointId, ModelName, ObjectVersion, PartHash, StoreEra};
 
 /// Result of one read or watch of the store.
 #[derive(Clone, Debug)]
@@ -21,8 +22,8 @@
     Current {
         /// The value.
         value: T,
-        /// Revision of the store up to which the value contains all changes.
-        revision: ObjectVersion,
+        /// Position of the store up to which the value contains all changes.
+        position: StorePosition,
         /// Time since boot at which the value was current.
         as_of: Duration,
     },
@@ -54,6 +55,9 @@
     pub address: SocketAddr,
     /// Fencing token, which increases with every new holder.
     pub token: u64,
+    /// Era of the store that the holder expected when it wrote the record. `None` if it
+    /// knew none, and in records of older versions.
+    pub era: Option<StoreEra>,
     /// Whether the holder has released the lease.
     pub is_released: bool,
     /// Prompt parts that are refused, each with the time from the write until a trial
@@ -68,13 +72,18 @@
     Found {
         /// Version of the record.
         version: ObjectVersion,
+        /// Era of the store in which it answered.
+        era: Option<StoreEra>,
         /// The record, or `None` if it cannot be decoded.
         record: Option<LeaseRecord>,
         /// Whether the record was written by this call.
         is_written: bool,
     },
     /// The record does not exist.
-    Missing,
+    Missing {
+        /// Era of the store in which it answered.
+        era: Option<StoreEra>,
+    },
     /// The call failed without effect.
     Refused,
     /// No response arrived; a write may have taken effect or may do so later.
--- a/crates/skylarkgw/src/gateway/state.rs
+++ b/crates/skylarkgw/src/gateway/state.rs
@@ -19,6 +19,7 @@
 use crate::decision::quota_pool::LocalQuota;
 use crate::decision::route_table::RouteTable;
 use crate::decision::stop_plan::StopPlan;
+use crate::decision::store_order::StorePosition;
 use crate::decision::traffic::TrafficStats;
 use crate::endpoint::{ByteBudget, ConnectionPool};
 use crate::gateway::clock::time_since_boot;
@@ -27,7 +28,7 @@
 use crate::gateway::registry::EngineEntry;
 use crate::gateway::settings::GatewaySettings;
 use crate::gateway::wire::HeaderCodec;
-use crate::ids::{EndpointId, ModelName, ObjectVersion, Tokens, WorkspaceId};
+use crate::ids::{EndpointId, ModelName, Tokens, WorkspaceId};
 use crate::telemetry::Metrics;
 
 /// Part of the memory of the process that held response bodies may use.
@@ -53,8 +54,8 @@
 /// Origin of a copy of the engine registry.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct RegistryOrigin {
-    /// Revision of the store up to which the copy contains all changes.
-    pub revision: ObjectVersion,
+    /// Position of the store up to which the copy contains all changes.
+    pub position: StorePosition,
     /// Where the copy came from.
     pub source: RegistrySource,
 }
--- a/crates/skylarkgw/src/ids.rs
+++ b/crates/skylarkgw/src/ids.rs
@@ -26,6 +26,8 @@
 /// Version of an object in the platform's store; zero means that the object does
 /// not exist.
 pub type ObjectVersion = u64;
+/// Number of times that the platform's store has begun anew from a backup.
+pub type StoreEra = u32;
 /// Number of prompt tokens, of generated tokens, or of both.
 pub type Tokens = u64;
 /// Share of a workspace's allowance, in units of 1 / [`PARTS_PER_ALLOWANCE`].
--- a/crates/skylarkgw/tests/decisions/coordinator.rs
+++ b/crates/skylarkgw/tests/decisions/coordinator.rs
@@ -5,9 +5,9 @@
 
 use bincode::Options;
 use skylarkgw::decision::coordinator::{Coordinator, HostReport};
-use skylarkgw::decision::directory::RegistryStamp;
 use skylarkgw::decision::freshness::exchange_interval;
 use skylarkgw::decision::quota_pool::{PoolStart, QuotaTolerance};
+use skylarkgw::decision::store_order::StoreStamp;
 use skylarkgw::gateway::declaration::FleetDeclaration;
 use skylarkgw::gateway::ports::EngineReport;
 use skylarkgw::gateway::registry::{EngineEntry, HeldModel};
@@ -70,7 +70,7 @@
         let declaration = FleetDeclaration { workspaces, ..declaration(&["sage"]) };
         coordinator.apply_declaration(ms(0), &declaration);
         let engines: Vec<_> = (0..ENGINES).map(|number| full_engine(number, 0)).collect();
-        coordinator.update_registry(RegistryStamp::default(), &engines);
+        coordinator.update_registry(StoreStamp::default(), &engines);
         let report = |number: usize| HostReport {
             host: format!("edge-muscat-a-{number}").into(),
             running: (0..ENGINES).map(|engine| (engine as u32, 3)).collect(),
@@ -122,7 +122,7 @@
         self.coordinator.record_report(ms(self.now), &entry.id, report);
         let mut engines: Vec<_> = (0..ENGINES).map(|number| full_engine(number, 0)).collect();
         engines[number] = entry;
-        self.coordinator.update_registry(RegistryStamp::default(), &engines);
+        self.coordinator.update_registry(StoreStamp::default(), &engines);
     }
 }
 
--- a/crates/skylarkgw/tests/decisions/directory.rs
+++ b/crates/skylarkgw/tests/decisions/directory.rs
@@ -1,7 +1,8 @@
 //! Tests of the engine directory when many registry leases expire during an
 //! outage of the store.
 
-use skylarkgw::decision::directory::{EngineDirectory, REREGISTRATION_TIME, RegistryStamp};
+use skylarkgw::decision::directory::{EngineDirectory, REREGISTRATION_TIME};
+use skylarkgw::decision::store_order::{StorePosition, StoreStamp};
 use skylarkgw::gateway::registry::EnginePhase;
 
 use crate::samples::{engine, ms};
@@ -17,8 +18,8 @@
     names.iter().map(|name| (*engine(name, &[])).clone()).collect()
 }
 
-fn stamp(revision: u64, as_of: u64) -> RegistryStamp {
-    RegistryStamp { revision, as_of: ms(as_of) }
+fn stamp(revision: u64, as_of: u64) -> StoreStamp {
+    StoreStamp { position: StorePosition { era: None, revision }, as_of: ms(as_of) }
 }
 
 #[test]
@@ -61,10 +62,10 @@
     directory.update_from_store(ms(0), stamp(802, 0), draining);
     directory.update_from_store(ms(100), stamp(800, 100), entries(&["e1", "e2"]));
     let phases: Vec<_> = directory.engines(ms(100)).map(|entry| entry.phase).collect();
-    assert_eq!((phases, directory.stamp().revision), (vec![EnginePhase::Draining], 802));
+    assert_eq!((phases, directory.stamp().position.revision), (vec![EnginePhase::Draining], 802));
     directory.update_from_store(ms(200), stamp(803, 200), entries(&["e1"]));
     let phases: Vec<_> = directory.engines(ms(200)).map(|entry| entry.phase).collect();
-    assert_eq!((phases, directory.stamp().revision), (vec![EnginePhase::Ready], 803));
+    assert_eq!((phases, directory.stamp().position.revision), (vec![EnginePhase::Ready], 803));
 }
 
 /// Guards against requests to an engine that has left: a host that had not asked the
--- a/crates/skylarkgw/tests/decisions/fleet_model.rs
+++ b/crates/skylarkgw/tests/decisions/fleet_model.rs
@@ -12,11 +12,11 @@
 use rand_chacha::ChaCha8Rng;
 use rand_chacha::rand_core::SeedableRng;
 use skylarkgw::decision::coordinator::{Coordinator, HostReport};
-use skylarkgw::decision::directory::RegistryStamp;
 use skylarkgw::decision::fleet_planner::{AdapterDecision, EngineNotice, PlannerCall};
 use skylarkgw::decision::model_demand::ModelUse;
 use skylarkgw::decision::obligations::{ServiceLog, ServiceTarget, UnservedCause};
 use skylarkgw::decision::quota_pool::{PoolStart, QuotaTolerance};
+use skylarkgw::decision::store_order::{StorePosition, StoreStamp};
 use skylarkgw::gateway::declaration::{FleetDeclaration, GenerationRule, ModelRule};
 use skylarkgw::gateway::ports::{EngineOrder, OrderAnswer};
 use skylarkgw::gateway::registry::{EngineEntry, EnginePhase};
@@ -360,7 +360,8 @@
         let listed = self.engines.iter().filter(is_listed);
         self.registry = listed.map(|engine| Arc::new(engine.list(now))).collect();
         if let Some(coordinator) = &mut self.coordinator {
-            let stamp = RegistryStamp { revision: self.step, as_of: now };
+            let position = StorePosition { era: None, revision: self.step };
+            let stamp = StoreStamp { position, as_of: now };
             coordinator.update_registry(stamp, &self.registry);
         }
     }
@@ -374,7 +375,8 @@
                 QuotaTolerance { window: ms(8_000), overshoot: 0.1, slack_tokens: 17_000.0 };
             let mut coordinator =
                 Coordinator::new(now, self.token, tolerance, PoolStart::AfterLoss);
-            let stamp = RegistryStamp { revision: self.step, as_of: now };
+            let position = StorePosition { era: None, revision: self.step };
+            let stamp = StoreStamp { position, as_of: now };
             coordinator.update_registry(stamp, &self.registry);
             self.coordinator = Some(coordinator);
         }
--- a/crates/skylarkgw/tests/decisions/lease.rs
+++ b/crates/skylarkgw/tests/decisions/lease.rs
@@ -37,9 +37,10 @@
             }
         };
         Some(match &self.record {
-            None => LeaseAnswer::Missing,
+            None => LeaseAnswer::Missing { era: None },
             Some(record) => LeaseAnswer::Found {
                 version: self.version,
+                era: None,
                 record: Some(record.clone()),
                 is_written,
             },
@@ -283,7 +284,8 @@
         match lease.step(ms(step * 400), false) {
             LeaseAction::Wait => {}
             LeaseAction::Read => {
-                let answer = LeaseAnswer::Found { version: 70, record: None, is_written: false };
+                let answer =
+                    LeaseAnswer::Found { version: 70, era: None, record: None, is_written: false };
                 lease.handle_answer(ms(step * 400), ms(step * 400), answer);
             }
             LeaseAction::Write { expected, record } => {
--- a/crates/skylarkgw/tests/decisions/limits.rs
+++ b/crates/skylarkgw/tests/decisions/limits.rs
@@ -6,9 +6,9 @@
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use skylarkgw::decision::coordinator::{Coordinator, HostReport, QuotaAnswer};
-use skylarkgw::decision::directory::RegistryStamp;
 use skylarkgw::decision::engine_statements::{AnswerStatement, EngineStatements};
 use skylarkgw::decision::quota_pool::{PoolStart, QuotaTolerance};
+use skylarkgw::decision::store_order::StoreStamp;
 use skylarkgw::ids::EndpointId;
 
 use crate::samples::{engine, ms};
@@ -49,7 +49,7 @@
 fn new_coordinator(now: u64, token: u64) -> Coordinator {
     let tolerance = QuotaTolerance { window: ms(8_000), overshoot: 0.1, slack_tokens: 17_000.0 };
     let mut coordinator = Coordinator::new(ms(now), token, tolerance, PoolStart::AfterLoss);
-    coordinator.update_registry(RegistryStamp::default(), &[engine(ENGINE, &["sage"])]);
+    coordinator.update_registry(StoreStamp::default(), &[engine(ENGINE, &["sage"])]);
     coordinator
 }
 
--- a/crates/skylarkgw/tests/decisions/main.rs
+++ b/crates/skylarkgw/tests/decisions/main.rs
@@ -24,4 +24,5 @@
 mod starvation;
 mod statements;
 mod stops;
+mod store_order;
 mod vacancies;
--- a/crates/skylarkgw/tests/decisions/scale.rs
+++ b/crates/skylarkgw/tests/decisions/scale.rs
@@ -6,11 +6,11 @@
 
 use bincode::Options;
 use skylarkgw::decision::coordinator::{Coordinator, CoordinatorReply, HostReport};
-use skylarkgw::decision::directory::RegistryStamp;
 use skylarkgw::decision::engine_loads::EngineLoads;
 use skylarkgw::decision::freshness::exchange_interval;
 use skylarkgw::decision::model_demand::ModelUse;
 use skylarkgw::decision::quota_pool::{PoolStart, QuotaTolerance};
+use skylarkgw::decision::store_order::StoreStamp;
 use skylarkgw::gateway::declaration::FleetDeclaration;
 use skylarkgw::gateway::ports::{EngineOrder, EngineReport, OrderAnswer};
 use skylarkgw::gateway::registry::{EngineEntry, HeldModel};
@@ -79,7 +79,7 @@
                 })
             })
             .collect();
-        coordinator.update_registry(RegistryStamp::default(), &entries);
+        coordinator.update_registry(StoreStamp::default(), &entries);
         for entry in &entries {
             let models = entry.models.iter().map(|held| (held.name.clone(), held.adapters.clone()));
             let report = EngineReport {
--- a/crates/skylarkgw/tests/decisions/statements.rs
+++ b/crates/skylarkgw/tests/decisions/statements.rs
@@ -5,13 +5,13 @@
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use skylarkgw::decision::coordinator::{Coordinator, HostReport};
-use skylarkgw::decision::directory::RegistryStamp;
 use skylarkgw::decision::engine_statements::{
     AnswerStatement, EngineStatements, KnownStatement, MAX_TURN_AWAY, StatedFact, StatementChange,
     StatementObservation, StatementReport, TurnAway, find_willing_engines,
 };
 use skylarkgw::decision::fleet_planner::PlannerCall;
 use skylarkgw::decision::quota_pool::{PoolStart, QuotaTolerance};
+use skylarkgw::decision::store_order::StoreStamp;
 use skylarkgw::gateway::ports::{EngineReport, OrderKind};
 use skylarkgw::gateway::registry::EngineEntry;
 use skylarkgw::ids::EndpointId;
@@ -107,7 +107,7 @@
     fn list_engines(&mut self) {
         let entries = (0..ENGINES).map(|index| entry(index, self.engines[index].started_ms));
         let entries: Vec<_> = entries.map(std::sync::Arc::new).collect();
-        self.coordinator.update_registry(RegistryStamp::default(), &entries);
+        self.coordinator.update_registry(StoreStamp::default(), &entries);
         for host in &mut self.hosts {
             host.statements.update_registry(|id| {
                 entries.iter().find(|entry| entry.id == *id).map(|entry| entry.started_ms)
@@ -324,7 +324,7 @@
     let mut coordinator =
         Coordinator::new(ms(0), 1, QuotaTolerance::default(), PoolStart::AfterLoss);
     let engines = [engine("i-0", &["sage"]), engine("i-1", &[])];
-    coordinator.update_registry(RegistryStamp::default(), &engines);
+    coordinator.update_registry(StoreStamp::default(), &engines);
     coordinator.record_report(ms(0), &"i-0".into(), report_of(&["sage"]));
     coordinator.record_report(ms(0), &"i-1".into(), report_of(&[]));
     let plan = |coordinator: &mut Coordinator, now: u64| {
--- a/crates/skylarkgw/tests/gateway/registry.rs
+++ b/crates/skylarkgw/tests/gateway/registry.rs
@@ -1,6 +1,7 @@
 //! The engine registry that a coordinator passes on.
 
 use skylarkgw::decision::coordinator::HostReport;
+use skylarkgw::decision::store_order::StorePosition;
 use skylarkgw::gateway::clock::time_since_boot;
 use skylarkgw::gateway::ports::StoreUpdate;
 use skylarkgw::gateway::registry::{EnginePhase, RegistryCopy};
@@ -17,7 +18,8 @@
     let send_registry = async |harness: &ControlHarness, revision, phase| {
         let entries = vec![engine("e1", phase)];
         let value = RegistryCopy { entries, unusable: Vec::new() };
-        let update = StoreUpdate::Current { value, revision, as_of: time_since_boot() };
+        let position = StorePosition { era: None, revision };
+        let update = StoreUpdate::Current { value, position, as_of: time_since_boot() };
         harness.registry.send(update).await.expect("the registry task should run");
     };
     send_registry(&harness, 1, EnginePhase::Ready).await;
--- a/crates/skylarkgw/tests/gateway/standin.rs
+++ b/crates/skylarkgw/tests/gateway/standin.rs
@@ -124,9 +124,10 @@
             self.version += 1;
         }
         let answer = match &self.record {
-            None => LeaseAnswer::Missing,
+            None => LeaseAnswer::Missing { era: None },
             Some(record) => LeaseAnswer::Found {
                 version: self.version,
+                era: None,
                 record: Some(record.clone()),
                 is_written,
             },
