--- a/crates/skylarkgw/src/decision/store_order.rs
+++ b/crates/skylarkgw/src/decision/store_order.rs
@@ -25,6 +25,15 @@
     pub revision: ObjectVersion,
 }
 
+impl StorePosition {
+    /// Returns whether the events between `earlier` and this position are complete.
+    ///
+    /// They are not if the store began anew between the two, or may have done so.
+    pub fn continues(&self, earlier: &StorePosition) -> bool {
+        self.era == earlier.era && self.revision >= earlier.revision
+    }
+}
+
 /// Up to when a copy of the store's contents contains all changes.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct StoreStamp {
--- a/crates/skylarkgw/tests/decisions/store_order.rs
+++ b/crates/skylarkgw/tests/decisions/store_order.rs
@@ -58,3 +58,19 @@
     assert!(stamp(None, 1, 1).replaces(&empty));
     assert!(stamp(Some(0), 1, 60_000).replaces(&empty));
 }
+
+/// Guards against events that are missed between two positions, because the store has given
+/// out a revision in two eras.
+#[test]
+fn position_continues_only_one_of_its_era() {
+    let position = |era, revision| StorePosition { era, revision };
+    for era in [None, Some(3)] {
+        assert!(position(era, 10).continues(&position(era, 10)));
+        assert!(position(era, 11).continues(&position(era, 10)));
+        assert!(!position(era, 9).continues(&position(era, 10)));
+    }
+    for (era, earlier) in [(Some(4), Some(3)), (Some(2), Some(3)), (None, Some(3)), (Some(3), None)]
+    {
+        assert!(!position(era, 11).continues(&position(earlier, 10)), "{era:?} {earlier:?}");
+    }
+}
