--- a/crates/skylarkgw/src/decision/store_order.rs
+++ b/crates/skylarkgw/src/decision/store_order.rs
@@ -32,6 +32,13 @@
     pub fn continues(&self, earlier: &StorePosition) -> bool {
         self.era == earlier.era && self.revision >= earlier.revision
     }
+
+    /// Returns whether the store may have reached this position from `earlier` within one
+    /// era. An unknown era may be any.
+    pub fn may_follow(&self, earlier: &StorePosition) -> bool {
+        let is_unknown = self.era.is_none() || earlier.era.is_none();
+        (is_unknown || self.era == earlier.era) && self.revision >= earlier.revision
+    }
 }
 
 /// Up to when a copy of the store's contents contains all changes.
--- a/crates/skylarkgw/tests/decisions/store_order.rs
+++ b/crates/skylarkgw/tests/decisions/store_order.rs
@@ -74,3 +74,14 @@
         assert!(!position(era, 11).continues(&position(earlier, 10)), "{era:?} {earlier:?}");
     }
 }
+
+#[test]
+fn position_may_follow_one_of_an_unknown_era() {
+    let position = |era, revision| StorePosition { era, revision };
+    for (era, earlier) in [(None, Some(3)), (Some(3), None), (Some(3), Some(3))] {
+        assert!(position(era, 10).may_follow(&position(earlier, 10)), "{era:?} {earlier:?}");
+        assert!(!position(era, 9).may_follow(&position(earlier, 10)), "{era:?} {earlier:?}");
+    }
+    assert!(!position(Some(4), 11).may_follow(&position(Some(3), 10)));
+    assert!(!position(Some(2), 11).may_follow(&position(Some(3), 10)));
+}
