Use copies of the registry from a restored store

Callers' requests reached engines that had said seconds ago that they leave. After a restore the store counts its revisions from an older copy's, and the directory dropped every copy with a lower revision than the one known: from the store, the coordinator and deputies alike, until the new revisions had grown past the old ones.

Copies are now ordered by `StoreStamp::replaces`, and a confirmation counts within its era only. A host whose coordinator has the same list in a new era takes it as a copy of its own. The age of the registry advances only with copies that are used or confirmed.

A restored store also lists what it has lost the change of. Entries that were known before and are not in the first copy of an era stay for the time of an outage, and shadow a former instance under the same identifier.

The seven tests of `directory` pass, with one more argument.

--- a/crates/skylarkgw/src/decision/directory.rs
+++ b/crates/skylarkgw/src/decision/directory.rs
@@ -9,6 +9,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use crate::decision::retired_engines::RetiredEngines;
 use crate::decision::store_order::StoreStamp;
 use crate::gateway::registry::EngineEntry;
 use crate::ids::EndpointId;
@@ -26,18 +27,23 @@
 
 /// The engines that may receive requests and orders.
 ///
-/// Copies of the registry come from the store and from the coordinator, in any
+/// Copies of the registry come from the store, the coordinator and deputies, in any
 /// order. One that is older than the entries is ignored.
 #[derive(Debug, Default)]
 pub struct EngineDirectory {
     entries: HashMap<EndpointId, Arc<EngineEntry>>,
     stamp: StoreStamp,
-    /// Entries that were known before an outage and are not registered now.
-    missing: HashMap<EndpointId, Arc<EngineEntry>>,
+    /// Entries that were known before an outage and are not registered now, each with the
+    /// time from which its engine may register again.
+    missing: HashMap<EndpointId, (Duration, Arc<EngineEntry>)>,
+    /// Engines that the store may list as ready again in its next era.
+    retired: RetiredEngines,
     /// Whether a call to the store has failed since its last answer.
     has_failed: bool,
     /// Time of the first answer after an outage.
     settling_since: Option<Duration>,
+    /// Time of the first copy of the present era, if a former one is known.
+    era_since: Option<Duration>,
     /// Number of updates that changed the entries.
     change_count: u64,
 }
@@ -51,26 +57,18 @@
         stamp: StoreStamp,
         listed: Vec<EngineEntry>,
     ) -> bool {
-        if stamp.position.revision < self.stamp.position.revision {
-            return false;
-        }
         let gap = stamp.as_of.saturating_sub(self.stamp.as_of);
         let limit = if self.has_failed { OUTAGE_THRESHOLD } else { UNSEEN_OUTAGE_THRESHOLD };
-        let is_first = self.stamp == StoreStamp::default();
+        let (is_first, era) = (self.stamp == StoreStamp::default(), self.stamp.position.era);
+        if !self.advance(now, stamp) {
+            return false;
+        }
         if !is_first && gap > limit {
             self.settling_since = Some(now);
+            self.await_missing(now);
         }
         let may_have_expired = self.is_settling(now);
-        let previous = self.replace(stamp, listed);
-        if may_have_expired {
-            self.missing.extend(previous);
-        }
-        let registered = &self.entries;
-        let missing = self.missing.len();
-        self.missing.retain(|id, _| may_have_expired && !registered.contains_key(id));
-        if self.missing.len() != missing {
-            self.change_count += 1;
-        }
+        self.replace(now, listed, stamp.position.era != era, may_have_expired);
         true
     }
 
@@ -83,34 +81,65 @@
         self.change_count += 1;
     }
 
-    /// Replaces the entries by a list of the coordinator and returns whether it was
-    /// used.
+    /// Replaces the entries by a list of the coordinator or a deputy, received at `now`,
+    /// and returns whether it was used.
     ///
-    /// The list includes entries that the coordinator kept because of an outage.
+    /// The list includes entries that the other host kept because of an outage. It may
+    /// know less than this one of what a store has lost.
     pub fn update_from_coordinator(
         &mut self,
+        now: Duration,
         stamp: StoreStamp,
         listed: impl IntoIterator<Item: Into<Arc<EngineEntry>>>,
     ) -> bool {
-        if stamp.position.revision < self.stamp.position.revision {
+        let era = self.stamp.position.era;
+        if !self.advance(now, stamp) {
             return false;
         }
-        self.replace(stamp, listed);
-        if !self.missing.is_empty() {
-            self.missing.clear();
-            self.change_count += 1;
-        }
         self.settling_since = None;
+        let is_new_era = stamp.position.era != era;
+        self.replace(now, listed, is_new_era, is_new_era);
         true
     }
 
-    /// Replaces the entries and returns the previous ones.
+    /// Takes over the stamp of a copy if it may replace the entries, and returns whether
+    /// it may.
+    fn advance(&mut self, now: Duration, stamp: StoreStamp) -> bool {
+        let is_first = self.stamp == StoreStamp::default();
+        if !is_first && !stamp.replaces(&self.stamp) {
+            return false;
+        }
+        let (era, known) = (stamp.position.era, self.stamp.position.era);
+        if era != known {
+            self.stamp = stamp;
+            if !is_first {
+                self.era_since = Some(now);
+                self.retired.record_new_era(now);
+            }
+            // An era that goes down or is not always stated may change without end.
+            if known.is_some() && era > known {
+                self.await_missing(now);
+            }
+        }
+        self.record_unchanged(stamp);
+        true
+    }
+
+    /// Allows the engines of all missing entries the whole time to register again.
+    fn await_missing(&mut self, now: Duration) {
+        self.missing.values_mut().for_each(|(since, _)| *since = now);
+    }
+
+    /// Replaces the entries. `is_new_era` is whether the list is the first one of an era, and
+    /// `may_have_expired` whether entries that are not listed any more may have been lost
+    /// with an outage.
     fn replace(
         &mut self,
-        stamp: StoreStamp,
+        now: Duration,
         listed: impl IntoIterator<Item: Into<Arc<EngineEntry>>>,
-    ) -> HashMap<EndpointId, Arc<EngineEntry>> {
-        self.record_unchanged(stamp);
+        is_new_era: bool,
+        may_have_expired: bool,
+    ) {
         // An entry that has not changed stays the same value, which is fast to compare.
         let listed = listed.into_iter().map(|entry| {
             let entry: Arc<EngineEntry> = entry.into();
@@ -118,17 +147,45 @@
             (entry.id.clone(), known.cloned().unwrap_or(entry))
         });
         let listed: HashMap<EndpointId, Arc<EngineEntry>> = listed.collect();
-        if listed != self.entries {
+        let could_change = self.change_count().is_none();
+        if could_change || listed != self.entries {
             self.change_count += 1;
         }
-        std::mem::replace(&mut self.entries, listed)
+        let previous = std::mem::replace(&mut self.entries, listed);
+        let is_kept = may_have_expired && self.is_settling(now);
+        let gone = previous.into_values().filter(|entry| !is_listed(&self.entries, entry));
+        for entry in gone {
+            if let Some(former) = self.entries.get(&entry.id) {
+                self.retired.record_leaving(now, former);
+            }
+            if is_kept && !self.retired.contains(&entry) {
+                self.missing.insert(entry.id.clone(), (now, entry));
+            } else if !is_new_era {
+                self.retired.record_removed(now, &entry);
+            }
+        }
+        let is_settling = self.is_settling(now);
+        self.missing.retain(|_, (since, entry)| {
+            if is_listed(&self.entries, entry) {
+                return false;
+            }
+            let is_awaited = is_settling && is_recent(now, *since);
+            if !is_awaited {
+                self.retired.record_removed(now, entry);
+            }
+            is_awaited
+        });
+        self.retired.record_listed(now, self.entries.values());
     }
 
-    /// Records that the entries were confirmed to be current up to `stamp`.
+    /// Records that the entries were confirmed to be current up to `stamp`, unless it is
+    /// of another era.
     pub fn record_unchanged(&mut self, stamp: StoreStamp) {
-        if stamp.position.revision >= self.stamp.position.revision {
-            self.stamp.position = stamp.position;
+        if stamp.position.era != self.stamp.position.era {
+            return;
         }
+        let revision = &mut self.stamp.position.revision;
+        *revision = stamp.position.revision.max(*revision);
         self.stamp.as_of = self.stamp.as_of.max(stamp.as_of);
         self.has_failed = false;
     }
@@ -141,7 +198,8 @@
     /// Returns a number that changes with the engines, or `None` while they also depend
     /// on the time.
     pub fn change_count(&self) -> Option<u64> {
-        self.missing.is_empty().then_some(self.change_count)
+        let depends_on_time = !self.missing.is_empty() || self.retired.holds_engines();
+        (!depends_on_time).then_some(self.change_count)
     }
 
     /// Returns up to when the entries contain all changes.
@@ -151,13 +209,34 @@
 
     /// Iterates over the registered engines and, shortly after an outage, those
     /// whose entries may have expired because of it.
+    ///
+    /// An engine that had left service in the former era of the store is draining.
     pub fn engines(&self, now: Duration) -> impl Iterator<Item = &Arc<EngineEntry>> {
         let settling = self.is_settling(now);
-        self.entries.values().chain(self.missing.values().filter(move |_| settling))
+        let is_awaited = move |since: Duration| settling && is_recent(now, since);
+        let missing = self.missing.values().filter(move |(since, _)| is_awaited(*since));
+        // A former instance may be listed under the identifier of a missing entry.
+        let is_former = move |id| self.missing.get(id).is_some_and(|(since, _)| is_awaited(*since));
+        let listed = self.entries.iter().filter(move |(id, _)| !is_former(*id));
+        let listed =
+            listed.map(move |(id, entry)| self.retired.find_held(now, id).unwrap_or(entry));
+        listed.chain(missing.map(|(_, entry)| entry))
     }
 
-    /// Returns whether entries may still be missing because of a recent outage.
+    /// Returns whether entries may still be missing because of a recent outage or of a
+    /// new era of the store.
     pub fn is_settling(&self, now: Duration) -> bool {
-        self.settling_since.is_some_and(|at| now.saturating_sub(at) < REREGISTRATION_TIME)
+        let since = self.settling_since.max(self.era_since);
+        since.is_some_and(|since| is_recent(now, since))
     }
 }
+
+/// Returns whether engines may still register again after an outage at `since`.
+fn is_recent(now: Duration, since: Duration) -> bool {
+    now.saturating_sub(since) < REREGISTRATION_TIME
+}
+
+/// Returns whether a copy lists an engine, or a later instance of it.
+fn is_listed(listed: &HashMap<EndpointId, Arc<EngineEntry>>, entry: &EngineEntry) -> bool {
+    listed.get(&entry.id).is_some_and(|listed| listed.started_ms >= entry.started_ms)
+}
--- a/crates/skylarkgw/src/gateway/control/deputy.rs
+++ b/crates/skylarkgw/src/gateway/control/deputy.rs
@@ -29,7 +29,9 @@
         let (stamp, engines) = {
             let directory = lock(&self.directory);
             let stamp = directory.stamp();
-            let is_newer = stamp.position.revision > question.registry_position.revision;
+            let (own, known) = (stamp.position, question.registry_position);
+            // The asking host decides on a copy of another era.
+            let is_newer = own.era != known.era || own.revision > known.revision;
             (stamp, is_newer.then(|| directory.engines(now).cloned().collect()))
         };
         let lease = lock(&self.lease);
@@ -104,12 +106,14 @@
         }
         let as_of = sent_at.saturating_sub(answer.age.registry);
         let stamp = StoreStamp { position: answer.age.registry_position, as_of };
+        let now = time_since_boot();
         let is_used = {
             let mut directory = lock(&self.directory);
             match answer.engines {
-                Some(engines) => directory.update_from_coordinator(stamp, engines),
-                None if directory.stamp().position.revision == stamp.position.revision => {
+                Some(engines) => directory.update_from_coordinator(now, stamp, engines),
+                None if directory.stamp().position == stamp.position => {
                     directory.record_unchanged(stamp);
+                    self.state.record_registry_time(directory.stamp().as_of);
                     false
                 }
                 None => false,
@@ -118,7 +122,6 @@
         if is_used {
             self.record_registry_copy(RegistrySource::Deputy, stamp, true);
         }
-        self.state.record_registry_time(as_of);
         self.publish_engines();
     }
 }
--- a/crates/skylarkgw/src/gateway/control/knowledge.rs
+++ b/crates/skylarkgw/src/gateway/control/knowledge.rs
@@ -76,8 +76,8 @@
         }
         let as_of = sent_at.saturating_sub(age.registry);
         let stamp = StoreStamp { position: age.registry_position, as_of };
-        self.state.record_registry_time(as_of);
-        let is_coordinator = lock(&self.lease).token(time_since_boot()).is_some();
+        let now = time_since_boot();
+        let is_coordinator = lock(&self.lease).token(now).is_some();
         let is_behind = revision < age.revision;
         self.set_watches(
             needs_store_read(is_coordinator, is_behind, age.declaration),
@@ -104,12 +104,15 @@
             }
             let mut directory = lock(&self.directory);
             let source = self.state.snapshot.load().registry.source;
-            if numbers.is_none() && source == RegistrySource::Coordinator {
+            // In another era, the same list is a copy of its own.
+            let is_confirmation = directory.stamp().position.era == stamp.position.era;
+            if numbers.is_none() && source == RegistrySource::Coordinator && is_confirmation {
                 directory.record_unchanged(stamp);
+                self.state.record_registry_time(directory.stamp().as_of);
                 return None;
             }
             let entries = contact.engines.values().map(|listed| listed.entry.clone());
-            directory.update_from_coordinator(stamp, entries)
+            directory.update_from_coordinator(now, stamp, entries)
         };
         self.record_registry_copy(RegistrySource::Coordinator, stamp, is_used);
         self.publish_engines();
@@ -125,6 +128,7 @@
     ) {
         self.state.metrics.fleet.count_registry_copy(source.label(), !is_used);
         if is_used {
+            self.state.record_registry_time(stamp.as_of);
             let origin = RegistryOrigin { position: stamp.position, source };
             self.update_snapshot(|snapshot| snapshot.registry = origin);
         }
@@ -224,7 +228,6 @@
                         is_used
                     };
                     control.record_registry_copy(RegistrySource::Store, stamp, is_used);
-                    control.state.record_registry_time(as_of);
                 }
                 Some(StoreUpdate::Failed) => lock(&control.directory).record_failure(),
                 None => return,
--- a/crates/skylarkgw/tests/decisions/directory.rs
+++ b/crates/skylarkgw/tests/decisions/directory.rs
@@ -85,7 +85,7 @@
     let mut directory = EngineDirectory::default();
     directory.update_from_store(ms(0), stamp(1, 0), entries(&["e1", "e2"]));
     directory.record_failure();
-    directory.update_from_coordinator(stamp(2, 5_000), entries(&["e1"]));
+    directory.update_from_coordinator(ms(5_000), stamp(2, 5_000), entries(&["e1"]));
     assert_eq!(engine_ids(&directory, 5_000), ["e1"]);
 }
 
@@ -94,7 +94,7 @@
 #[test]
 fn outage_behind_a_coordinator_that_still_replies_is_noticed() {
     let mut directory = EngineDirectory::default();
-    directory.update_from_coordinator(stamp(1, 0), entries(&["e1", "e2"]));
+    directory.update_from_coordinator(ms(0), stamp(1, 0), entries(&["e1", "e2"]));
     // The coordinator confirms the same copy without an answer of the store.
     directory.record_unchanged(stamp(1, 0));
     directory.record_failure();
--- a/crates/skylarkgw/tests/decisions/main.rs
+++ b/crates/skylarkgw/tests/decisions/main.rs
@@ -5,6 +5,7 @@
 mod coordinator;
 mod deputies;
 mod directory;
+mod directory_eras;
 mod event_buffer;
 mod event_sequence;
 mod fleet_model;
