Confirm no declaration by an older one or in an unsettled era

A store restored from an older copy returns a declaration without the newest changes until the operator has written it again. The host kept the newer one in force, but counted every answer as proof that it was the newest, and a host that started then accepted keys that had been withdrawn.

An answer, of the store or of another host, now confirms only the revision that it states. In the two seconds after a new era was first seen the store's answers confirm nothing, whatever their revision: a newer declaration may still be lost. This goes by the age that readiness and the check of keys use already. A host learns of the era from its answers, from other hosts and from the lease record, so that one that starts after a restore knows the era of the last holder. Where the record's era is the store's, or no record exists, a start takes no longer.

With the former rule five of the seven tests of `declaration_confirmation` and both tests of `gateway/declaration` fail; the other two state what does not change.

--- a/crates/skylarkgw/src/decision.rs
+++ b/crates/skylarkgw/src/decision.rs
@@ -10,6 +10,7 @@
 pub mod allowance;
 pub mod coordinator;
 pub mod coordinator_lease;
+pub mod declaration_confirmation;
 pub mod deputies;
 pub mod directory;
 pub mod engine_choice;
--- a/crates/skylarkgw/src/gateway/control.rs
+++ b/crates/skylarkgw/src/gateway/control.rs
@@ -25,6 +25,7 @@
 use crate::decision::coordinator_lease::{
     CoordinatorLease, LeaseAction, compute_capacity, takeover_delay,
 };
+use crate::decision::declaration_confirmation::DeclarationConfirmation;
 use crate::decision::deputies::DeputyGuide;
 use crate::decision::directory::EngineDirectory;
 use crate::decision::fleet_planner::{AdapterDecision, PlannerCall};
@@ -79,6 +80,7 @@
     lease: Mutex<CoordinatorLease>,
     coordinator: Mutex<Option<Coordinator>>,
     directory: Mutex<EngineDirectory>,
+    confirmation: Mutex<DeclarationConfirmation>,
     /// Change count of the directory when its engines were last published.
     published: Mutex<Option<u64>>,
     contact: Mutex<CoordinatorContact>,
@@ -128,6 +130,7 @@
             lease: Mutex::new(lease),
             coordinator: Mutex::default(),
             directory: Mutex::default(),
+            confirmation: Mutex::default(),
             published: Mutex::default(),
             contact: Mutex::default(),
             guide: Mutex::default(),
@@ -385,7 +388,9 @@
         }
         let answer = answer.await.unwrap_or(LeaseAnswer::Unknown);
         let now = time_since_boot();
-        if let LeaseAnswer::Found { record: Some(record), .. } = &answer {
+        if let LeaseAnswer::Found { era, record: Some(record), .. } = &answer {
+            control.record_named_era(now, record.era);
+            control.record_named_era(now, *era);
             control.state.lock_prompt_guard().adopt_refused(now, &record.refused_parts);
         }
         let token = {
--- a/crates/skylarkgw/src/gateway/control/deputy.rs
+++ b/crates/skylarkgw/src/gateway/control/deputy.rs
@@ -5,6 +5,7 @@
 use spdlog::info;
 
 use crate::decision::coordinator::KnowledgeAge;
+use crate::decision::declaration_confirmation::is_confirmed_by;
 use crate::decision::deputies::StoreAccess;
 use crate::decision::freshness::STORE_READ_AGE;
 use crate::decision::store_order::StoreStamp;
@@ -101,12 +102,13 @@
         }
         let declaration = self.state.snapshot.load().declaration.clone();
         let revision = declaration.map_or(0, |declaration| declaration.revision);
-        if revision >= answer.age.revision && revision > 0 {
+        if is_confirmed_by(revision, answer.age.revision) {
             self.state.record_declaration_time(sent_at.saturating_sub(answer.age.declaration));
         }
         let as_of = sent_at.saturating_sub(answer.age.registry);
         let stamp = StoreStamp { position: answer.age.registry_position, as_of };
         let now = time_since_boot();
+        self.record_named_era(now, stamp.position.era);
         let is_used = {
             let mut directory = lock(&self.directory);
             match answer.engines {
--- a/crates/skylarkgw/src/gateway/control/knowledge.rs
+++ b/crates/skylarkgw/src/gateway/control/knowledge.rs
@@ -10,6 +10,7 @@
 use tokio::time::sleep;
 
 use crate::decision::coordinator::{KnowledgeAge, RegisteredEngine};
+use crate::decision::declaration_confirmation::is_confirmed_by;
 use crate::decision::deputies::StoreAccess;
 use crate::decision::engine_loads::EngineNumber;
 use crate::decision::freshness::{batch_delay, is_searching_coordinator, needs_store_read};
@@ -23,7 +24,7 @@
 use crate::gateway::ports::{StoreUpdate, WatchMode};
 use crate::gateway::registry::RegistryCopy;
 use crate::gateway::state::{RegistryOrigin, RegistrySource};
-use crate::ids::{EndpointId, Revision};
+use crate::ids::{EndpointId, Revision, StoreEra};
 
 impl ControlContext {
     /// Puts a declaration into force if its revision is higher than that of the
@@ -50,6 +51,12 @@
         });
     }
 
+    /// Records an era in which another host or the lease record places the store.
+    pub(super) fn record_named_era(&self, now: Duration, era: Option<StoreEra>) {
+        let age = self.state.declaration_age(now);
+        lock(&self.confirmation).record_named_era(now, era, age);
+    }
+
     /// Returns the declaration in force if this host is the coordinator.
     pub fn declaration_as_coordinator(&self) -> Option<Arc<FleetDeclaration>> {
         self.with_coordinator(|_, _| self.state.snapshot.load().declaration.clone())?
@@ -71,12 +78,13 @@
     ) -> Option<Arc<HashMap<EndpointId, EngineNumber>>> {
         let declaration = self.state.snapshot.load().declaration.clone();
         let revision = declaration.map_or(0, |declaration| declaration.revision);
-        if revision >= age.revision && revision > 0 {
+        if is_confirmed_by(revision, age.revision) {
             self.state.record_declaration_time(sent_at.saturating_sub(age.declaration));
         }
         let as_of = sent_at.saturating_sub(age.registry);
         let stamp = StoreStamp { position: age.registry_position, as_of };
         let now = time_since_boot();
+        self.record_named_era(now, stamp.position.era);
         let is_coordinator = lock(&self.lease).token(now).is_some();
         let is_behind = revision < age.revision;
         self.set_watches(
@@ -198,9 +206,18 @@
     mut updates: mpsc::Receiver<StoreUpdate<Arc<FleetDeclaration>>>,
 ) {
     while let Some(update) = updates.recv().await {
-        let StoreUpdate::Current { value: declaration, as_of, .. } = update else { continue };
+        let StoreUpdate::Current { value: declaration, position, as_of } = update else { continue };
+        let (now, answered) = (time_since_boot(), declaration.revision);
+        let in_force = control.state.snapshot.load().declaration.clone();
+        let in_force = in_force.map_or(0, |declaration| declaration.revision);
+        let (stamp, age) = (StoreStamp { position, as_of }, control.state.declaration_age(now));
+        let mut confirmation = lock(&control.confirmation);
+        let is_confirmed = confirmation.record_answer(now, stamp, answered, in_force, age);
+        drop(confirmation);
         control.apply_declaration(declaration);
-        control.state.record_declaration_time(as_of);
+        if is_confirmed {
+            control.state.record_declaration_time(as_of);
+        }
     }
 }
 
--- a/crates/skylarkgw/tests/decisions/main.rs
+++ b/crates/skylarkgw/tests/decisions/main.rs
@@ -3,6 +3,7 @@
 
 mod choice;
 mod coordinator;
+mod declaration_confirmation;
 mod deputies;
 mod directory;
 mod directory_eras;
--- a/crates/skylarkgw/tests/gateway/main.rs
+++ b/crates/skylarkgw/tests/gateway/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the control thread's tasks against a store that the test controls,
 //! without a network.
 
+mod declaration;
 mod registry;
 mod standin;
