End no load by an entry of a restored store

The planner takes an entry that lists a loading model as the end of the load. In the first copy of a new era of the store, such an entry may be from before the model's unload. The engine then counted as idle, and the coordinator sent it another order, which the engine refused as a conflict.

A load ends by an entry that newly lists its model. In the first copy of an era the ledger becomes unconfirmed instead, so that a report tells, and no order is sent before.

Without the condition, `older_entry_does_not_end_a_load` fails.

--- a/crates/skylarkgw/src/decision/coordinator.rs
+++ b/crates/skylarkgw/src/decision/coordinator.rs
@@ -252,6 +252,9 @@
 
     /// Updates the registry with the complete list of engines.
     pub fn update_registry(&mut self, stamp: StoreStamp, engines: &[Arc<EngineEntry>]) {
+        if stamp.position.era != self.registry_stamp.position.era {
+            self.planner.record_new_era();
+        }
         self.registry_stamp = stamp;
         let listed: HashMap<EndpointId, Arc<EngineEntry>> =
             engines.iter().map(|entry| (entry.id.clone(), entry.clone())).collect();
--- a/crates/skylarkgw/src/decision/fleet_planner.rs
+++ b/crates/skylarkgw/src/decision/fleet_planner.rs
@@ -115,19 +115,28 @@
     loading_at: HashMap<ModelName, Duration>,
     /// Models without a replica, for the log.
     vacancies: VacancyLog,
+    /// Whether the next list may be older than the known one.
+    is_restored: bool,
 }
 
 impl FleetPlanner {
+    /// Records that the next list comes from a store that has begun a new era, so that its
+    /// entries may be older than the known ones.
+    pub fn record_new_era(&mut self) {
+        self.is_restored = true;
+    }
+
     /// Updates the ledgers from the registry, and removes those of engines that are
     /// not in it.
     pub fn update_registry(&mut self, engines: &[Arc<EngineEntry>]) {
         let ids: HashSet<&EndpointId> = engines.iter().map(|entry| &entry.id).collect();
         self.engines.retain(|id, _| ids.contains(id));
         self.limits.retain(|id, _| ids.contains(id));
+        let is_restored = std::mem::take(&mut self.is_restored);
         for entry in engines {
             self.engines
                 .entry(entry.id.clone())
-                .and_modify(|ledger| ledger.update_entry(entry))
+                .and_modify(|ledger| ledger.update_entry(entry, is_restored))
                 .or_insert_with(|| EngineLedger::new(entry.clone()));
         }
     }
--- a/crates/skylarkgw/src/decision/fleet_planner/ledger.rs
+++ b/crates/skylarkgw/src/decision/fleet_planner/ledger.rs
@@ -125,23 +125,34 @@
 
     /// Updates the registry entry, and resets the ledger if the engine has
     /// restarted.
-    pub(super) fn update_entry(&mut self, entry: &Arc<EngineEntry>) {
+    ///
+    /// `is_restored` is whether the entry may be older than the known one, because the
+    /// store has begun a new era.
+    pub(super) fn update_entry(&mut self, entry: &Arc<EngineEntry>, is_restored: bool) {
         if entry.started_ms != self.entry.started_ms {
             *self = EngineLedger::new(entry.clone());
             return;
         }
-        self.entry = entry.clone();
+        let previous = std::mem::replace(&mut self.entry, entry.clone());
         if !self.is_confirmed {
             self.add_listed_adapters();
         }
         // The entry may be older than the last order, so it can confirm a
         // load but never removes a model.
-        let listed = entry.models.iter().map(|held| &held.name);
-        let mut loaded =
-            listed.filter(|name| self.loading.as_ref().is_some_and(|(model, _)| model == *name));
-        if let Some(model) = loaded.next().cloned() {
-            self.models.insert(model);
-            self.loading = None;
+        let lists = |entry: &EngineEntry, model: &ModelName| {
+            entry.models.iter().any(|held| held.name == *model)
+        };
+        let is_loaded = |model: &ModelName| lists(entry, model) && !lists(&previous, model);
+        match self.loading.take_if(|(model, _)| is_loaded(model)) {
+            // An older entry may list the model from before its unload. A report tells.
+            Some(loading) if is_restored => {
+                self.loading = Some(loading);
+                self.is_confirmed = false;
+            }
+            Some((model, _)) => {
+                self.models.insert(model);
+            }
+            None => {}
         }
     }
 
--- a/crates/skylarkgw/tests/decisions/vacancies.rs
+++ b/crates/skylarkgw/tests/decisions/vacancies.rs
@@ -116,6 +116,40 @@
     assert_eq!(events, [ended, filled]);
 }
 
+/// Guards against an order to an engine that carries out another one: a restored store
+/// listed the loading model from before its unload, which ended the load in the ledger.
+#[test]
+fn older_entry_does_not_end_a_load() {
+    let is_order = |call: &PlannerCall| matches!(call, PlannerCall::Order(_));
+    for is_restored in [true, false] {
+        let mut planner = ObservedPlanner::default();
+        let mut calls = Vec::new();
+        for _ in 0..2 {
+            calls = planner.step(&[engine("e1", &[])]).0;
+            planner.report("e1", &[], 2);
+        }
+        // Both models are vacant, and the engine loads one after the other.
+        let order = calls.iter().find_map(|call| match call {
+            PlannerCall::Order(order) => Some(order.clone()),
+            PlannerCall::Report { .. } => None,
+        });
+        let order = order.expect("a vacant model should be loaded");
+        let listed = engine("e1", &[&order.model]);
+        planner.answer(&calls, OrderAnswer::Accepted);
+        if is_restored {
+            planner.planner.record_new_era();
+        }
+        let orders: Vec<_> =
+            (0..3).flat_map(|_| planner.step(std::slice::from_ref(&listed)).0).collect();
+        assert_eq!(orders.iter().any(is_order), !is_restored, "{orders:?}");
+        if is_restored {
+            assert!(!orders.is_empty(), "the engine should be asked for a report");
+            planner.report("e1", &[&order.model], 3);
+            assert!(planner.step(&[listed]).0.iter().any(is_order));
+        }
+    }
+}
+
 #[test]
 fn restart_of_the_last_holder_is_told_from_its_removal() {
     let mut planner = ObservedPlanner::default();
