Make versions of shared maps wide enough for the whole fencing token

A version held the lower 32 bits of the coordinator's fencing token in its upper half. Tokens are to name the era of the store from bit 32 on, so the versions of two coordinators of different eras could have been equal, and a host would have kept the copy of the first beside changes of the second.

Versions are 128 bits wide now, with the whole token in the upper half.

`version_keeps_the_whole_fencing_token` fails with 64 bits: the token (3 << 32) + 41 comes back as 41.

--- a/crates/skylarkgw/src/decision/coordinator.rs
+++ b/crates/skylarkgw/src/decision/coordinator.rs
@@ -28,7 +28,8 @@
 use crate::gateway::ports::{EngineOrder, EngineReport, OrderAnswer};
 use crate::gateway::registry::EngineEntry;
 use crate::ids::{
-    EndpointId, HostId, ModelName, ObjectVersion, PartHash, Revision, Tokens, WorkspaceId,
+    EndpointId, HostId, MapVersion, ModelName, ObjectVersion, PartHash, Revision, Tokens,
+    WorkspaceId,
 };
 
 /// Time without a report after which the coordinator evicts a host: it discards
@@ -68,11 +69,11 @@
     /// The host as a deputy; `None` if it stops.
     pub deputy: Option<DeputyHost>,
     /// Version of the list of deputies that the host has.
-    pub deputy_version: u64,
+    pub deputy_version: MapVersion,
     /// Version of the placement notices that the host has.
-    pub notice_version: u64,
+    pub notice_version: MapVersion,
     /// Version of the registry that the host has.
-    pub registry_version: u64,
+    pub registry_version: MapVersion,
     /// Evidence on prompt parts that crash engines.
     pub prompts: PromptReport,
     /// What engines state about themselves.
@@ -137,7 +138,7 @@
     /// Refused prompt parts of which the host may forward one request.
     pub trials: Vec<PartHash>,
     /// Version and list of the deputies, if the host has a different version.
-    pub deputies: Option<(u64, Vec<DeputyHost>)>,
+    pub deputies: Option<(MapVersion, Vec<DeputyHost>)>,
     /// Revision and ages of the coordinator's declaration and registry.
     pub age: KnowledgeAge,
     /// Version of the lease record and the remaining time of the lease, if the
@@ -192,7 +193,7 @@
     quarantine: PromptQuarantine,
     statements: StatementBook,
     deputies: Vec<DeputyHost>,
-    deputy_version: u64,
+    deputy_version: MapVersion,
     deputies_chosen_at: Option<Duration>,
 }
 
--- a/crates/skylarkgw/src/decision/deputies.rs
+++ b/crates/skylarkgw/src/decision/deputies.rs
@@ -11,7 +11,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::ids::{DataCentre, HostId};
+use crate::ids::{DataCentre, HostId, MapVersion};
 
 /// Largest fleet without deputies.
 pub const MAX_HOSTS_WITHOUT_DEPUTIES: usize = 30;
@@ -70,7 +70,7 @@
 #[derive(Debug, Default)]
 pub struct DeputyGuide {
     /// Version of the list, as the coordinator sent it.
-    version: u64,
+    version: MapVersion,
     /// Deputies in the order in which this host asks them.
     deputies: Vec<DeputyHost>,
     is_deputy: bool,
@@ -84,7 +84,7 @@
 
 impl DeputyGuide {
     /// Returns the version of the list.
-    pub fn version(&self) -> u64 {
+    pub fn version(&self) -> MapVersion {
         self.version
     }
 
@@ -93,7 +93,7 @@
     /// `seed` differs between hosts, so that they do not all ask the same deputy.
     pub fn set_deputies(
         &mut self,
-        version: u64,
+        version: MapVersion,
         mut deputies: Vec<DeputyHost>,
         host: &HostId,
         data_centre: &DataCentre,
--- a/crates/skylarkgw/src/decision/engine_statements.rs
+++ b/crates/skylarkgw/src/decision/engine_statements.rs
@@ -22,7 +22,7 @@
 
 use crate::decision::engine_statements::record::EngineRecord;
 use crate::decision::shared_map::{MapDelta, version_token};
-use crate::ids::EndpointId;
+use crate::ids::{EndpointId, MapVersion};
 
 pub use book::StatementBook;
 
@@ -95,7 +95,7 @@
 #[serde(rename_all = "kebab-case")]
 pub struct StatementReport {
     /// Version of the statements that the host has.
-    pub version: u64,
+    pub version: MapVersion,
     /// Observations that the coordinator may not have.
     pub observations: Vec<StatementObservation>,
 }
@@ -221,7 +221,7 @@
 pub struct EngineStatements {
     records: HashMap<EndpointId, EngineRecord>,
     /// Version of the statements that the coordinator sent.
-    version: u64,
+    version: MapVersion,
     replied_at: Duration,
     /// Engines for which no token was left, with the time until which none is drawn.
     exhausted: HashMap<EndpointId, Duration>,
--- a/crates/skylarkgw/src/decision/engine_statements/book.rs
+++ b/crates/skylarkgw/src/decision/engine_statements/book.rs
@@ -5,7 +5,7 @@
 
 use crate::decision::engine_statements::{EngineStatement, MAX_TURN_AWAY, MIN_LIMIT, StatedFact};
 use crate::decision::shared_map::{MapDelta, SharedMap};
-use crate::ids::EndpointId;
+use crate::ids::{EndpointId, MapVersion};
 
 /// What one instance of an engine states.
 #[derive(Clone, Copy, Debug, Default)]
@@ -116,7 +116,11 @@
     }
 
     /// Returns the changes since `version`, or `None` if it is the current one.
-    pub fn delta_since(&self, now: Duration, version: u64) -> Option<MapDelta<EngineStatement>> {
+    pub fn delta_since(
+        &self,
+        now: Duration,
+        version: MapVersion,
+    ) -> Option<MapDelta<EngineStatement>> {
         let delta = self.shared.delta_since(version)?;
         let to_statement = |entry: SharedEntry| EngineStatement {
             started_ms: entry.started_ms,
--- a/crates/skylarkgw/src/decision/prompt_guard.rs
+++ b/crates/skylarkgw/src/decision/prompt_guard.rs
@@ -8,7 +8,7 @@
 use crate::decision::prompt_evidence::{CrashObservation, SuspectPart};
 use crate::decision::prompt_quarantine::QuarantineState;
 use crate::decision::shared_map::version_token;
-use crate::ids::{EndpointId, PartHash};
+use crate::ids::{EndpointId, MapVersion, PartHash};
 
 /// Half of the time for which a complete answer proves the parts of its prompt
 /// harmless.
@@ -36,7 +36,7 @@
 #[serde(rename_all = "kebab-case")]
 pub struct PromptReport {
     /// Version of the quarantine that the host has.
-    pub version: u64,
+    pub version: MapVersion,
     /// Observations that the coordinator may not have.
     pub crashes: Vec<CrashObservation>,
     /// Suspect parts that this host has seen in completely answered prompts, each with
@@ -103,7 +103,7 @@
     /// Parts that are suspect in several crashes, as the coordinator sent them.
     suspects: HashSet<PartHash>,
     /// Version of the state that the coordinator sent last.
-    version: u64,
+    version: MapVersion,
     /// Number of observations that the last report covers.
     reported: usize,
     /// Whether the coordinator may not have weighed the evidence of all hosts yet.
--- a/crates/skylarkgw/src/decision/prompt_quarantine.rs
+++ b/crates/skylarkgw/src/decision/prompt_quarantine.rs
@@ -18,7 +18,7 @@
 use crate::decision::prompt_evidence::{CrashObservation, SuspectPart};
 use crate::decision::prompt_guard::{EVIDENCE_LIFETIME, PromptReport};
 use crate::decision::shared_map::first_version;
-use crate::ids::{EndpointId, PartHash};
+use crate::ids::{EndpointId, MapVersion, PartHash};
 
 /// Maximum number of crashes that are kept as evidence.
 const MAX_CRASHES: usize = 128;
@@ -54,7 +54,7 @@
 #[serde(rename_all = "kebab-case")]
 pub struct QuarantineState {
     /// Version of this state.
-    pub version: u64,
+    pub version: MapVersion,
     /// Whether the coordinator is so new that it may not have weighed the evidence of
     /// all hosts yet.
     pub is_collecting: bool,
@@ -169,7 +169,7 @@
     as_of: Duration,
     /// Time from which new evidence is to be weighed.
     weigh_at: Option<Duration>,
-    version: u64,
+    version: MapVersion,
     events: Vec<QuarantineEvent>,
 }
 
@@ -242,7 +242,7 @@
     }
 
     /// Returns the state, or `None` if `version` is the current one.
-    pub fn state_since(&self, version: u64) -> Option<QuarantineState> {
+    pub fn state_since(&self, version: MapVersion) -> Option<QuarantineState> {
         (version != self.version).then(|| self.state())
     }
 
--- a/crates/skylarkgw/src/decision/shared_map.rs
+++ b/crates/skylarkgw/src/decision/shared_map.rs
@@ -10,7 +10,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::ids::EndpointId;
+use crate::ids::{EndpointId, MapVersion};
 
 /// Maximum number of removals that are recorded.
 const MAX_REMOVALS: usize = 256;
@@ -21,13 +21,13 @@
 /// Returns the first version that the holder with a fencing token issues.
 ///
 /// The token in the upper bits keeps versions of different holders distinct.
-pub fn first_version(token: u64) -> u64 {
-    token << 32
+pub fn first_version(token: u64) -> MapVersion {
+    MapVersion::from(token) << u64::BITS
 }
 
 /// Returns the fencing token of the holder that issued a version.
-pub fn version_token(version: u64) -> u64 {
-    version >> 32
+pub fn version_token(version: MapVersion) -> u64 {
+    (version >> u64::BITS) as u64
 }
 
 /// Changes of a shared map since a version.
@@ -35,7 +35,7 @@
 #[serde(rename_all = "kebab-case")]
 pub struct MapDelta<T> {
     /// Version of the map after the changes.
-    pub version: u64,
+    pub version: MapVersion,
     /// Whether the complete map is sent, of which this is the first part. Entries from
     /// before are dropped.
     pub is_complete: bool,
@@ -64,12 +64,12 @@
 #[derive(Debug)]
 pub struct SharedMap<T> {
     /// Entries, each with the version in which it last changed.
-    entries: HashMap<EndpointId, (u64, T)>,
-    version: u64,
+    entries: HashMap<EndpointId, (MapVersion, T)>,
+    version: MapVersion,
     /// Removed entries with the version of their removal, oldest first.
-    removals: VecDeque<(u64, EndpointId)>,
+    removals: VecDeque<(MapVersion, EndpointId)>,
     /// Version from which on all removals are recorded.
-    recorded_from: u64,
+    recorded_from: MapVersion,
 }
 
 impl<T: Clone + PartialEq> SharedMap<T> {
@@ -132,14 +132,14 @@
     }
 
     /// Returns the changes since `version`, or `None` if it is the current one.
-    pub fn delta_since(&self, version: u64) -> Option<MapDelta<T>> {
+    pub fn delta_since(&self, version: MapVersion) -> Option<MapDelta<T>> {
         if version == self.version {
             return None;
         }
         let is_recorded = (self.recorded_from..self.version).contains(&version);
-        let is_sent = |changed_at: u64| !is_recorded || changed_at > version;
+        let is_sent = |changed_at: MapVersion| !is_recorded || changed_at > version;
         let entries = self.entries.iter().filter(|(_, (changed_at, _))| is_sent(*changed_at));
-        let mut entries: Vec<(u64, &EndpointId, &T)> =
+        let mut entries: Vec<(MapVersion, &EndpointId, &T)> =
             entries.map(|(engine, (changed_at, entry))| (*changed_at, engine, entry)).collect();
         let is_last = entries.len() <= MAX_PART_ENTRIES;
         if !is_last {
--- a/crates/skylarkgw/src/gateway/control/exchange.rs
+++ b/crates/skylarkgw/src/gateway/control/exchange.rs
@@ -18,7 +18,7 @@
 use crate::gateway::control::{ControlContext, lock};
 use crate::gateway::peers::CoordinatorClient;
 use crate::gateway::state::FleetView;
-use crate::ids::EndpointId;
+use crate::ids::{EndpointId, MapVersion};
 
 /// The latest state received from the coordinator, and the connection to it.
 #[derive(Default)]
@@ -27,8 +27,8 @@
     /// Time since boot at which the last reply arrived; `None` if there is no
     /// contact.
     last_reply_at: Option<Duration>,
-    notice_version: u64,
-    pub(super) registry_version: u64,
+    notice_version: MapVersion,
+    pub(super) registry_version: MapVersion,
     /// Engines as the coordinator sent them.
     pub(super) engines: HashMap<EndpointId, RegisteredEngine>,
     /// Placement notices as the coordinator sent them.
--- a/crates/skylarkgw/src/ids.rs
+++ b/crates/skylarkgw/src/ids.rs
@@ -28,6 +28,9 @@
 pub type ObjectVersion = u64;
 /// Number of times that the platform's store has begun anew from a backup.
 pub type StoreEra = u32;
+/// Version of a state that the coordinator sends to hosts, with the fencing token of
+/// the coordinator in its upper half.
+pub type MapVersion = u128;
 /// Number of prompt tokens, of generated tokens, or of both.
 pub type Tokens = u64;
 /// Share of a workspace's allowance, in units of 1 / [`PARTS_PER_ALLOWANCE`].
--- a/crates/skylarkgw/tests/decisions/fleet_model.rs
+++ b/crates/skylarkgw/tests/decisions/fleet_model.rs
@@ -20,7 +20,7 @@
 use skylarkgw::gateway::declaration::{FleetDeclaration, GenerationRule, ModelRule};
 use skylarkgw::gateway::ports::{EngineOrder, OrderAnswer};
 use skylarkgw::gateway::registry::{EngineEntry, EnginePhase};
-use skylarkgw::ids::{EndpointId, ModelName};
+use skylarkgw::ids::{EndpointId, MapVersion, ModelName};
 
 use crate::fleet_model::engines::{ADAPTER_MB, ADAPTER_SLOTS, SimulatedEngine, place_initially};
 use crate::samples::{MODEL_SERVICE, declaration, engine, ms};
@@ -102,7 +102,7 @@
     faults: Vec<(Duration, FleetFault)>,
     registry: Vec<Arc<EngineEntry>>,
     placement: HashMap<EndpointId, Arc<EngineNotice>>,
-    notice_version: u64,
+    notice_version: MapVersion,
     report: HostReport,
     service_log: ServiceLog,
     /// Targets with the mean number of requests per second.
--- a/crates/skylarkgw/tests/decisions/shared_map.rs
+++ b/crates/skylarkgw/tests/decisions/shared_map.rs
@@ -5,9 +5,10 @@
 
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
-use skylarkgw::decision::shared_map::{MAX_PART_ENTRIES, SharedMap};
+use skylarkgw::decision::shared_map::{MAX_PART_ENTRIES, SharedMap, first_version, version_token};
+use skylarkgw::ids::MapVersion;
 
-type Copy = (u64, HashMap<Arc<str>, u32>);
+type Copy = (MapVersion, HashMap<Arc<str>, u32>);
 
 fn entries(values: &HashMap<Arc<str>, u32>) -> Vec<(Arc<str>, u32)> {
     values.iter().map(|(engine, value)| (engine.clone(), *value)).collect()
@@ -49,6 +50,23 @@
     assert_eq!(copy.1, HashMap::from([("e1".into(), 2)]));
 }
 
+/// Guards against a copy of an earlier holder that passes for one of this holder because
+/// only the lower half of the fencing token is part of the version.
+#[test]
+fn version_keeps_the_whole_fencing_token() {
+    let tokens = [1, (3 << 32) + 41, (4 << 32) + 41, u64::MAX];
+    for token in tokens {
+        assert_eq!(version_token(first_version(token) + 1_000_000), token);
+    }
+    let (mut first, mut second) = (SharedMap::new(tokens[1]), SharedMap::new(tokens[2]));
+    first.replace(vec![("e1".into(), 1)]);
+    second.replace(vec![("e1".into(), 2)]);
+    let mut copy = Copy::default();
+    update_copy(&first, &mut copy);
+    update_copy(&second, &mut copy);
+    assert_eq!(copy.1, HashMap::from([("e1".into(), 2)]));
+}
+
 proptest! {
     #![proptest_config(ProptestConfig { rng_seed: RngSeed::Fixed(21), ..ProptestConfig::default() })]
 
