Keep the pause between orders when the answer to a take is lost

A host whose take of the lease was carried out but not answered reads the record afterwards, finds its own name and takes the lease once more. Since the record then named it as the previous holder, it gave orders at once. Engines could get orders of two holders 1.3 s apart, though the lease lasts 3 s.

The host now remembers from when it could have given orders when it tried to take the lease, and waits until then. A restarted process does not know that time and gives orders at once, as before.

`take_whose_answer_is_lost_keeps_the_pause_between_orders` fails without the change with a pause of 1300 ms.

--- a/crates/skylarkgw/src/decision/coordinator_lease.rs
+++ b/crates/skylarkgw/src/decision/coordinator_lease.rs
@@ -120,6 +120,9 @@
     /// Version of the record and the end of its lease, as the holder announced it.
     announced_expiry: Option<(ObjectVersion, Duration)>,
     held: Option<HeldLease>,
+    /// Earliest time at which this host may give orders after it last tried to take the
+    /// lease.
+    orders_after: Duration,
     next_call_at: Duration,
     is_releasing: bool,
     /// Time of the last handover.
@@ -149,6 +152,7 @@
             takeover_delay: Duration::ZERO,
             announced_expiry: None,
             held: None,
+            orders_after: Duration::ZERO,
             next_call_at: Duration::ZERO,
             is_releasing: false,
             handed_over_at: None,
@@ -307,6 +311,7 @@
                 // of a record that could not be decoded.
                 let token = seen.record.as_ref().map_or(seen.version, |record| record.token) + 1;
                 let expected = Some(seen.version);
+                self.orders_after = self.orders_after.max(self.compute_order_start(now));
                 LeaseAction::Write { expected, record: self.build_record(now, token, false) }
             }
             _ => {
@@ -419,8 +424,9 @@
         let Some(seen) = &self.seen else { return now };
         let Some(previous) = &seen.record else { return now + self.lease_duration };
         if previous.holder == self.host {
-            // An earlier incarnation of this host gave the previous orders.
-            return now;
+            // This host gave the previous orders, unless it has only tried to take the
+            // lease and got no answer.
+            return now.max(self.orders_after);
         }
         let last_order = if previous.is_released {
             now
--- a/crates/skylarkgw/tests/decisions/lease.rs
+++ b/crates/skylarkgw/tests/decisions/lease.rs
@@ -105,6 +105,38 @@
     }
 }
 
+/// Guards against orders of two holders without the pause: the answer to the take is lost,
+/// and the record then names the new holder as the previous one.
+#[test]
+fn take_whose_answer_is_lost_keeps_the_pause_between_orders() {
+    let (mut store, mut first, mut second) =
+        (RecordStore::default(), host_lease("a"), host_lease("b"));
+    let (mut last_order, mut first_order, mut is_lost) = (0, None, false);
+    for now in (0..16_000).step_by(20) {
+        // From two seconds on, the first holder cannot reach the store.
+        if now < 2_000 {
+            perform_step(&mut first, &mut store, now);
+        } else {
+            first.step(ms(now), false);
+        }
+        let action = second.step(ms(now), false);
+        let is_take = now >= 2_000 && matches!(action, LeaseAction::Write { .. });
+        if let Some(answer) = store.call(&action) {
+            let answer = if is_take && !is_lost { LeaseAnswer::Unknown } else { answer };
+            is_lost |= is_take;
+            second.handle_answer(ms(now), ms(now), answer);
+        }
+        if first.order_token(ms(now)).is_some() {
+            last_order = now;
+        }
+        if second.order_token(ms(now)).is_some() {
+            first_order.get_or_insert(now);
+        }
+    }
+    let pause = first_order.expect("the second host should give orders") - last_order;
+    assert!(pause >= LEASE_DURATION.as_millis() as u64, "a pause of {pause} ms");
+}
+
 #[test]
 fn announced_remaining_time_allows_an_earlier_takeover() {
     let takeover_at = |is_announced: bool| {
