Hold the coordinator lease by the era of the store

After a restore from an older copy the store has lost the latest writes of the lease record and gives out its versions again. The lease took versions as a total order, so that a host could find itself named, or the lease released, in a record that had gone back, and give orders beside the present holder; a write of before, carried out late, could meet the version that it expected; and a token could be taken twice. The holder itself let go of the lease at each restore, and no host gave orders for seconds.

Each record now states the era in which its writer believed the store to be. A write counts only if it is answered in that era. A record of another era, or one that went back, gives no right: a host waits from when it first saw it until any holder of before must have stopped, and keeps the usual pause between orders. No host can hold the lease by such a record, so the holder keeps its own until it would have ended and renews it on the restored version with the same token. Tokens of later eras contain the era and the version, and each host exceeds every token that it has seen, also in the coordinator's replies. Parts that a restored record lacks stay refused. Announced ends of a lease carry the era of the record, and a token out of range is not followed.

--- a/crates/skylarkgw/src/decision/coordinator.rs
+++ b/crates/skylarkgw/src/decision/coordinator.rs
@@ -28,8 +28,7 @@
 use crate::gateway::ports::{EngineOrder, EngineReport, OrderAnswer};
 use crate::gateway::registry::EngineEntry;
 use crate::ids::{
-    EndpointId, HostId, MapVersion, ModelName, ObjectVersion, PartHash, Revision, Tokens,
-    WorkspaceId,
+    EndpointId, HostId, MapVersion, ModelName, PartHash, Revision, Tokens, WorkspaceId,
 };
 
 /// Time without a report after which the coordinator evicts a host: it discards
@@ -141,9 +140,9 @@
     pub deputies: Option<(MapVersion, Vec<DeputyHost>)>,
     /// Revision and ages of the coordinator's declaration and registry.
     pub age: KnowledgeAge,
-    /// Version of the lease record and the remaining time of the lease, if the
+    /// Position of the lease record and the remaining time of the lease, if the
     /// coordinator still holds it.
-    pub lease: Option<(ObjectVersion, Duration)>,
+    pub lease: Option<(StorePosition, Duration)>,
 }
 
 /// Registry entry of an engine with the number by which its load is sent.
--- a/crates/skylarkgw/src/decision/coordinator_lease.rs
+++ b/crates/skylarkgw/src/decision/coordinator_lease.rs
@@ -4,12 +4,27 @@
 //! other hosts count from the time at which they first saw that version of the
 //! record. The holder therefore stops before another host may take over. Times
 //! must come from a clock that advances while the machine is suspended.
+//!
+//! A restored store has lost its latest writes and gives out their versions again, in
+//! a new era. Each record states the era in which its writer believed the store to be.
+//! A write that took effect in another era does not count, and a record of another era
+//! gives no right to any host. The holder keeps its lease until it would have ended and
+//! renews it in the new era. Other hosts wait until it must have stopped.
+
+mod capacity;
+mod seen;
+mod tokens;
 
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use crate::decision::coordinator_lease::seen::SeenRecord;
+use crate::decision::coordinator_lease::tokens::TokenSource;
+use crate::decision::store_order::StorePosition;
 use crate::gateway::ports::{LeaseAnswer, LeaseRecord};
-use crate::ids::{HostId, ObjectVersion, PartHash};
+use crate::ids::{HostId, ObjectVersion, PartHash, StoreEra};
+
+pub use capacity::{compute_capacity, takeover_delay};
 
 /// Interval between two renewals by the holder.
 const RENEWAL_INTERVAL: Duration = Duration::from_millis(800);
@@ -27,8 +42,6 @@
 /// this one, so the margin brings its first order forward by the same time.
 const ORDER_MARGIN: Duration = Duration::from_millis(900);
 
-/// Longest time for which a host with little capacity leaves the lease to others.
-const MAX_TAKEOVER_DELAY: Duration = Duration::from_millis(600);
 /// Share of the largest capacity below which a holder hands the lease over.
 const HANDOVER_SHARE: f64 = 0.5;
 /// Shortest time for which a host holds the lease before it hands it over. The larger
@@ -37,24 +50,6 @@
 /// Shortest time between two handovers. A larger host that cannot reach the store does
 /// not take the lease.
 const HANDOVER_INTERVAL: Duration = Duration::from_secs(20);
-/// Processor share, in cores, and link with which a host can coordinate a fleet of
-/// any supported size.
-const FULL_CAPACITY: (f64, f64) = (0.25, 100.0);
-
-/// Returns the capacity of a host to coordinate a fleet, from 0 to 1.
-///
-/// `cores` is its share of processor cores and `link_mbps` its link, in Mbit/s.
-pub fn compute_capacity(cores: f64, link_mbps: f64) -> f64 {
-    (cores / FULL_CAPACITY.0).min(link_mbps / FULL_CAPACITY.1).clamp(0.0, 1.0)
-}
-
-/// Returns the time for which a host leaves a free lease to hosts with more capacity.
-///
-/// `largest` is the largest capacity of any host of the fleet, if it is known.
-pub fn takeover_delay(capacity: f64, largest: Option<f64>) -> Duration {
-    let largest = largest.unwrap_or(1.0).max(capacity).max(f64::MIN_POSITIVE);
-    MAX_TAKEOVER_DELAY.mul_f64(1.0 - capacity / largest)
-}
 
 /// Next call to the store.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -72,15 +67,6 @@
     },
 }
 
-#[derive(Clone, Debug)]
-struct SeenRecord {
-    version: ObjectVersion,
-    /// The record, or `None` if it could not be decoded.
-    record: Option<LeaseRecord>,
-    /// Upper bound of the time at which the holder stops.
-    expires_by: Duration,
-}
-
 #[derive(Clone, Debug)]
 struct HeldLease {
     token: u64,
@@ -93,6 +79,8 @@
     orders_from: Duration,
     /// Whether the previous holder had released the lease.
     follows_release: bool,
+    /// Whether no record existed before this term.
+    is_first: bool,
     /// Whether the lease is being released to a larger host.
     is_handing_over: bool,
 }
@@ -104,25 +92,31 @@
     incarnation: u64,
     address: SocketAddr,
     lease_duration: Duration,
-    /// The record as the store last returned it. `None` before that, if the record
-    /// does not exist, or after the lease of this host has expired.
+    /// The record as the store last returned it. `None` before that, or after the
+    /// lease of this host has expired.
     seen: Option<SeenRecord>,
+    /// Era of the last answer, with the version of the record that the store last
+    /// returned in it, or zero.
+    position: Option<StorePosition>,
+    /// Whether the record as last returned was settled.
+    is_era_settled: Option<bool>,
+    /// Whether this host has seen a record.
+    has_seen_record: bool,
+    tokens: TokenSource,
+    /// Earliest time at which this host may give orders after it last tried to take the
+    /// lease.
+    orders_after: Duration,
     /// Coordinator that another host has named since the record was read.
     named: Option<(HostId, SocketAddr)>,
-    /// Whether the store last answered that the record does not exist.
-    is_missing: bool,
     /// Whether the last call got an answer.
     is_store_reachable: bool,
     /// Time since which the lease is known to be free.
     free_since: Option<Duration>,
     /// Time for which this host leaves a free lease to others.
     takeover_delay: Duration,
-    /// Version of the record and the end of its lease, as the holder announced it.
-    announced_expiry: Option<(ObjectVersion, Duration)>,
+    /// Position of the record and the end of its lease, as the holder announced it.
+    announced_expiry: Option<(StorePosition, Duration)>,
     held: Option<HeldLease>,
-    /// Earliest time at which this host may give orders after it last tried to take the
-    /// lease.
-    orders_after: Duration,
     next_call_at: Duration,
     is_releasing: bool,
     /// Time of the last handover.
@@ -145,14 +139,17 @@
             address,
             lease_duration,
             seen: None,
+            position: None,
+            is_era_settled: None,
+            has_seen_record: false,
+            tokens: TokenSource::default(),
+            orders_after: Duration::ZERO,
             named: None,
-            is_missing: false,
             is_store_reachable: false,
             free_since: None,
             takeover_delay: Duration::ZERO,
             announced_expiry: None,
             held: None,
-            orders_after: Duration::ZERO,
             next_call_at: Duration::ZERO,
             is_releasing: false,
             handed_over_at: None,
@@ -188,21 +185,49 @@
         self.held.as_ref().is_some_and(|held| held.follows_release)
     }
 
-    /// Returns the version of the held record and the remaining time of the lease,
+    /// Returns whether this host holds the lease, has created the record and never saw
+    /// one before, so that no other host can have held the lease.
+    pub fn is_first_term(&self) -> bool {
+        self.held.as_ref().is_some_and(|held| held.is_first)
+    }
+
+    /// Returns whether the record as last returned was written in the era that the
+    /// store stated, or `None` before the first answer.
+    ///
+    /// If it was not, the store may have lost later writes, of any object. A record that
+    /// does not exist counts as written if this host never saw one and the store does
+    /// not state that it began anew.
+    pub fn is_era_settled(&self) -> Option<bool> {
+        self.is_era_settled
+    }
+
+    /// Returns the position of the held record and the remaining time of the lease,
     /// or `None` if this host does not hold the lease at `now`.
-    pub fn remaining(&self, now: Duration) -> Option<(ObjectVersion, Duration)> {
+    pub fn remaining(&self, now: Duration) -> Option<(StorePosition, Duration)> {
         let held = self.held.as_ref().filter(|held| now < held.valid_until)?;
-        Some((self.seen_version()?, held.valid_until - now))
+        let seen = self.seen.as_ref()?;
+        let position = StorePosition { era: seen.era, revision: seen.version? };
+        Some((position, held.valid_until - now))
     }
 
-    /// Records the remaining lease time that the holder announced for a version
+    /// Records the remaining lease time that the holder announced for a position
     /// of the record, received at `now`.
     ///
     /// Without it, this host counts the lease from the time at which it first saw
     /// that version, which may be long after the write. It may take over sooner if
     /// the announced end is earlier.
-    pub fn record_remaining(&mut self, now: Duration, version: ObjectVersion, remaining: Duration) {
-        self.announced_expiry = Some((version, now + remaining));
+    pub fn record_remaining(
+        &mut self,
+        now: Duration,
+        position: StorePosition,
+        remaining: Duration,
+    ) {
+        self.announced_expiry = Some((position, now + remaining));
+    }
+
+    /// Records a fencing token that is in use, so that this host takes a higher one.
+    pub fn record_token(&mut self, token: u64) {
+        self.tokens.record(token);
     }
 
     /// Returns the name and address of the coordinator in the last seen record,
@@ -291,8 +316,8 @@
                 return LeaseAction::Wait;
             }
             let is_released = self.is_releasing || held.is_handing_over;
-            let record = self.build_record(now, held.token, is_released);
-            let expected = Some(seen.version);
+            let record = self.build_record(now, held.token, seen.era, is_released);
+            let expected = seen.version;
             self.next_call_at = now + RETRY_DELAY;
             return LeaseAction::Write { expected, record };
         }
@@ -302,17 +327,13 @@
         self.next_call_at = now + RETRY_DELAY;
         self.update_free_since(now);
         let may_acquire = self.free_since.is_some_and(|since| now >= since + self.takeover_delay);
-        if may_acquire && self.is_missing {
-            return LeaseAction::Write { expected: None, record: self.build_record(now, 1, false) };
-        }
         match &self.seen {
             Some(seen) if may_acquire => {
-                // Each token was written once, so the version is no lower than the token
-                // of a record that could not be decoded.
-                let token = seen.record.as_ref().map_or(seen.version, |record| record.token) + 1;
-                let expected = Some(seen.version);
+                let (expected, era) = (seen.version, seen.era);
+                let record_token = seen.record.as_ref().map(|record| record.token);
+                let token = self.tokens.next(era, expected, record_token);
                 self.orders_after = self.orders_after.max(self.compute_order_start(now));
-                LeaseAction::Write { expected, record: self.build_record(now, token, false) }
+                LeaseAction::Write { expected, record: self.build_record(now, token, era, false) }
             }
             _ => {
                 self.next_call_at = now + RETRY_DELAY * 2;
@@ -337,40 +358,36 @@
     /// A failed call resets it, so that all hosts find the lease free together when the
     /// store returns, and those with more capacity come first.
     fn update_free_since(&mut self, now: Duration) {
-        let is_free = match &self.seen {
-            Some(seen) => self.is_free(now, seen),
-            None => self.is_missing,
-        };
+        let is_free = self.seen.as_ref().is_some_and(|seen| self.is_free(now, seen));
         let is_known = self.is_store_reachable && is_free && self.held.is_none();
         self.free_since = is_known.then(|| self.free_since.unwrap_or(now));
     }
 
     fn apply_answer(&mut self, now: Duration, sent_at: Duration, answer: LeaseAnswer) {
         match answer {
-            LeaseAnswer::Found { version, record, is_written, .. } => {
+            LeaseAnswer::Found { version, era, record, is_written } => {
                 self.named = None;
-                self.is_missing = false;
-                if let Some(record) = record.as_ref().filter(|_| !is_written) {
-                    self.keep_refused_parts(now, record);
+                let is_settled = self.is_settled(era, version, record.as_ref());
+                if let Some(record) = &record {
+                    self.tokens.record(record.token);
+                    if !is_written {
+                        self.keep_refused_parts(now, record, is_settled);
+                    }
                 }
-                if is_written {
+                if is_written && is_settled {
                     self.handle_written(sent_at, record.as_ref());
-                } else if self.held.is_some() && self.seen_version() != Some(version) {
-                    // Another host wrote the record, or a write of this host
-                    // took effect whose answer was lost. The send time of that
-                    // write is not known here, so the lease is acquired again.
-                    self.held = None;
-                }
-                if self.seen_version() != Some(version) {
-                    // The holder sent its latest write before this answer arrived.
-                    let expires_by = now + self.lease_duration.mul_f64(HOLD_FRACTION);
-                    self.seen = Some(SeenRecord { version, record, expires_by });
+                } else if !self.is_seen(era, Some(version)) {
+                    self.handle_unexpected(record.as_ref(), is_settled);
                 }
+                self.has_seen_record = true;
+                self.record_seen(now, era, Some(version), record, is_settled);
             }
-            LeaseAnswer::Missing { .. } => {
-                self.seen = None;
-                self.held = None;
-                self.is_missing = true;
+            LeaseAnswer::Missing { era } => {
+                let is_settled = self.is_missing_settled(era);
+                if !self.is_seen(era, None) {
+                    self.handle_unexpected(None, is_settled);
+                }
+                self.record_seen(now, era, None, None, is_settled);
             }
             LeaseAnswer::Refused => {}
             LeaseAnswer::Unknown => {
@@ -380,13 +397,88 @@
         }
     }
 
+    /// Returns whether the record belongs to the history that the store has now.
+    ///
+    /// A record that states the era of the answer was written in it, unless the store
+    /// went back since without a higher era.
+    fn is_settled(
+        &self,
+        era: Option<StoreEra>,
+        version: ObjectVersion,
+        record: Option<&LeaseRecord>,
+    ) -> bool {
+        if let Some(seen) = self.seen.as_ref().filter(|_| self.is_seen(era, Some(version))) {
+            return seen.is_settled;
+        }
+        let is_later = self.position.is_none_or(|known| match (known.era, era) {
+            (known_era, era) if known_era == era => version >= known.revision,
+            (Some(known_era), Some(era)) => era > known_era,
+            _ => false,
+        });
+        is_later && record.is_some_and(|record| record.era == era)
+    }
+
+    /// Returns whether no record can ever have existed.
+    fn is_missing_settled(&self, era: Option<StoreEra>) -> bool {
+        let is_same_era = self.position.is_none_or(|known| known.era == era);
+        !self.has_seen_record && is_same_era && era.unwrap_or_default() == 0
+    }
+
+    /// Keeps the held lease if no other host can hold it by a record that this host has
+    /// not written or whose answer it has not got, and drops it otherwise.
+    ///
+    /// A lease that is kept ends when it would have ended, and is renewed at once.
+    fn handle_unexpected(&mut self, record: Option<&LeaseRecord>, is_settled: bool) {
+        let Some(held) = &mut self.held else { return };
+        let is_own = record.is_some_and(|record| {
+            let writer = (&record.holder, record.incarnation, record.token);
+            writer == (&self.host, self.incarnation, held.token) && !record.is_released
+        });
+        if is_settled && !is_own {
+            self.held = None;
+        } else {
+            held.renew_at = Duration::ZERO;
+        }
+    }
+
+    /// Records what the store returned. A version that was seen before keeps the time at
+    /// which its holder stops.
+    fn record_seen(
+        &mut self,
+        now: Duration,
+        era: Option<StoreEra>,
+        version: Option<ObjectVersion>,
+        record: Option<LeaseRecord>,
+        is_settled: bool,
+    ) {
+        self.is_era_settled = Some(is_settled);
+        let known = self.position.filter(|known| known.era == era);
+        let revision = version.or(known.map(|known| known.revision)).unwrap_or_default();
+        self.position = Some(StorePosition { era, revision });
+        if !self.is_seen(era, version) {
+            // The holder sent its latest write before this answer arrived.
+            let expires_by = now + self.lease_duration.mul_f64(HOLD_FRACTION);
+            self.seen = Some(SeenRecord { version, era, record, is_settled, expires_by });
+        }
+    }
+
     /// Takes over the refused parts of another holder's record, so that this host keeps them
     /// if it takes the lease.
-    fn keep_refused_parts(&mut self, now: Duration, record: &LeaseRecord) {
-        if record.holder != self.host || self.refused_parts.is_empty() {
-            let refused = record.refused_parts.iter();
-            self.refused_parts =
-                refused.map(|(part, remaining)| (*part, now + *remaining)).collect();
+    ///
+    /// A record that is not settled may lack the latest ones, so it only adds to those
+    /// that are known.
+    fn keep_refused_parts(&mut self, now: Duration, record: &LeaseRecord, is_settled: bool) {
+        let refused = record.refused_parts.iter();
+        let refused = refused.map(|(part, remaining)| (*part, now + *remaining));
+        if !is_settled {
+            for (part, until) in refused {
+                match self.refused_parts.iter_mut().find(|(known, _)| *known == part) {
+                    Some((_, known_until)) => *known_until = until.max(*known_until),
+                    None => self.refused_parts.push((part, until)),
+                }
+            }
+        } else if record.holder != self.host || self.refused_parts.is_empty() {
+            self.refused_parts = refused.collect();
         }
     }
 
@@ -406,7 +498,8 @@
             valid_until,
             renew_at,
             orders_from: self.compute_order_start(sent_at),
-            follows_release: self.is_seen_released(),
+            follows_release: self.seen.as_ref().is_some_and(SeenRecord::is_released),
+            is_first: self.seen.as_ref().is_some_and(SeenRecord::is_first_start),
             is_handing_over: false,
         };
         let term = self.held.take().filter(|held| held.token == token).unwrap_or(new_term);
@@ -417,60 +510,67 @@
     /// over at `now`.
     ///
     /// That time is the lease duration, with a margin for clock drift, after the
-    /// last possible order of another holder. It is `now` if there was no record or
+    /// last possible order of another holder. It is `now` if there never was a record or
     /// this host wrote it, and one lease duration later if the record cannot be
     /// decoded.
     fn compute_order_start(&self, now: Duration) -> Duration {
         let Some(seen) = &self.seen else { return now };
-        let Some(previous) = &seen.record else { return now + self.lease_duration };
-        if previous.holder == self.host {
+        let expiry_order = self.compute_expiry(seen).saturating_sub(ORDER_MARGIN);
+        let last_order = match &seen.record {
+            None if seen.is_settled => return now,
             // This host gave the previous orders, unless it has only tried to take the
             // lease and got no answer.
-            return now.max(self.orders_after);
-        }
-        let last_order = if previous.is_released {
-            now
-        } else {
-            self.compute_expiry(seen).saturating_sub(ORDER_MARGIN)
+            Some(previous) if seen.is_settled && previous.holder == self.host => {
+                return now.max(self.orders_after);
+            }
+            Some(previous) if seen.is_settled && previous.is_released => now,
+            None if seen.version.is_some() => return now + self.lease_duration,
+            _ => expiry_order,
         };
         now.max(last_order + self.lease_duration + TAKEOVER_MARGIN)
     }
 
     /// Returns the lowest known upper bound of the time at which the holder stops.
     fn compute_expiry(&self, seen: &SeenRecord) -> Duration {
+        let is_announced = |position: StorePosition| {
+            let is_same = Some(position.revision) == seen.version && position.era == seen.era;
+            seen.is_settled && is_same
+        };
         match self.announced_expiry {
-            Some((version, expires_by)) if version == seen.version => {
+            Some((position, expires_by)) if is_announced(position) => {
                 expires_by.min(seen.expires_by)
             }
             _ => seen.expires_by,
         }
     }
 
-    /// Returns whether a host may write itself as the holder: the record cannot be
-    /// decoded, names this host, was released, or its lease has expired.
+    /// Returns whether a host may write itself as the holder: the lease has expired, or
+    /// the record is settled and does not exist, names this host or was released.
     fn is_free(&self, now: Duration, seen: &SeenRecord) -> bool {
-        let Some(record) = &seen.record else { return true };
         let has_expired = now >= self.compute_expiry(seen) + TAKEOVER_MARGIN;
-        record.is_released || record.holder == self.host || has_expired
-    }
-
-    fn is_seen_released(&self) -> bool {
-        let record = self.seen.as_ref().and_then(|seen| seen.record.as_ref());
-        record.is_some_and(|record| record.is_released)
+        let is_unheld = |record: &LeaseRecord| record.is_released || record.holder == self.host;
+        has_expired || (seen.is_settled && seen.record.as_ref().is_none_or(is_unheld))
     }
 
-    fn seen_version(&self) -> Option<ObjectVersion> {
-        self.seen.as_ref().map(|seen| seen.version)
+    /// Returns whether the store last returned this version in this era.
+    fn is_seen(&self, era: Option<StoreEra>, version: Option<ObjectVersion>) -> bool {
+        self.seen.as_ref().is_some_and(|seen| seen.era == era && seen.version == version)
     }
 
-    fn build_record(&self, now: Duration, token: u64, is_released: bool) -> LeaseRecord {
+    fn build_record(
+        &self,
+        now: Duration,
+        token: u64,
+        era: Option<StoreEra>,
+        is_released: bool,
+    ) -> LeaseRecord {
         let refused = self.refused_parts.iter();
         LeaseRecord {
             holder: self.host.clone(),
             incarnation: self.incarnation,
             address: self.address,
             token,
-            era: None,
+            era,
             is_released,
             refused_parts: refused
                 .map(|(part, until)| (*part, until.saturating_sub(now)))
--- a/crates/skylarkgw/src/gateway/control.rs
+++ b/crates/skylarkgw/src/gateway/control.rs
@@ -407,7 +407,8 @@
         }
         match token {
             Some(token) => {
-                let start = if self.state.settings.is_first_start && token == 1 {
+                let is_first_start = self.state.settings.is_first_start;
+                let start = if is_first_start && lock(&self.lease).is_first_term() {
                     PoolStart::First
                 } else if lock(&self.lease).follows_release() {
                     PoolStart::AfterRelease
--- a/crates/skylarkgw/src/gateway/control/exchange.rs
+++ b/crates/skylarkgw/src/gateway/control/exchange.rs
@@ -14,6 +14,7 @@
 use crate::decision::fleet_planner::EngineNotice;
 use crate::decision::freshness::{EXCHANGE_INTERVAL, contact_timeout, exchange_interval};
 use crate::decision::quota_pool::LocalQuota;
+use crate::decision::shared_map::version_token;
 use crate::gateway::clock::time_since_boot;
 use crate::gateway::control::{ControlContext, lock};
 use crate::gateway::peers::CoordinatorClient;
@@ -105,8 +106,11 @@
         let is_handed_over = {
             let mut lease = lock(&self.lease);
             lease.set_takeover_delay(takeover_delay(self.capacity, Some(reply.largest_capacity)));
-            if let Some((version, remaining)) = reply.lease {
-                lease.record_remaining(now, version, remaining);
+            if let Some((position, remaining)) = reply.lease {
+                lease.record_remaining(now, position, remaining);
+            }
+            if let Some(delta) = &reply.registry {
+                lease.record_token(version_token(delta.version));
             }
             lease.hand_over(now, self.capacity, reply.largest_capacity)
         };
--- a/crates/skylarkgw/tests/decisions/main.rs
+++ b/crates/skylarkgw/tests/decisions/main.rs
@@ -10,6 +10,7 @@
 mod fleet_model;
 mod freshness;
 mod lease;
+mod lease_restores;
 mod limits;
 mod placement;
 mod prompt_storm;
