Keep refusals of prompt parts beside an older lease record

A coordinator that starts with a lease record from before the latest refusals, as after a restore of the store, refused a part for a shorter time than hosts knew of, and its reply shortened theirs. The part then reached an engine again too early.

A host keeps the longer time until the coordinator has its report, and the coordinator adopts longer times from reports, beyond what an exchange explains.

--- a/crates/skylarkgw/src/decision/prompt_guard.rs
+++ b/crates/skylarkgw/src/decision/prompt_guard.rs
@@ -276,8 +276,13 @@
             // A new coordinator has none of this host's evidence yet.
             self.observations.iter_mut().for_each(|own| own.is_confirmed = false);
         }
-        self.refused
-            .extend(state.refused.iter().map(|(part, remaining)| (*part, now + *remaining)));
+        for (part, remaining) in state.refused {
+            let until = now + remaining;
+            let known_until = self.refused.entry(part).or_insert(until);
+            // The coordinator may have started with a record from before the latest
+            // refusals. It adopts those that this host reports.
+            *known_until = until.max(*known_until);
+        }
         self.trials.retain(|_, until| now < *until);
     }
 }
--- a/crates/skylarkgw/src/decision/prompt_quarantine.rs
+++ b/crates/skylarkgw/src/decision/prompt_quarantine.rs
@@ -44,6 +44,9 @@
 /// Time after the end of a refusal in which nobody requests the part, after which it
 /// is forgotten.
 const UNREQUESTED_LIFETIME: Duration = Duration::from_secs(3_600);
+/// Difference between two hosts' times of a trial that stems from the time for an
+/// exchange.
+const ADOPTION_TOLERANCE: Duration = Duration::from_secs(2);
 /// Maximum number of refused parts.
 const MAX_REFUSED: usize = 64;
 /// Time for which a cleared part stays cleared.
@@ -222,12 +225,19 @@
         trials
     }
 
-    /// Adds parts that a predecessor refused, each with the remaining time.
+    /// Adds parts that a predecessor refused, each with the remaining time. A part that
+    /// is refused already is refused for the longer time.
     ///
     /// Parts that were cleared since are left out.
     pub fn adopt_refused(&mut self, now: Duration, refused: &[(PartHash, Duration)]) {
         for (part, remaining) in refused {
-            if self.refused.contains_key(part) {
+            if let Some(known) = self.refused.get_mut(part) {
+                let until = now + *remaining;
+                if until > known.until + ADOPTION_TOLERANCE {
+                    known.until = until;
+                    known.term = known.term.max(*remaining);
+                    self.version += 1;
+                }
                 continue;
             }
             self.version += 1;
--- a/crates/skylarkgw/tests/decisions/prompts.rs
+++ b/crates/skylarkgw/tests/decisions/prompts.rs
@@ -314,3 +314,26 @@
     crash_engines(&mut fleet, 1, &["subject"]);
     assert_eq!(fleet.refused_parts(&["subject"]), ["subject"]);
 }
+
+/// Guards against refused parts that reach engines again because a new coordinator started
+/// with a lease record from before the latest refusals.
+#[test]
+fn coordinator_with_an_older_record_does_not_shorten_refusals() {
+    let mut fleet = PromptFleet::new(3);
+    let (longer, later) = (prompt(&["longer"]), prompt(&["later"]));
+    let refused = [(longer[0], ms(900_000)), (later[0], ms(600_000))];
+    fleet.coordinator.adopt_refused(ms(0), &refused);
+    fleet.exchange_for(2_000);
+    fleet.coordinator = new_coordinator(fleet.now, 2);
+    fleet.coordinator.adopt_refused(ms(fleet.now), &[(longer[0], ms(5_000))]);
+    fleet.hosts.push(PromptGuard::default());
+    // The new host has read the older record as well.
+    fleet.hosts[3].adopt_refused(ms(fleet.now), &[(longer[0], ms(5_000))]);
+    fleet.exchange_for(2_000);
+    for guard in &mut fleet.hosts {
+        for (parts, remaining) in [(&longer, ms(890_000)), (&later, ms(590_000))] {
+            let refusal = guard.find_refusal(ms(fleet.now), parts);
+            assert!(refusal.is_some_and(|delay| delay > remaining), "{refusal:?}");
+        }
+    }
+}
