--- a/crates/skylarkgw/src/gateway/control/exchange.rs
+++ b/crates/skylarkgw/src/gateway/control/exchange.rs
@@ -14,11 +14,12 @@
 use crate::decision::fleet_planner::EngineNotice;
 use crate::decision::freshness::{EXCHANGE_INTERVAL, contact_timeout, exchange_interval};
 use crate::decision::quota_pool::LocalQuota;
+use crate::decision::shared_map::version_token;
 use crate::gateway::clock::time_since_boot;
 use crate::gateway::control::{ControlContext, lock};
 use crate::gateway::peers::CoordinatorClient;
 use crate::gateway::state::FleetView;
-use crate::ids::EndpointId;
+use crate::ids::{EndpointId, MapVersion};
 
 /// The latest state received from the coordinator, and the connection to it.
 #[derive(Default)]
@@ -27,8 +28,8 @@
     /// Time since boot at which the last reply arrived; `None` if there is no
     /// contact.
     last_reply_at: Option<Duration>,
-    notice_version: u64,
-    pub(super) registry_version: u64,
+    notice_version: MapVersion,
+    pub(super) registry_version: MapVersion,
     /// Engines as the coordinator sent them.
     pub(super) engines: HashMap<EndpointId, RegisteredEngine>,
     /// Placement notices as the coordinator sent them.
@@ -105,8 +106,11 @@
         let is_handed_over = {
             let mut lease = lock(&self.lease);
             lease.set_takeover_delay(takeover_delay(self.capacity, Some(reply.largest_capacity)));
-            if let Some((version, remaining)) = reply.lease {
-                lease.record_remaining(now, version, remaining);
+            if let Some((position, remaining)) = reply.lease {
+                lease.record_remaining(now, position, remaining);
+            }
+            if let Some(delta) = &reply.registry {
+                lease.record_token(version_token(delta.version));
             }
             lease.hand_over(now, self.capacity, reply.largest_capacity)
         };
