Add a seeded model of restores of the store

A store that comes back from a copy 1 to 12 s old gives its revisions out again. Single tests cover the places where that is known to matter; the model looks for others. Three to five hosts with the real directory, lease, confirmation and coordinator state follow a simulated store. Around its restores hosts are killed, stand still or are cut off, leaders change, answers come up to 3 s late, and conditional writes take effect late. Checked at each step: withdrawn keys, retired engines, the declaration, tokens, the pause between the orders of two holders, and the time until what the store has accepted is in force. Other seeds let the era fall or leave it out, and check that the fleet recovers. One test has the same faults without a restore. Orders to engines are not part of the model.

If the store leaves out its era at times, the lease ends again and again. The check at the end then asks for orders within 20 s rather than at one moment, as such a store is only promised to be followed.

--- a/crates/skylarkgw/tests/decisions/main.rs
+++ b/crates/skylarkgw/tests/decisions/main.rs
@@ -28,4 +28,5 @@
 mod statements;
 mod stops;
 mod store_order;
+mod store_restores;
 mod vacancies;
