--- a/crates/skylarkgw/src/decision/coordinator.rs
+++ b/crates/skylarkgw/src/decision/coordinator.rs
@@ -11,7 +11,6 @@
 use serde::{Deserialize, Serialize};
 
 use crate::decision::deputies::{DeputyHost, choose_deputies};
-use crate::decision::directory::RegistryStamp;
 use crate::decision::engine_loads::{EngineLoads, EngineNumber, LoadTable};
 use crate::decision::engine_statements::{
     EngineStatement, StatedFact, StatementBook, StatementReport,
@@ -24,11 +23,12 @@
 use crate::decision::prompt_quarantine::{PromptQuarantine, QuarantineEvent, QuarantineState};
 use crate::decision::quota_pool::{PoolStart, QuotaPool, QuotaTolerance};
 use crate::decision::shared_map::{MapDelta, SharedMap, first_version, version_token};
+use crate::decision::store_order::{StorePosition, StoreStamp};
 use crate::gateway::declaration::{FleetDeclaration, ServiceName};
 use crate::gateway::ports::{EngineOrder, EngineReport, OrderAnswer};
 use crate::gateway::registry::EngineEntry;
 use crate::ids::{
-    EndpointId, HostId, ModelName, ObjectVersion, PartHash, Revision, Tokens, WorkspaceId,
+    EndpointId, HostId, MapVersion, ModelName, PartHash, Revision, Tokens, WorkspaceId,
 };
 
 /// Time without a report after which the coordinator evicts a host: it discards
@@ -68,11 +68,11 @@
     /// The host as a deputy; `None` if it stops.
     pub deputy: Option<DeputyHost>,
     /// Version of the list of deputies that the host has.
-    pub deputy_version: u64,
+    pub deputy_version: MapVersion,
     /// Version of the placement notices that the host has.
-    pub notice_version: u64,
+    pub notice_version: MapVersion,
     /// Version of the registry that the host has.
-    pub registry_version: u64,
+    pub registry_version: MapVersion,
     /// Evidence on prompt parts that crash engines.
     pub prompts: PromptReport,
     /// What engines state about themselves.
@@ -105,8 +105,8 @@
     pub declaration: Duration,
     /// Time since the registry was last confirmed to be current.
     pub registry: Duration,
-    /// Revision of the store up to which the registry contains all changes.
-    pub registry_revision: ObjectVersion,
+    /// Position of the store up to which the registry contains all changes.
+    pub registry_position: StorePosition,
 }
 
 /// Reply of the coordinator to a [`HostReport`].
@@ -137,12 +137,12 @@
     /// Refused prompt parts of which the host may forward one request.
     pub trials: Vec<PartHash>,
     /// Version and list of the deputies, if the host has a different version.
-    pub deputies: Option<(u64, Vec<DeputyHost>)>,
+    pub deputies: Option<(MapVersion, Vec<DeputyHost>)>,
     /// Revision and ages of the coordinator's declaration and registry.
     pub age: KnowledgeAge,
-    /// Version of the lease record and the remaining time of the lease, if the
+    /// Position of the lease record and the remaining time of the lease, if the
     /// coordinator still holds it.
-    pub lease: Option<(ObjectVersion, Duration)>,
+    pub lease: Option<(StorePosition, Duration)>,
 }
 
 /// Registry entry of an engine with the number by which its load is sent.
@@ -188,11 +188,11 @@
     registry: SharedMap<RegisteredEngine>,
     /// Complete entries from which those of `registry` were made.
     listed: HashMap<EndpointId, Arc<EngineEntry>>,
-    registry_stamp: RegistryStamp,
+    registry_stamp: StoreStamp,
     quarantine: PromptQuarantine,
     statements: StatementBook,
     deputies: Vec<DeputyHost>,
-    deputy_version: u64,
+    deputy_version: MapVersion,
     deputies_chosen_at: Option<Duration>,
 }
 
@@ -221,7 +221,7 @@
             notices: SharedMap::new(token),
             registry: SharedMap::new(token),
             listed: HashMap::new(),
-            registry_stamp: RegistryStamp::default(),
+            registry_stamp: StoreStamp::default(),
             quarantine: PromptQuarantine::new(token),
             statements: StatementBook::new(token),
             deputies: Vec::new(),
@@ -241,17 +241,20 @@
     }
 
     /// Returns up to when the registry in replies contains all changes.
-    pub fn registry_stamp(&self) -> RegistryStamp {
+    pub fn registry_stamp(&self) -> StoreStamp {
         self.registry_stamp
     }
 
     /// Records that the registry was confirmed to be current up to `stamp`.
-    pub fn confirm_registry(&mut self, stamp: RegistryStamp) {
+    pub fn confirm_registry(&mut self, stamp: StoreStamp) {
         self.registry_stamp = stamp;
     }
 
     /// Updates the registry with the complete list of engines.
-    pub fn update_registry(&mut self, stamp: RegistryStamp, engines: &[Arc<EngineEntry>]) {
+    pub fn update_registry(&mut self, stamp: StoreStamp, engines: &[Arc<EngineEntry>]) {
+        if stamp.position.era != self.registry_stamp.position.era {
+            self.planner.record_new_era();
+        }
         self.registry_stamp = stamp;
         let listed: HashMap<EndpointId, Arc<EngineEntry>> =
             engines.iter().map(|entry| (entry.id.clone(), entry.clone())).collect();
--- a/crates/skylarkgw/src/decision/prompt_quarantine.rs
+++ b/crates/skylarkgw/src/decision/prompt_quarantine.rs
@@ -18,7 +18,7 @@
 use crate::decision::prompt_evidence::{CrashObservation, SuspectPart};
 use crate::decision::prompt_guard::{EVIDENCE_LIFETIME, PromptReport};
 use crate::decision::shared_map::first_version;
-use crate::ids::{EndpointId, PartHash};
+use crate::ids::{EndpointId, MapVersion, PartHash};
 
 /// Maximum number of crashes that are kept as evidence.
 const MAX_CRASHES: usize = 128;
@@ -44,6 +44,9 @@
 /// Time after the end of a refusal in which nobody requests the part, after which it
 /// is forgotten.
 const UNREQUESTED_LIFETIME: Duration = Duration::from_secs(3_600);
+/// Difference between two hosts' times of a trial that stems from the time for an
+/// exchange.
+const ADOPTION_TOLERANCE: Duration = Duration::from_secs(2);
 /// Maximum number of refused parts.
 const MAX_REFUSED: usize = 64;
 /// Time for which a cleared part stays cleared.
@@ -54,7 +57,7 @@
 #[serde(rename_all = "kebab-case")]
 pub struct QuarantineState {
     /// Version of this state.
-    pub version: u64,
+    pub version: MapVersion,
     /// Whether the coordinator is so new that it may not have weighed the evidence of
     /// all hosts yet.
     pub is_collecting: bool,
@@ -169,7 +172,7 @@
     as_of: Duration,
     /// Time from which new evidence is to be weighed.
     weigh_at: Option<Duration>,
-    version: u64,
+    version: MapVersion,
     events: Vec<QuarantineEvent>,
 }
 
@@ -222,12 +225,19 @@
         trials
     }
 
-    /// Adds parts that a predecessor refused, each with the remaining time.
+    /// Adds parts that a predecessor refused, each with the remaining time. A part that
+    /// is refused already is refused for the longer time.
     ///
     /// Parts that were cleared since are left out.
     pub fn adopt_refused(&mut self, now: Duration, refused: &[(PartHash, Duration)]) {
         for (part, remaining) in refused {
-            if self.refused.contains_key(part) {
+            if let Some(known) = self.refused.get_mut(part) {
+                let until = now + *remaining;
+                if until > known.until + ADOPTION_TOLERANCE {
+                    known.until = until;
+                    known.term = known.term.max(*remaining);
+                    self.version += 1;
+                }
                 continue;
             }
             self.version += 1;
@@ -242,7 +252,7 @@
     }
 
     /// Returns the state, or `None` if `version` is the current one.
-    pub fn state_since(&self, version: u64) -> Option<QuarantineState> {
+    pub fn state_since(&self, version: MapVersion) -> Option<QuarantineState> {
         (version != self.version).then(|| self.state())
     }
 
--- a/crates/skylarkgw/src/gateway/control/deputy.rs
+++ b/crates/skylarkgw/src/gateway/control/deputy.rs
@@ -5,9 +5,10 @@
 use spdlog::info;
 
 use crate::decision::coordinator::KnowledgeAge;
+use crate::decision::declaration_confirmation::is_confirmed_by;
 use crate::decision::deputies::StoreAccess;
-use crate::decision::directory::RegistryStamp;
 use crate::decision::freshness::STORE_READ_AGE;
+use crate::decision::store_order::StoreStamp;
 use crate::gateway::clock::time_since_boot;
 use crate::gateway::control::{ControlContext, lock};
 use crate::gateway::peers::{CoordinatorClient, DeputyAnswer, DeputyQuestion};
@@ -29,7 +30,9 @@
         let (stamp, engines) = {
             let directory = lock(&self.directory);
             let stamp = directory.stamp();
-            let is_newer = stamp.revision > question.registry_revision;
+            let (own, known) = (stamp.position, question.registry_position);
+            // The asking host decides on a copy of another era.
+            let is_newer = own.era != known.era || own.revision > known.revision;
             (stamp, is_newer.then(|| directory.engines(now).cloned().collect()))
         };
         let lease = lock(&self.lease);
@@ -44,7 +47,7 @@
                 revision,
                 declaration: self.state.declaration_age(now),
                 registry: now.saturating_sub(stamp.as_of),
-                registry_revision: stamp.revision,
+                registry_position: stamp.position,
             },
             declaration: declaration.filter(|_| revision > question.revision),
             engines,
@@ -61,7 +64,7 @@
         let declaration = self.state.snapshot.load().declaration.clone();
         let question = DeputyQuestion {
             revision: declaration.map_or(0, |declaration| declaration.revision),
-            registry_revision: lock(&self.directory).stamp().revision,
+            registry_position: lock(&self.directory).stamp().position,
         };
         let answer = match CoordinatorClient::open(address).await {
             Some(client) => client.ask_deputy(question).await,
@@ -99,17 +102,20 @@
         }
         let declaration = self.state.snapshot.load().declaration.clone();
         let revision = declaration.map_or(0, |declaration| declaration.revision);
-        if revision >= answer.age.revision && revision > 0 {
+        if is_confirmed_by(revision, answer.age.revision) {
             self.state.record_declaration_time(sent_at.saturating_sub(answer.age.declaration));
         }
         let as_of = sent_at.saturating_sub(answer.age.registry);
-        let stamp = RegistryStamp { revision: answer.age.registry_revision, as_of };
+        let stamp = StoreStamp { position: answer.age.registry_position, as_of };
+        let now = time_since_boot();
+        self.record_named_era(now, stamp.position.era);
         let is_used = {
             let mut directory = lock(&self.directory);
             match answer.engines {
-                Some(engines) => directory.update_from_coordinator(stamp, engines),
-                None if directory.stamp().revision == stamp.revision => {
+                Some(engines) => directory.update_from_coordinator(now, stamp, engines),
+                None if directory.stamp().position == stamp.position => {
                     directory.record_unchanged(stamp);
+                    self.state.record_registry_time(directory.stamp().as_of);
                     false
                 }
                 None => false,
@@ -118,7 +124,6 @@
         if is_used {
             self.record_registry_copy(RegistrySource::Deputy, stamp, true);
         }
-        self.state.record_registry_time(as_of);
         self.publish_engines();
     }
 }
--- a/crates/skylarkgw/src/gateway/control/knowledge.rs
+++ b/crates/skylarkgw/src/gateway/control/knowledge.rs
@@ -10,12 +10,13 @@
 use tokio::time::sleep;
 
 use crate::decision::coordinator::{KnowledgeAge, RegisteredEngine};
+use crate::decision::declaration_confirmation::is_confirmed_by;
 use crate::decision::deputies::StoreAccess;
-use crate::decision::directory::RegistryStamp;
 use crate::decision::engine_loads::EngineNumber;
 use crate::decision::freshness::{batch_delay, is_searching_coordinator, needs_store_read};
 use crate::decision::route_table::RouteTable;
 use crate::decision::shared_map::MapDelta;
+use crate::decision::store_order::StoreStamp;
 use crate::gateway::clock::time_since_boot;
 use crate::gateway::control::{ControlContext, DIRECTORY_REFRESH_INTERVAL, lock};
 use crate::gateway::declaration::FleetDeclaration;
@@ -23,7 +24,7 @@
 use crate::gateway::ports::{StoreUpdate, WatchMode};
 use crate::gateway::registry::RegistryCopy;
 use crate::gateway::state::{RegistryOrigin, RegistrySource};
-use crate::ids::{EndpointId, Revision};
+use crate::ids::{EndpointId, Revision, StoreEra};
 
 impl ControlContext {
     /// Puts a declaration into force if its revision is higher than that of the
@@ -51,6 +52,12 @@
         });
     }
 
+    /// Records an era in which another host or the lease record places the store.
+    pub(super) fn record_named_era(&self, now: Duration, era: Option<StoreEra>) {
+        let age = self.state.declaration_age(now);
+        lock(&self.confirmation).record_named_era(now, era, age);
+    }
+
     /// Returns the declaration in force if this host is the coordinator.
     pub fn declaration_as_coordinator(&self) -> Option<Arc<FleetDeclaration>> {
         self.with_coordinator(|_, _| self.state.snapshot.load().declaration.clone())?
@@ -72,13 +79,14 @@
     ) -> Option<Arc<HashMap<EndpointId, EngineNumber>>> {
         let declaration = self.state.snapshot.load().declaration.clone();
         let revision = declaration.map_or(0, |declaration| declaration.revision);
-        if revision >= age.revision && revision > 0 {
+        if is_confirmed_by(revision, age.revision) {
             self.state.record_declaration_time(sent_at.saturating_sub(age.declaration));
         }
         let as_of = sent_at.saturating_sub(age.registry);
-        let stamp = RegistryStamp { revision: age.registry_revision, as_of };
-        self.state.record_registry_time(as_of);
-        let is_coordinator = lock(&self.lease).token(time_since_boot()).is_some();
+        let stamp = StoreStamp { position: age.registry_position, as_of };
+        let now = time_since_boot();
+        self.record_named_era(now, stamp.position.era);
+        let is_coordinator = lock(&self.lease).token(now).is_some();
         let is_behind = revision < age.revision;
         self.set_watches(
             needs_store_read(is_coordinator, is_behind, age.declaration),
@@ -105,12 +113,15 @@
             }
             let mut directory = lock(&self.directory);
             let source = self.state.snapshot.load().registry.source;
-            if numbers.is_none() && source == RegistrySource::Coordinator {
+            // In another era, the same list is a copy of its own.
+            let is_confirmation = directory.stamp().position.era == stamp.position.era;
+            if numbers.is_none() && source == RegistrySource::Coordinator && is_confirmation {
                 directory.record_unchanged(stamp);
+                self.state.record_registry_time(directory.stamp().as_of);
                 return None;
             }
             let entries = contact.engines.values().map(|listed| listed.entry.clone());
-            directory.update_from_coordinator(stamp, entries)
+            directory.update_from_coordinator(now, stamp, entries)
         };
         self.record_registry_copy(RegistrySource::Coordinator, stamp, is_used);
         self.publish_engines();
@@ -121,12 +132,13 @@
     pub(super) fn record_registry_copy(
         &self,
         source: RegistrySource,
-        stamp: RegistryStamp,
+        stamp: StoreStamp,
         is_used: bool,
     ) {
         self.state.metrics.fleet.count_registry_copy(source.label(), !is_used);
         if is_used {
-            let origin = RegistryOrigin { revision: stamp.revision, source };
+            self.state.record_registry_time(stamp.as_of);
+            let origin = RegistryOrigin { position: stamp.position, source };
             self.update_snapshot(|snapshot| snapshot.registry = origin);
         }
     }
@@ -195,9 +207,18 @@
     mut updates: mpsc::Receiver<StoreUpdate<Arc<FleetDeclaration>>>,
 ) {
     while let Some(update) = updates.recv().await {
-        let StoreUpdate::Current { value: declaration, as_of, .. } = update else { continue };
+        let StoreUpdate::Current { value: declaration, position, as_of } = update else { continue };
+        let (now, answered) = (time_since_boot(), declaration.revision);
+        let in_force = control.state.snapshot.load().declaration.clone();
+        let in_force = in_force.map_or(0, |declaration| declaration.revision);
+        let (stamp, age) = (StoreStamp { position, as_of }, control.state.declaration_age(now));
+        let mut confirmation = lock(&control.confirmation);
+        let is_confirmed = confirmation.record_answer(now, stamp, answered, in_force, age);
+        drop(confirmation);
         control.apply_declaration(declaration);
-        control.state.record_declaration_time(as_of);
+        if is_confirmed {
+            control.state.record_declaration_time(as_of);
+        }
     }
 }
 
@@ -212,8 +233,8 @@
     loop {
         tokio::select! {
             update = updates.recv() => match update {
-                Some(StoreUpdate::Current { value, revision, as_of }) => {
-                    let stamp = RegistryStamp { revision, as_of };
+                Some(StoreUpdate::Current { value, position, as_of }) => {
+                    let stamp = StoreStamp { position, as_of };
                     let now = time_since_boot();
                     let RegistryCopy { entries, unusable } = value;
                     let is_used = {
@@ -225,7 +246,6 @@
                         is_used
                     };
                     control.record_registry_copy(RegistrySource::Store, stamp, is_used);
-                    control.state.record_registry_time(as_of);
                 }
                 Some(StoreUpdate::Failed) => lock(&control.directory).record_failure(),
                 None => return,
