Hold the lease beside answers that state no era now and then

A host took an answer without an era for one of another era. Where every other answer stated none, a write and the read before it never agreed, so no host held the lease; where every seventh did, the time until the former holder must have stopped began anew again and again, and the fleet had no coordinator for seconds.

An answer without an era is now taken to be of the last stated one for ERA_DOUBT. It gives no right: a write that was answered without an era counts once a later answer states the era of the record at the same version, and a record is trusted only once the era was stated with it. A host that has been told of a fencing token knows that a record was written, and one that saw none reads on beside a coordinator.

The drawn plays contain stores of which every seventh answer states no era.

--- a/crates/skylarkgw/src/decision/coordinator_lease.rs
+++ b/crates/skylarkgw/src/decision/coordinator_lease.rs
@@ -12,15 +12,17 @@
 //! renews it in the new era. Other hosts wait until it must have stopped.
 
 mod capacity;
+mod refused;
 mod seen;
 mod tokens;
 
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use crate::decision::coordinator_lease::refused::RefusedParts;
 use crate::decision::coordinator_lease::seen::SeenRecord;
 use crate::decision::coordinator_lease::tokens::TokenSource;
-use crate::decision::store_order::StorePosition;
+use crate::decision::store_order::{ERA_DOUBT, StorePosition};
 use crate::gateway::ports::{LeaseAnswer, LeaseRecord};
 use crate::ids::{HostId, ObjectVersion, PartHash, StoreEra};
 
@@ -98,9 +100,14 @@
     /// Era of the last answer, with the version of the record that the store last
     /// returned in it, or zero.
     position: Option<StorePosition>,
+    /// Era that the store last stated, with the time of that answer.
+    stated_era: Option<(StoreEra, Duration)>,
+    /// Position of a write of this host that was answered without an era, with the time
+    /// at which it was sent.
+    unconfirmed: Option<(StorePosition, Duration)>,
     /// Whether the record as last returned was settled.
     is_era_settled: Option<bool>,
-    /// Whether this host has seen a record.
+    /// Whether this host knows that a record was written.
     has_seen_record: bool,
     tokens: TokenSource,
     /// Earliest time at which this host may give orders after it last tried to take the
@@ -121,8 +128,7 @@
     is_releasing: bool,
     /// Time of the last handover.
     handed_over_at: Option<Duration>,
-    /// Prompt parts that the holder refuses, each with the time at which a trial is due.
-    refused_parts: Vec<(PartHash, Duration)>,
+    refused_parts: RefusedParts,
 }
 
 impl CoordinatorLease {
@@ -140,6 +146,8 @@
             lease_duration,
             seen: None,
             position: None,
+            stated_era: None,
+            unconfirmed: None,
             is_era_settled: None,
             has_seen_record: false,
             tokens: TokenSource::default(),
@@ -153,7 +161,7 @@
             next_call_at: Duration::ZERO,
             is_releasing: false,
             handed_over_at: None,
-            refused_parts: Vec::new(),
+            refused_parts: RefusedParts::default(),
         }
     }
 
@@ -228,6 +236,7 @@
     /// Records a fencing token that is in use, so that this host takes a higher one.
     pub fn record_token(&mut self, token: u64) {
         self.tokens.record(token);
+        self.has_seen_record = true;
     }
 
     /// Returns the name and address of the coordinator in the last seen record,
@@ -250,13 +259,7 @@
     /// Sets the refused prompt parts that the record holds, each with the time until a
     /// trial is due. A holder writes a change at once.
     pub fn set_refused_parts(&mut self, now: Duration, refused: &[(PartHash, Duration)]) {
-        let mut parts: Vec<PartHash> = refused.iter().map(|(part, _)| *part).collect();
-        parts.sort_unstable();
-        let mut known: Vec<PartHash> = self.refused_parts.iter().map(|(part, _)| *part).collect();
-        known.sort_unstable();
-        self.refused_parts =
-            refused.iter().map(|(part, remaining)| (*part, now + *remaining)).collect();
-        if parts != known && self.held.is_some() {
+        if self.refused_parts.replace(now, refused) && self.held.is_some() {
             self.write_now();
         }
     }
@@ -307,6 +310,7 @@
         if self.held.as_ref().is_some_and(|held| now >= held.valid_until) {
             self.held = None;
             self.seen = None;
+            self.unconfirmed = None;
         }
         if now < self.next_call_at {
             return LeaseAction::Wait;
@@ -321,7 +325,8 @@
             self.next_call_at = now + RETRY_DELAY;
             return LeaseAction::Write { expected, record };
         }
-        if self.is_releasing || (has_coordinator && self.seen.is_some()) {
+        let has_seen = self.seen.as_ref().is_some_and(|seen| seen.version.is_some());
+        if self.is_releasing || (has_coordinator && has_seen) {
             return LeaseAction::Wait;
         }
         self.next_call_at = now + RETRY_DELAY;
@@ -365,29 +370,42 @@
 
     fn apply_answer(&mut self, now: Duration, sent_at: Duration, answer: LeaseAnswer) {
         match answer {
-            LeaseAnswer::Found { version, era, record, is_written } => {
+            LeaseAnswer::Found { version, era: stated, record, is_written } => {
                 self.named = None;
-                let is_settled = self.is_settled(era, version, record.as_ref());
+                let era = self.follow_era(now, stated);
+                let position = StorePosition { era, revision: version };
+                let is_valid = self.is_valid(position, record.as_ref());
+                let is_settled = self.is_settled(stated, era, Some(version), is_valid);
                 if let Some(record) = &record {
                     self.tokens.record(record.token);
                     if !is_written {
-                        self.keep_refused_parts(now, record, is_settled);
+                        let is_own = record.holder == self.host;
+                        self.refused_parts.adopt(now, &record.refused_parts, is_own, is_settled);
                     }
                 }
-                if is_written && is_settled {
-                    self.handle_written(sent_at, record.as_ref());
+                let unconfirmed = self.unconfirmed.take().filter(|(known, _)| *known == position);
+                let written_at =
+                    if is_written { Some(sent_at) } else { unconfirmed.map(|(_, at)| at) };
+                self.unconfirmed = written_at.filter(|_| !is_settled).map(|at| (position, at));
+                if let Some(written_at) = written_at.filter(|_| is_settled) {
+                    self.handle_written(written_at, record.as_ref());
                 } else if !self.is_seen(era, Some(version)) {
                     self.handle_unexpected(record.as_ref(), is_settled);
                 }
                 self.has_seen_record = true;
-                self.record_seen(now, era, Some(version), record, is_settled);
+                self.position = Some(position);
+                self.record_seen(now, stated, era, Some(version), record, is_settled);
             }
-            LeaseAnswer::Missing { era } => {
-                let is_settled = self.is_missing_settled(era);
+            LeaseAnswer::Missing { era: stated } => {
+                let era = self.follow_era(now, stated);
+                let known = self.position.filter(|known| known.era == era);
+                let is_valid = self.is_first_start(era);
+                let is_settled = self.is_settled(stated, era, None, is_valid);
                 if !self.is_seen(era, None) {
                     self.handle_unexpected(None, is_settled);
                 }
-                self.record_seen(now, era, None, None, is_settled);
+                self.position = known.or(Some(StorePosition { era, revision: 0 }));
+                self.record_seen(now, stated, era, None, None, is_settled);
             }
             LeaseAnswer::Refused => {}
             LeaseAnswer::Unknown => {
@@ -397,33 +415,55 @@
         }
     }
 
+    /// Returns the era that the store is taken to have after an answer that stated
+    /// `stated`.
+    ///
+    /// An answer that states none is taken to be of the last stated era for a time. No
+    /// write counts that is not answered with the era of its record.
+    fn follow_era(&mut self, now: Duration, stated: Option<StoreEra>) -> Option<StoreEra> {
+        if let Some(era) = stated {
+            self.stated_era = Some((era, now));
+        }
+        let is_recent = |(_, at): &(StoreEra, Duration)| now <= *at + ERA_DOUBT;
+        self.stated_era.filter(is_recent).map(|(era, _)| era)
+    }
+
     /// Returns whether the record belongs to the history that the store has now.
     ///
     /// A record that states the era of the answer was written in it, unless the store
     /// went back since without a higher era.
-    fn is_settled(
-        &self,
-        era: Option<StoreEra>,
-        version: ObjectVersion,
-        record: Option<&LeaseRecord>,
-    ) -> bool {
-        if let Some(seen) = self.seen.as_ref().filter(|_| self.is_seen(era, Some(version))) {
-            return seen.is_settled;
-        }
-        let is_later = self.position.is_none_or(|known| match (known.era, era) {
-            (known_era, era) if known_era == era => version >= known.revision,
+    fn is_valid(&self, position: StorePosition, record: Option<&LeaseRecord>) -> bool {
+        let is_later = self.position.is_none_or(|known| match (known.era, position.era) {
+            (known_era, era) if known_era == era => position.revision >= known.revision,
             (Some(known_era), Some(era)) => era > known_era,
             _ => false,
         });
-        is_later && record.is_some_and(|record| record.era == era)
+        is_later && record.is_some_and(|record| record.era == position.era)
     }
 
-    /// Returns whether no record can ever have existed.
-    fn is_missing_settled(&self, era: Option<StoreEra>) -> bool {
+    /// Returns whether a record that is missing can never have existed.
+    fn is_first_start(&self, era: Option<StoreEra>) -> bool {
         let is_same_era = self.position.is_none_or(|known| known.era == era);
         !self.has_seen_record && is_same_era && era.unwrap_or_default() == 0
     }
 
+    /// Returns whether a version tells who holds the lease. `is_valid` applies if the
+    /// store has stated the era for the first time with it.
+    fn is_settled(
+        &self,
+        stated: Option<StoreEra>,
+        era: Option<StoreEra>,
+        version: Option<ObjectVersion>,
+        is_valid: bool,
+    ) -> bool {
+        let seen = self.seen.as_ref().filter(|_| self.is_seen(era, version));
+        let is_stated = stated == era;
+        match seen.filter(|seen| seen.is_era_stated || !is_stated) {
+            Some(seen) => seen.is_settled,
+            None => is_stated && is_valid,
+        }
+    }
+
     /// Keeps the held lease if no other host can hold it by a record that this host has
     /// not written or whose answer it has not got, and drops it otherwise.
     ///
@@ -446,40 +486,20 @@
     fn record_seen(
         &mut self,
         now: Duration,
+        stated: Option<StoreEra>,
         era: Option<StoreEra>,
         version: Option<ObjectVersion>,
         record: Option<LeaseRecord>,
         is_settled: bool,
     ) {
         self.is_era_settled = Some(is_settled);
-        let known = self.position.filter(|known| known.era == era);
-        let revision = version.or(known.map(|known| known.revision)).unwrap_or_default();
-        self.position = Some(StorePosition { era, revision });
-        if !self.is_seen(era, version) {
-            // The holder sent its latest write before this answer arrived.
-            let expires_by = now + self.lease_duration.mul_f64(HOLD_FRACTION);
-            self.seen = Some(SeenRecord { version, era, record, is_settled, expires_by });
-        }
-    }
-
-    /// Takes over the refused parts of another holder's record, so that this host keeps them
-    /// if it takes the lease.
-    ///
-    /// A record that is not settled may lack the latest ones, so it only adds to those
-    /// that are known.
-    fn keep_refused_parts(&mut self, now: Duration, record: &LeaseRecord, is_settled: bool) {
-        let refused = record.refused_parts.iter();
-        let refused = refused.map(|(part, remaining)| (*part, now + *remaining));
-        if !is_settled {
-            for (part, until) in refused {
-                match self.refused_parts.iter_mut().find(|(known, _)| *known == part) {
-                    Some((_, known_until)) => *known_until = until.max(*known_until),
-                    None => self.refused_parts.push((part, until)),
-                }
-            }
-        } else if record.holder != self.host || self.refused_parts.is_empty() {
-            self.refused_parts = refused.collect();
-        }
+        let known = self.seen.take().filter(|seen| (seen.era, seen.version) == (era, version));
+        let is_era_stated = stated == era || known.as_ref().is_some_and(|seen| seen.is_era_stated);
+        // The holder sent its latest write before this answer arrived.
+        let expires_by = now + self.lease_duration.mul_f64(HOLD_FRACTION);
+        let expires_by = known.map_or(expires_by, |seen| seen.expires_by);
+        let seen = SeenRecord { version, era, is_era_stated, record, is_settled, expires_by };
+        self.seen = Some(seen);
     }
 
     /// Records the lease as held from `sent_at`, or as no longer held if the written
@@ -564,7 +584,6 @@
         era: Option<StoreEra>,
         is_released: bool,
     ) -> LeaseRecord {
-        let refused = self.refused_parts.iter();
         LeaseRecord {
             holder: self.host.clone(),
             incarnation: self.incarnation,
@@ -572,9 +591,7 @@
             token,
             era,
             is_released,
-            refused_parts: refused
-                .map(|(part, until)| (*part, until.saturating_sub(now)))
-                .collect(),
+            refused_parts: self.refused_parts.remaining(now),
         }
     }
 }
--- a/crates/skylarkgw/src/decision/coordinator_lease/seen.rs
+++ b/crates/skylarkgw/src/decision/coordinator_lease/seen.rs
@@ -10,8 +10,10 @@
 pub struct SeenRecord {
     /// Version of the record, or `None` if it does not exist.
     pub version: Option<ObjectVersion>,
-    /// Era that the store stated.
+    /// Era that the store is taken to have.
     pub era: Option<StoreEra>,
+    /// Whether the store has stated that era with this version.
+    pub is_era_stated: bool,
     /// The record, or `None` if it does not exist or could not be decoded.
     pub record: Option<LeaseRecord>,
     /// Whether the record tells who holds the lease. Otherwise the store may have lost
--- a/crates/skylarkgw/tests/decisions/lease_restores.rs
+++ b/crates/skylarkgw/tests/decisions/lease_restores.rs
@@ -440,6 +440,8 @@
     late_share: f64,
     /// Changes of other objects in a second.
     changes_per_s: u64,
+    /// Number of answers of which one states no era, or zero if all do.
+    missing_era_every: u64,
 }
 
 impl RestorePlay {
@@ -455,6 +457,7 @@
             lost_share: if has_lost_calls { 0.1 } else { 0.0 },
             late_share: if has_lost_calls { 0.1 } else { 0.0 },
             changes_per_s: [0, 1, 5][generator.random_range(0..3)],
+            missing_era_every: [0, 7][generator.random_range(0..2)],
         }
     }
 
@@ -470,6 +473,7 @@
         let mut fleet = LeaseFleet::new(&names[..self.hosts], era);
         fleet.has_contact = self.has_contact;
         fleet.store.changes_per_s = self.changes_per_s;
+        fleet.store.missing_era_every = self.missing_era_every;
         let (restored_at, back_at) = (self.restored_at, self.restored_at + self.down);
         let mut choose_fate = |now: u64, _| {
             if (restored_at..back_at).contains(&now) {
@@ -534,17 +538,36 @@
 /// now and then.
 #[test]
 fn lease_is_held_beside_an_era_that_comes_and_goes() {
-    for era in [None, Some(7)] {
-        for missing in [0, 3, 10, 30, 60] {
-            let mut fleet = LeaseFleet::new(&["a", "b", "c"], era);
+    let names = ["a", "b", "c"];
+    for (hosts, era) in [(1, Some(7)), (2, Some(7)), (3, Some(7)), (3, None)] {
+        for missing in [0, 2, 3, 10, 30, 60] {
+            let mut fleet = LeaseFleet::new(&names[..hosts], era);
             fleet.store.missing_era_every = missing;
             fleet.run_calmly_until(12_000);
-            let mut unheld = 0;
+            let holder = fleet.holder().expect("a host should hold the lease");
             for end in (12_000..24_000).step_by(STEP_MS as usize) {
                 fleet.run_calmly_until(end);
-                unheld += u64::from(fleet.holder().is_none()) * STEP_MS;
+                assert_eq!(fleet.holder(), Some(holder), "missing every {missing} at {end} ms");
             }
-            assert!(unheld < 3_000, "no holder for {unheld} ms, era missing every {missing}");
+            fleet.is_connected[holder] = hosts == 1;
+            fleet.run_calmly_until(24_000 + 2 * USUAL_TAKEOVER_MS);
+            assert_eq!(fleet.holder() == Some(holder), hosts == 1, "missing every {missing}");
+            assert!(fleet.holder().is_some(), "no holder, missing every {missing}");
         }
     }
 }
+
+/// Guards against a host that waits for an era that the store no longer states.
+#[test]
+fn lease_is_taken_after_the_era_is_no_longer_stated() {
+    let mut fleet = LeaseFleet::new(&["a", "b"], Some(7));
+    fleet.run_calmly_until(6_000);
+    let holder = fleet.holder().expect("a host should hold the lease");
+    fleet.store.missing_era_every = 1;
+    fleet.run_calmly_until(14_000);
+    assert!(fleet.holder().is_some(), "no holder without an era");
+    let present = fleet.holder().unwrap_or(holder);
+    fleet.is_connected[present] = false;
+    fleet.run_calmly_until(14_000 + 2 * USUAL_TAKEOVER_MS);
+    assert!(fleet.holder().is_some_and(|host| host != present), "no other holder");
+}
