Hold back ended engines by what copies prove and other hosts know

The time for holding engines back goes by the time up to which a copy is confirmed, and begins again in a later era. An engine that another host lists as leaving is held back from copies of the store as well. An outage renews only entries that are still awaited. The test of an engine that reappears asks for a confirmation at that time instead of the time alone, which proves nothing on a suspended host.

--- a/crates/skylarkgw/src/decision/directory.rs
+++ b/crates/skylarkgw/src/decision/directory.rs
@@ -68,7 +68,7 @@
             self.await_missing(now);
         }
         let may_have_expired = self.is_settling(now);
-        self.replace(now, listed, stamp.position.era != era, may_have_expired);
+        self.replace(now, listed, stamp.position.era != era, may_have_expired, true);
         true
     }
 
@@ -98,7 +98,7 @@
         }
         self.settling_since = None;
         let is_new_era = stamp.position.era != era;
-        self.replace(now, listed, is_new_era, is_new_era);
+        self.replace(now, listed, is_new_era, is_new_era, false);
         true
     }
 
@@ -112,12 +112,12 @@
         let (era, known) = (stamp.position.era, self.stamp.position.era);
         if era != known {
             self.stamp = stamp;
+            let is_later = known.is_some() && era > known;
             if !is_first {
                 self.era_since = Some(now);
-                self.retired.record_new_era(now);
+                self.retired.record_new_era(now, is_later);
             }
-            // An era that goes down or is not always stated may change without end.
-            if known.is_some() && era > known {
+            if is_later {
                 self.await_missing(now);
             }
         }
@@ -125,20 +125,29 @@
         true
     }
 
-    /// Allows the engines of all missing entries the whole time to register again.
+    /// Allows the engines of all missing entries whose time is not over the whole time to
+    /// register again.
     fn await_missing(&mut self, now: Duration) {
-        self.missing.values_mut().for_each(|(since, _)| *since = now);
+        self.missing.retain(|_, (since, entry)| {
+            let is_awaited = is_recent(now, *since);
+            if !is_awaited {
+                self.retired.record_removed(now, entry);
+            }
+            *since = now;
+            is_awaited
+        });
     }
 
-    /// Replaces the entries. `is_new_era` is whether the list is the first one of an era, and
+    /// Replaces the entries. `is_new_era` is whether the list is the first one of an era,
     /// `may_have_expired` whether entries that are not listed any more may have been lost
-    /// with an outage.
+    /// with an outage, and `is_own` whether this host has read the list from the store.
     fn replace(
         &mut self,
         now: Duration,
         listed: impl IntoIterator<Item: Into<Arc<EngineEntry>>>,
         is_new_era: bool,
         may_have_expired: bool,
+        is_own: bool,
     ) {
         // An entry that has not changed stays the same value, which is fast to compare.
         let listed = listed.into_iter().map(|entry| {
@@ -175,7 +184,7 @@
             }
             is_awaited
         });
-        self.retired.record_listed(now, self.entries.values());
+        self.retired.record_listed(now, self.stamp.as_of, self.entries.values(), is_own);
     }
 
     /// Records that the entries were confirmed to be current up to `stamp`, unless it is
@@ -218,8 +227,8 @@
         // A former instance may be listed under the identifier of a missing entry.
         let is_former = move |id| self.missing.get(id).is_some_and(|(since, _)| is_awaited(*since));
         let listed = self.entries.iter().filter(move |(id, _)| !is_former(*id));
-        let listed =
-            listed.map(move |(id, entry)| self.retired.find_held(now, id).unwrap_or(entry));
+        let listed = listed
+            .map(move |(id, entry)| self.retired.find_held(self.stamp.as_of, id).unwrap_or(entry));
         listed.chain(missing.map(|(_, entry)| entry))
     }
 
--- a/crates/skylarkgw/src/decision/retired_engines.rs
+++ b/crates/skylarkgw/src/decision/retired_engines.rs
@@ -29,6 +29,9 @@
     /// Whether a copy of the present era did not list the engine, so that it is alive if a
     /// later one does.
     is_removed: bool,
+    /// Whether another host listed the engine as leaving. It may know what the store has
+    /// lost.
+    is_named: bool,
     /// Time at which a copy first listed the engine as ready.
     contradicted_at: Option<Duration>,
     /// Entry of that copy as a draining engine.
@@ -48,11 +51,17 @@
 }
 
 impl RetiredEngines {
-    /// Records that the store has begun a new era.
-    pub fn record_new_era(&mut self, now: Duration) {
+    /// Records that the store is in another era.
+    ///
+    /// In a later one, `is_later`, each engine may be held back for the whole time again. An
+    /// era that goes down or is not always stated may change without end.
+    pub fn record_new_era(&mut self, now: Duration, is_later: bool) {
         self.era_since = Some(now);
         for retirement in self.retired.values_mut() {
             (retirement.is_removed, retirement.held) = (false, None);
+            if is_later {
+                retirement.contradicted_at = None;
+            }
         }
     }
 
@@ -66,12 +75,21 @@
         self.record_retirement(now, entry, false);
     }
 
+    /// Records that another host lists an engine as leaving.
+    fn record_named(&mut self, now: Duration, entry: &EngineEntry) {
+        self.record_retirement(now, entry, false);
+        if let Some(retirement) = self.retired.get_mut(&entry.id) {
+            retirement.is_named = true;
+        }
+    }
+
     fn record_retirement(&mut self, now: Duration, entry: &EngineEntry, is_removed: bool) {
         let known = self.retired.get(&entry.id).map_or(0, |known| known.started_ms);
         let retirement = Retirement {
             started_ms: entry.started_ms.max(known),
             shown_at: now,
             is_removed,
+            is_named: false,
             contradicted_at: None,
             held: None,
         };
@@ -79,26 +97,34 @@
     }
 
     /// Records the entries of a copy of the registry that is used.
+    ///
+    /// `as_of` is the time up to which the copy is confirmed, and `is_own` whether this host
+    /// has read it from the store. A host that was suspended may get old copies.
     pub fn record_listed<'a>(
         &mut self,
         now: Duration,
+        as_of: Duration,
         listed: impl Iterator<Item = &'a Arc<EngineEntry>>,
+        is_own: bool,
     ) {
-        let is_new_era = self.era_since.is_some_and(|since| is_recent(now, since));
+        let is_new_era = self.era_since.is_some_and(|since| is_recent(as_of, since));
         for entry in listed {
             if entry.phase == EnginePhase::Draining || entry.leaves_in.is_some() {
-                self.record_leaving(now, entry);
+                match is_own {
+                    true => self.record_leaving(now, entry),
+                    false => self.record_named(now, entry),
+                }
                 continue;
             }
             let Some(retirement) = self.retired.get_mut(&entry.id) else { continue };
-            // The era may change again and again, so the engine's own time ends as well.
             let contradicted_at = *retirement.contradicted_at.get_or_insert(now);
             let is_alive = if entry.started_ms == retirement.started_ms {
                 retirement.is_removed
             } else {
                 entry.started_ms > retirement.started_ms
             };
-            if is_new_era && is_recent(now, contradicted_at) && !is_alive {
+            let may_be_lost = is_new_era || (is_own && retirement.is_named);
+            if may_be_lost && is_recent(as_of, contradicted_at) && !is_alive {
                 let entry = EngineEntry { phase: EnginePhase::Draining, ..(**entry).clone() };
                 retirement.held = Some(Arc::new(entry));
             } else {
@@ -120,13 +146,14 @@
         self.retired.values().any(|retirement| retirement.held.is_some())
     }
 
-    /// Returns the entry of the last copy as a draining engine if the engine is held back.
-    pub fn find_held(&self, now: Duration, engine: &EndpointId) -> Option<&Arc<EngineEntry>> {
+    /// Returns the entry of the last copy, which is confirmed up to `as_of`, as a draining
+    /// engine if the engine is held back.
+    pub fn find_held(&self, as_of: Duration, engine: &EndpointId) -> Option<&Arc<EngineEntry>> {
         let retirement = self.retired.get(engine)?;
-        let is_held = [self.era_since?, retirement.contradicted_at?]
-            .into_iter()
-            .all(|since| is_recent(now, since));
-        retirement.held.as_ref().filter(|_| is_held)
+        let is_new_era = self.era_since.is_some_and(|since| is_recent(as_of, since));
+        let is_held = is_recent(as_of, retirement.contradicted_at?);
+        let may_be_lost = is_new_era || retirement.is_named;
+        retirement.held.as_ref().filter(|_| is_held && may_be_lost)
     }
 }
 
--- a/crates/skylarkgw/tests/decisions/directory_eras.rs
+++ b/crates/skylarkgw/tests/decisions/directory_eras.rs
@@ -198,8 +198,11 @@
     let due = 900 + millis(REAPPEARANCE_TIME);
     directory.update_from_store(ms(due - 1), stamp(2, 796, due - 1), listed());
     assert_eq!(usable(&directory, due - 1), ["e1"]);
-    // No further copy is needed, and the change is published.
+    // Time alone proves nothing, since the host may have been suspended. No further copy is
+    // needed, and the change is published.
+    assert_eq!(usable(&directory, due + 5_000), ["e1"]);
     assert_eq!(directory.change_count(), None);
+    directory.record_unchanged(stamp(2, 796, due));
     assert_eq!(usable(&directory, due), ["e1", "e2"]);
     directory.update_from_store(ms(due + 10), stamp(2, 797, due + 10), listed());
     assert!(directory.change_count().is_some());
@@ -296,3 +299,47 @@
     }
     assert_eq!(usable(&directory, now), ["back", "e1"]);
 }
+
+/// Guards against requests to an engine that has ended: a host that was suspended gets a
+/// copy from before its suspension, after the time in which such engines are held back.
+#[test]
+fn copy_from_before_a_suspension_shows_no_engine_to_be_alive() {
+    let mut directory = EngineDirectory::default();
+    directory.update_from_store(ms(0), stamp(1, 800, 0), vec![ready("e1"), ready("e2")]);
+    directory.update_from_store(ms(500), stamp(1, 801, 500), vec![ready("e1")]);
+    let listed = || vec![ready("e1"), ready("e2")];
+    directory.update_from_store(ms(900), stamp(2, 795, 900), listed());
+    let late = 900 + 2 * millis(REAPPEARANCE_TIME);
+    directory.update_from_store(ms(late), stamp(2, 796, 1_600), listed());
+    assert_eq!(usable(&directory, late), ["e1"]);
+    directory.update_from_store(ms(late), stamp(3, 790, late), listed());
+    assert_eq!(usable(&directory, late), ["e1"]);
+}
+
+/// Guards against requests to an engine that leaves: a host that starts after a restore
+/// learns that from another host alone, and then reads the restored entry in the store.
+#[test]
+fn engine_that_another_host_lists_as_leaving_is_not_used_from_the_store() {
+    let mut directory = EngineDirectory::default();
+    let mut leaving = ready("e2");
+    leaving.phase = EnginePhase::Draining;
+    directory.update_from_coordinator(ms(100), stamp(2, 795, 100), vec![ready("e1"), leaving]);
+    directory.update_from_store(ms(300), stamp(2, 796, 300), vec![ready("e1"), ready("e2")]);
+    assert_eq!(usable(&directory, 300), ["e1"]);
+    let due = 300 + millis(REAPPEARANCE_TIME);
+    directory.update_from_store(ms(due), stamp(2, 797, due), vec![ready("e1"), ready("e2")]);
+    assert_eq!(usable(&directory, due), ["e1", "e2"]);
+}
+
+/// Guards against requests to an engine that has ended: an outage revived an entry whose
+/// time to register again was over.
+#[test]
+fn outage_revives_no_entry_whose_time_is_over() {
+    let mut directory = EngineDirectory::default();
+    directory.update_from_store(ms(0), stamp(1, 1, 0), vec![ready("e1"), ready("e2")]);
+    directory.update_from_store(ms(5_000), stamp(1, 2, 5_000), vec![ready("e1")]);
+    assert_eq!(usable(&directory, 5_000), ["e1", "e2"]);
+    assert_eq!(usable(&directory, 9_000), ["e1"]);
+    directory.update_from_store(ms(12_000), stamp(1, 3, 12_000), vec![ready("e1")]);
+    assert_eq!(usable(&directory, 12_000), ["e1"]);
+}
