Confirm the first declaration by what the lease record shows

A host that started after a restore could confirm a restored declaration at once, with keys that had been withdrawn, if the store answered its list before the lease record had named an older era, or had lost that record.

An older declaration that the store returns for 15 s confirms the one in force, since valid keys were refused for ever if the lost one was never written again. A host that knows a newer one than its coordinator reads the store itself.

--- a/crates/skylarkgw/src/decision/declaration_confirmation.rs
+++ b/crates/skylarkgw/src/decision/declaration_confirmation.rs
@@ -13,6 +13,11 @@
 /// lost is written again.
 pub const DECLARATION_SETTLE_TIME: Duration = Duration::from_secs(2);
 
+/// Time for which the store must go on returning an older declaration than the one in force
+/// until that counts as the newest. It exceeds the age of a copy from which the store is
+/// restored.
+pub const OLDER_SETTLE_TIME: Duration = Duration::from_secs(15);
+
 /// What one host knows of the eras of the store from which it reads the declaration.
 #[derive(Debug, Default)]
 pub struct DeclarationConfirmation {
@@ -22,6 +27,8 @@
     changed_at: Option<Duration>,
     /// Whether the declaration in force was recent at that time.
     was_recent: bool,
+    /// Time since which the store has returned an older declaration than the one in force.
+    older_since: Option<Duration>,
 }
 
 impl DeclarationConfirmation {
@@ -35,6 +42,12 @@
         }
     }
 
+    /// Records that the lease record, which a host reads when it starts, does not belong to
+    /// the present era, so that the store may have begun anew just before.
+    pub fn record_unsettled_start(&mut self, now: Duration) {
+        self.changed_at.get_or_insert(now);
+    }
+
     /// Records an answer of the store with the declaration `answered`, received at `now`, and
     /// returns whether it proves that none is newer.
     ///
@@ -52,12 +65,19 @@
         if era.is_some() && era != self.era {
             self.change_era(now, era, age);
         }
+        if answered < in_force {
+            // The declaration in force is kept. If the store never gets it again, its keys
+            // must not be refused for ever.
+            let older_since = *self.older_since.get_or_insert(now);
+            return stamp.as_of >= older_since + OLDER_SETTLE_TIME;
+        }
+        self.older_since = None;
         let settled_at = self.changed_at.map(|at| at + DECLARATION_SETTLE_TIME);
         let is_settled = settled_at.is_none_or(|settled_at| stamp.as_of >= settled_at);
         // A host that had not heard of the newest declaration may take one for newer that
         // is only restored.
         let is_new = self.was_recent && answered > in_force;
-        answered >= in_force && (is_settled || is_new)
+        is_settled || is_new
     }
 
     fn change_era(&mut self, now: Duration, era: Option<StoreEra>, age: Duration) {
--- a/crates/skylarkgw/src/gateway/control.rs
+++ b/crates/skylarkgw/src/gateway/control.rs
@@ -398,6 +398,7 @@
             lease.handle_answer(now, sent_at, answer);
             lease.token(now)
         };
+        control.record_lease_start(now);
         control.apply_token(now, token);
     }
 }
--- a/crates/skylarkgw/src/gateway/control/knowledge.rs
+++ b/crates/skylarkgw/src/gateway/control/knowledge.rs
@@ -58,6 +58,21 @@
         lock(&self.confirmation).record_named_era(now, era, age);
     }
 
+    /// Records whether the lease record shows, when this host starts, that the store may
+    /// just have begun anew.
+    pub(super) fn record_lease_start(&self, now: Duration) {
+        let is_settled = lock(&self.lease).is_era_settled();
+        if is_settled == Some(false) && !self.state.has_confirmed_declaration() {
+            lock(&self.confirmation).record_unsettled_start(now);
+        }
+    }
+
+    /// Returns whether an answer of the store can confirm the declaration. The first one
+    /// cannot before the lease record tells whether the store may have begun anew.
+    fn may_confirm_declaration(&self) -> bool {
+        self.state.has_confirmed_declaration() || lock(&self.lease).is_era_settled().is_some()
+    }
+
     /// Returns the declaration in force if this host is the coordinator.
     pub fn declaration_as_coordinator(&self) -> Option<Arc<FleetDeclaration>> {
         self.with_coordinator(|_, _| self.state.snapshot.load().declaration.clone())?
@@ -87,7 +102,8 @@
         let now = time_since_boot();
         self.record_named_era(now, stamp.position.era);
         let is_coordinator = lock(&self.lease).token(now).is_some();
-        let is_behind = revision < age.revision;
+        // A host that knows a newer declaration than the coordinator gets no confirmation.
+        let is_behind = revision != age.revision;
         self.set_watches(
             needs_store_read(is_coordinator, is_behind, age.declaration),
             needs_store_read(is_coordinator, false, age.registry),
@@ -216,7 +232,7 @@
         let is_confirmed = confirmation.record_answer(now, stamp, answered, in_force, age);
         drop(confirmation);
         control.apply_declaration(declaration);
-        if is_confirmed {
+        if is_confirmed && control.may_confirm_declaration() {
             control.state.record_declaration_time(as_of);
         }
     }
--- a/crates/skylarkgw/src/gateway/state.rs
+++ b/crates/skylarkgw/src/gateway/state.rs
@@ -264,6 +264,11 @@
         self.registry_as_of_ms.fetch_max(as_of.as_millis() as u64, Ordering::Relaxed);
     }
 
+    /// Returns whether the declaration has been confirmed to be current since the start.
+    pub fn has_confirmed_declaration(&self) -> bool {
+        self.declaration_as_of_ms.load(Ordering::Relaxed) > 0
+    }
+
     /// Returns the time since the declaration was last confirmed to be current, or
     /// since boot if that has not happened yet.
     pub fn declaration_age(&self, now: Duration) -> Duration {
--- a/crates/skylarkgw/tests/decisions/declaration_confirmation.rs
+++ b/crates/skylarkgw/tests/decisions/declaration_confirmation.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use skylarkgw::decision::declaration_confirmation::{
-    DECLARATION_SETTLE_TIME, DeclarationConfirmation, is_confirmed_by,
+    DECLARATION_SETTLE_TIME, DeclarationConfirmation, OLDER_SETTLE_TIME, is_confirmed_by,
 };
 use skylarkgw::decision::store_order::{StorePosition, StoreStamp};
 use skylarkgw::ids::StoreEra;
@@ -59,6 +59,20 @@
     assert!(is_confirmed_by(7, 7));
 }
 
+/// Guards against keys that are refused for ever, where a lost declaration is never written
+/// again.
+#[test]
+fn older_declaration_that_stays_confirms_the_one_in_force_in_the_end() {
+    let mut confirmation = DeclarationConfirmation::default();
+    let limit = OLDER_SETTLE_TIME.as_millis() as u64;
+    assert!(!answer(&mut confirmation, 1, 1_000, 6, 7));
+    assert!(!answer(&mut confirmation, 1, 1_000 + limit - 1, 6, 7));
+    assert!(answer(&mut confirmation, 1, 1_000 + limit, 6, 7));
+    // The newest one has come back in between.
+    assert!(answer(&mut confirmation, 1, 40_000, 7, 7));
+    assert!(!answer(&mut confirmation, 1, 41_000, 6, 7));
+}
+
 /// Guards against withdrawn keys that are accepted: a newer declaration may be lost and not
 /// yet written again.
 #[test]
--- a/crates/skylarkgw/tests/decisions/store_restores/host.rs
+++ b/crates/skylarkgw/tests/decisions/store_restores/host.rs
@@ -149,6 +149,10 @@
         ms(now).saturating_sub(self.declared_as_of)
     }
 
+    fn has_confirmed_declaration(&self) -> bool {
+        self.declared_as_of > Duration::ZERO
+    }
+
     /// Returns the keys that the host accepts.
     pub fn accepted_keys(&self, now: u64) -> impl Iterator<Item = u32> + '_ {
         let is_usable = can_check_keys(REVOCATION, self.confirmed_age(now));
@@ -171,7 +175,8 @@
         let age = self.confirmed_age(now);
         let is_confirmed = self.confirmation.record_answer(ms(now), stamp, answered, in_force, age);
         self.apply_declaration(declaration);
-        if is_confirmed {
+        let may_confirm = self.has_confirmed_declaration() || self.lease.is_era_settled().is_some();
+        if is_confirmed && may_confirm {
             self.declared_as_of = self.declared_as_of.max(stamp.as_of);
         }
     }
@@ -188,6 +193,10 @@
             self.record_named_era(now, *era);
         }
         self.lease.handle_answer(ms(now), ms(sent_at), answer);
+        let is_settled = self.lease.is_era_settled();
+        if is_settled == Some(false) && !self.has_confirmed_declaration() {
+            self.confirmation.record_unsettled_start(ms(now));
+        }
     }
 
     pub fn apply_store_registry(&mut self, now: u64, stamp: StoreStamp, entries: Vec<EngineEntry>) {
