--- a/crates/skylarkgw/src/decision/stop_plan.rs
+++ b/crates/skylarkgw/src/decision/stop_plan.rs
@@ -9,7 +9,7 @@
 /// Times in the stop of a host, since boot.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct StopPlan {
-    /// Time at which the host stops accepting connections and closes the idle ones.
+    /// Time at which the host closes idle connections.
     pub closes_at: Duration,
     /// Time at which the process ends, whatever requests are running.
     pub ends_at: Duration,
--- a/crates/skylarkgw/src/edge/forward/send.rs
+++ b/crates/skylarkgw/src/edge/forward/send.rs
@@ -401,8 +401,9 @@
 
 /// Returns whether the engine closes the connection after its response.
 pub fn closes_connection(headers: &HeaderMap) -> bool {
-    let mut values = headers.get_all(header::CONNECTION).iter();
-    values.any(|value| value.to_str().is_ok_and(|value| value.eq_ignore_ascii_case("close")))
+    let values = headers.get_all(header::CONNECTION).iter();
+    let mut options = values.filter_map(|value| value.to_str().ok()).flat_map(|v| v.split(','));
+    options.any(|option| option.trim().eq_ignore_ascii_case("close"))
 }
 
 /// Removes the hop-by-hop headers, including those named in the `Connection`
