Discard the body of a refused request frame by frame

The body of a refused request was collected, up to the limit for bodies, only to be dropped, and a body whose stated length is too long set up a timer that was not used. Each frame is dropped as it comes now.

--- a/crates/skylarkgw/src/edge/forward.rs
+++ b/crates/skylarkgw/src/edge/forward.rs
@@ -159,11 +159,20 @@
     if body.is_end_stream() {
         return true;
     }
-    let declaration = state.snapshot.load().declaration.clone();
-    let limit = declaration.map_or(0, |declaration| declaration.limits.body_bytes);
-    let is_too_long = body.size_hint().lower() > limit as u64;
-    let collected = timeout(DISCARD_TIME, Limited::new(body, limit).collect());
-    !is_too_long && matches!(collected.await, Ok(Ok(_)))
+    let limit = current_limits(state).body_bytes;
+    if body.size_hint().lower() > limit as u64 {
+        return false;
+    }
+    let mut body = Limited::new(body, limit);
+    let discard = async {
+        while let Some(frame) = body.frame().await {
+            if frame.is_err() {
+                return false;
+            }
+        }
+        true
+    };
+    timeout(DISCARD_TIME, discard).await.unwrap_or(false)
 }
 
 /// Tells the client in the headers of a response whether, and for how long, it may reuse
