--- /dev/null
+++ b/review/tool/src/stream.rs
@@ -0,0 +1,219 @@
+//! Streams whose answers have no length, from engines of which one is killed.
+
+use std::io::{BufRead, BufReader, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::Path;
+use std::process::{Child, Command, Stdio};
+use std::time::Duration;
+
+use crate::gateway::Gateway;
+use crate::http::{read_head, read_message};
+use crate::record::Record;
+use crate::store::Store;
+
+const EVENTS: u64 = 40;
+const EVENT_GAP: Duration = Duration::from_millis(100);
+/// Streams of each of two routes.
+const STREAMS: usize = 12;
+
+const CONFIG: &str = r#"{"version":1,"routes":[{"name":"r-guide","host":"shop.example","path_prefix":"/guide/","type":"streaming","timeout_ms":12000,"target_latency_ms":400,"priority":0,"service":"pool","max_attempts":2,"public":false,"sticky":true,"resumable":true,"target_gap_ms":250},{"name":"r-notes","host":"shop.example","path_prefix":"/notes/","type":"streaming","timeout_ms":20000,"target_latency_ms":5000,"priority":0,"service":"pool","max_attempts":1,"public":false,"sticky":true,"resumable":false,"target_gap_ms":250}],"services":[{"name":"pool","health_path":"/healthz","max_connections":822,"protocol":"h1","tls":false}],"tenants":[{"name":"farm","api_keys":["key-1"],"rate_per_s":0,"burst":0,"unit":"tokens","text_tokens":200}],"limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000}}"#;
+
+/// Runs an engine until it is killed. Its answers end with their connection.
+pub fn run_engine(ip: &str, id: &str) -> ! {
+    let listener = TcpListener::bind((ip, 0)).expect("a free port for an engine");
+    println!("{}", listener.local_addr().expect("a bound listener"));
+    for stream in listener.incoming().flatten() {
+        let id = id.to_owned();
+        std::thread::spawn(move || {
+            let _ = answer(stream, &id);
+        });
+    }
+    std::process::exit(0)
+}
+
+fn answer(stream: TcpStream, id: &str) -> std::io::Result<()> {
+    stream.set_nodelay(true)?;
+    let mut reader = BufReader::new(stream.try_clone()?);
+    let Some(request) = read_message(&mut reader)? else { return Ok(()) };
+    let attempt = request.header("x-attempt-id").unwrap_or_default().to_owned();
+    if request.header("x-expect-instance").is_some_and(|expected| expected != id) {
+        let text = format!(
+            "HTTP/1.1 421 X\r\nX-Attempt-Id: {attempt}\r\nX-Instance-Id: {id}\r\nContent-Length: 0\r\n\r\n"
+        );
+        return (&stream).write_all(text.as_bytes());
+    }
+    let first = request
+        .header("last-event-id")
+        .and_then(|text| text.parse::<u64>().ok())
+        .map_or(1, |last| last + 1);
+    println!("engine {id} runs {attempt} from event {first}");
+    let head = format!(
+        "HTTP/1.1 200 OK\r\nX-Attempt-Id: {attempt}\r\nX-Server-Seal: seal.{attempt}\r\n\
+         Content-Type: text/event-stream\r\nConnection: close\r\n\r\n"
+    );
+    (&stream).write_all(head.as_bytes())?;
+    for number in first..=EVENTS {
+        std::thread::sleep(EVENT_GAP);
+        (&stream)
+            .write_all(format!("id: {number}\ndata: piece {number} of {attempt}\n\n").as_bytes())?;
+    }
+    println!("engine {id} has ended {attempt} after event {EVENTS}");
+    Ok(())
+}
+
+struct EngineProcess {
+    child: Child,
+    address: SocketAddr,
+}
+
+impl EngineProcess {
+    fn start(ip: &str, id: &str, record: &Record) -> std::io::Result<EngineProcess> {
+        let mut child = Command::new(std::env::current_exe()?)
+            .args(["engine", ip, id])
+            .stdin(Stdio::null())
+            .stdout(Stdio::piped())
+            .spawn()?;
+        let mut lines = BufReader::new(child.stdout.take().expect("a piped output"));
+        let mut line = String::new();
+        lines.read_line(&mut line)?;
+        let address = line.trim().parse().map_err(|_| std::io::ErrorKind::InvalidData)?;
+        let record = record.clone();
+        std::thread::spawn(move || {
+            lines.lines().map_while(Result::ok).for_each(|line| record.line(line))
+        });
+        Ok(EngineProcess { child, address })
+    }
+
+    /// Sends SIGKILL and waits for the end of the process.
+    fn kill(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+impl Drop for EngineProcess {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+/// What a consumer got.
+#[derive(Debug)]
+struct Outcome {
+    status: u16,
+    last_event: u64,
+    /// Whether the events were 1, 2, 3 and so on.
+    is_in_order: bool,
+    /// Whether the answer ended with its last chunk.
+    is_complete: bool,
+}
+
+fn receive(frontend: SocketAddr, path: &str, id: &str) -> std::io::Result<Outcome> {
+    let stream = TcpStream::connect_timeout(&frontend, Duration::from_secs(1))?;
+    stream.set_read_timeout(Some(Duration::from_secs(15)))?;
+    let request = format!(
+        "POST {path} HTTP/1.1\r\nHost: shop.example\r\nX-Attempt-Id: {id}\r\nX-Deadline-Ms: 12000\r\n\
+         X-Token-Usage: 100,400\r\nAuthorization: Token key-1\r\nContent-Length: 2\r\n\r\n{{}}"
+    );
+    (&stream).write_all(request.as_bytes())?;
+    let mut reader = BufReader::new(&stream);
+    let head = read_head(&mut reader)?.ok_or(std::io::ErrorKind::UnexpectedEof)?;
+    let mut outcome =
+        Outcome { status: head.status(), last_event: 0, is_in_order: true, is_complete: false };
+    if outcome.status != 200 {
+        return Ok(outcome);
+    }
+    let mut body = Vec::new();
+    outcome.is_complete = read_chunks(&mut reader, &mut body).unwrap_or(false);
+    for line in String::from_utf8_lossy(&body).lines() {
+        if let Some(number) = line.strip_prefix("id: ").and_then(|text| text.parse::<u64>().ok()) {
+            outcome.is_in_order &= number == outcome.last_event + 1;
+            outcome.last_event = number;
+        }
+    }
+    Ok(outcome)
+}
+
+/// Reads a chunked body and returns whether its last chunk arrived.
+fn read_chunks(reader: &mut impl BufRead, body: &mut Vec<u8>) -> std::io::Result<bool> {
+    loop {
+        let mut line = String::new();
+        if reader.read_line(&mut line)? == 0 {
+            return Ok(false);
+        }
+        let Ok(size) = usize::from_str_radix(line.trim(), 16) else { return Ok(false) };
+        let mut chunk = vec![0; size + 2];
+        reader.read_exact(&mut chunk)?;
+        if size == 0 {
+            return Ok(true);
+        }
+        body.extend_from_slice(&chunk[..size]);
+    }
+}
+
+pub fn run(folder: &Path, record: &Record, has_trouble: bool) -> Result<bool, String> {
+    let subnet = std::process::id() % 200 + 20;
+    let ip = |host: u32| format!("127.{subnet}.8.{host}");
+    let store = Store::start(&ip(1));
+    store.put("config", "main", CONFIG);
+    let mut engines = Vec::new();
+    for number in 0..6_u32 {
+        let id = format!("i-pool{number}");
+        let engine = EngineProcess::start(&ip(10 + number), &id, record)
+            .map_err(|error| error.to_string())?;
+        let entry = format!(
+            "{{\"service\":\"pool\",\"address\":\"{}\",\"zone\":\"a\",\"version\":\"v1\",\"slots\":16,\
+             \"state\":\"ready\",\"cold_remaining_ms\":0,\"born\":1700000000000,\"sequence\":0}}",
+            engine.address
+        );
+        store.put("servers", &id, &entry);
+        engines.push((id, engine));
+    }
+    let mut gateway = Gateway::new(folder, "edge-a-1", &ip(100), "a", store.address, "");
+    gateway.start().map_err(|error| format!("cannot start the gateway: {error}"))?;
+    if !gateway.wait_ready(Duration::from_secs(10)) {
+        return Err("the gateway was not ready within 10 s".to_owned());
+    }
+    std::thread::sleep(Duration::from_secs(2));
+    let frontend = gateway.frontend;
+    let consumers: Vec<_> = (0..STREAMS * 2)
+        .map(|number| {
+            let record = record.clone();
+            let path = if number % 2 == 0 { "/guide/2f" } else { "/notes/2f" };
+            let id = format!("{}-{number}", &path[1..6]);
+            std::thread::spawn(move || {
+                std::thread::sleep(Duration::from_millis(37) * number as u32);
+                record.line(format!("consumer sends {id}"));
+                let outcome = receive(frontend, path, &id);
+                record.line(format!("consumer gets for {id}: {outcome:?}"));
+                outcome
+            })
+        })
+        .collect();
+    std::thread::sleep(Duration::from_millis(2_500));
+    if has_trouble {
+        let (id, engine) = &mut engines[0];
+        engine.kill();
+        record.line(format!("engine {id} was killed"));
+        let (id, store) = (id.clone(), store.clone());
+        // The entry of an engine that crashed is removed after three check-in intervals.
+        std::thread::spawn(move || {
+            std::thread::sleep(Duration::from_millis(3_600));
+            store.remove("servers", &id);
+        });
+    }
+    let outcomes: Vec<_> =
+        consumers.into_iter().filter_map(|consumer| consumer.join().ok()?.ok()).collect();
+    let is_short = |outcome: &&Outcome| outcome.is_complete && outcome.last_event < EVENTS;
+    let short = outcomes.iter().filter(is_short).count();
+    let disordered = outcomes.iter().filter(|outcome| !outcome.is_in_order).count();
+    let whole = outcomes
+        .iter()
+        .filter(|outcome| outcome.is_complete && outcome.last_event == EVENTS)
+        .count();
+    record.line(format!(
+        "{} streams: {whole} whole, {short} ended as complete before their last piece, {disordered} out of order",
+        STREAMS * 2
+    ));
+    Ok(short == 0 && disordered == 0)
+}
