--- a/review/tool/src/main.rs
+++ b/review/tool/src/main.rs
@@ -32,6 +32,7 @@
     }
     let result = match case.as_str() {
         "stream" => stream::run(&folder, &record, has_trouble),
+        "whole" => stream::run_whole(&folder, &record, has_trouble),
         "memory" => memory::run(&folder, &record, has_trouble),
         _ => Err("there is no such case".to_owned()),
     };
--- a/review/tool/src/stream.rs
+++ b/review/tool/src/stream.rs
@@ -7,16 +7,19 @@
 use std::time::Duration;
 
 use crate::gateway::Gateway;
-use crate::http::{read_head, read_message};
+use crate::http::{call, read_head, read_message};
 use crate::record::Record;
 use crate::store::Store;
 
 const EVENTS: u64 = 40;
 const EVENT_GAP: Duration = Duration::from_millis(100);
+/// Lines of an answer that is no stream.
+const LINES: u64 = 20;
+const LINE_GAP: Duration = Duration::from_millis(30);
 /// Streams of each of two routes.
 const STREAMS: usize = 12;
 
-const CONFIG: &str = r#"{"version":1,"routes":[{"name":"r-guide","host":"shop.example","path_prefix":"/guide/","type":"streaming","timeout_ms":12000,"target_latency_ms":400,"priority":0,"service":"pool","max_attempts":2,"public":false,"sticky":true,"resumable":true,"target_gap_ms":250},{"name":"r-notes","host":"shop.example","path_prefix":"/notes/","type":"streaming","timeout_ms":20000,"target_latency_ms":5000,"priority":0,"service":"pool","max_attempts":1,"public":false,"sticky":true,"resumable":false,"target_gap_ms":250}],"services":[{"name":"pool","health_path":"/healthz","max_connections":822,"protocol":"h1","tls":false}],"tenants":[{"name":"farm","api_keys":["key-1"],"rate_per_s":0,"burst":0,"unit":"tokens","text_tokens":200}],"limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000}}"#;
+const CONFIG: &str = r#"{"version":1,"routes":[{"name":"r-guide","host":"shop.example","path_prefix":"/guide/","type":"streaming","timeout_ms":12000,"target_latency_ms":400,"priority":0,"service":"pool","max_attempts":2,"public":false,"sticky":true,"resumable":true,"target_gap_ms":250},{"name":"r-notes","host":"shop.example","path_prefix":"/notes/","type":"streaming","timeout_ms":20000,"target_latency_ms":5000,"priority":0,"service":"pool","max_attempts":1,"public":false,"sticky":true,"resumable":false,"target_gap_ms":250},{"name":"r-orders","host":"shop.example","path_prefix":"/orders/","type":"unsafe","timeout_ms":4000,"target_latency_ms":300,"priority":2,"service":"pool","max_attempts":1,"public":false,"sticky":false,"resumable":false},{"name":"r-stock","host":"shop.example","path_prefix":"/stock/","type":"safe","timeout_ms":4000,"target_latency_ms":300,"priority":2,"service":"pool","max_attempts":2,"public":false,"sticky":false,"resumable":false}],"services":[{"name":"pool","health_path":"/healthz","max_connections":822,"protocol":"h1","tls":false}],"tenants":[{"name":"farm","api_keys":["key-1"],"rate_per_s":0,"burst":0,"unit":"tokens","text_tokens":200}],"limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000}}"#;
 
 /// Runs an engine until it is killed. Its answers end with their connection.
 pub fn run_engine(ip: &str, id: &str) -> ! {
@@ -42,6 +45,20 @@
         );
         return (&stream).write_all(text.as_bytes());
     }
+    if !request.target().starts_with("/guide/") && !request.target().starts_with("/notes/") {
+        println!("engine {id} runs {attempt}");
+        let head = format!(
+            "HTTP/1.1 200 OK\r\nX-Attempt-Id: {attempt}\r\nX-Server-Seal: seal.{attempt}\r\n\
+             Content-Type: text/plain\r\nConnection: close\r\n\r\n"
+        );
+        (&stream).write_all(head.as_bytes())?;
+        for number in 1..=LINES {
+            (&stream).write_all(format!("line {number} of {LINES}\n").as_bytes())?;
+            std::thread::sleep(LINE_GAP);
+        }
+        println!("engine {id} has ended {attempt} after line {LINES}");
+        return Ok(());
+    }
     let first = request
         .header("last-event-id")
         .and_then(|text| text.parse::<u64>().ok())
@@ -151,30 +168,115 @@
     }
 }
 
-pub fn run(folder: &Path, record: &Record, has_trouble: bool) -> Result<bool, String> {
-    let subnet = std::process::id() % 200 + 20;
-    let ip = |host: u32| format!("127.{subnet}.8.{host}");
-    let store = Store::start(&ip(1));
-    store.put("config", "main", CONFIG);
-    let mut engines = Vec::new();
-    for number in 0..6_u32 {
-        let id = format!("i-pool{number}");
-        let engine = EngineProcess::start(&ip(10 + number), &id, record)
-            .map_err(|error| error.to_string())?;
-        let entry = format!(
-            "{{\"service\":\"pool\",\"address\":\"{}\",\"zone\":\"a\",\"version\":\"v1\",\"slots\":16,\
-             \"state\":\"ready\",\"cold_remaining_ms\":0,\"born\":1700000000000,\"sequence\":0}}",
-            engine.address
-        );
-        store.put("servers", &id, &entry);
-        engines.push((id, engine));
+/// A store, six engine processes and a gateway process.
+struct Fleet {
+    store: Store,
+    engines: Vec<(String, EngineProcess)>,
+    gateway: Gateway,
+}
+
+impl Fleet {
+    fn start(folder: &Path, record: &Record) -> Result<Fleet, String> {
+        let subnet = std::process::id() % 200 + 20;
+        let ip = |host: u32| format!("127.{subnet}.8.{host}");
+        let store = Store::start(&ip(1));
+        store.put("config", "main", CONFIG);
+        let mut engines = Vec::new();
+        for number in 0..6_u32 {
+            let id = format!("i-pool{number}");
+            let engine = EngineProcess::start(&ip(10 + number), &id, record)
+                .map_err(|error| error.to_string())?;
+            let entry = format!(
+                "{{\"service\":\"pool\",\"address\":\"{}\",\"zone\":\"a\",\"version\":\"v1\",\
+                 \"slots\":16,\"state\":\"ready\",\"cold_remaining_ms\":0,\"born\":1700000000000,\
+                 \"sequence\":0}}",
+                engine.address
+            );
+            store.put("servers", &id, &entry);
+            engines.push((id, engine));
+        }
+        let mut gateway = Gateway::new(folder, "edge-a-1", &ip(100), "a", store.address, "");
+        gateway.start().map_err(|error| format!("cannot start the gateway: {error}"))?;
+        if !gateway.wait_ready(Duration::from_secs(10)) {
+            return Err("the gateway was not ready within 10 s".to_owned());
+        }
+        std::thread::sleep(Duration::from_secs(2));
+        Ok(Fleet { store, engines, gateway })
     }
-    let mut gateway = Gateway::new(folder, "edge-a-1", &ip(100), "a", store.address, "");
-    gateway.start().map_err(|error| format!("cannot start the gateway: {error}"))?;
-    if !gateway.wait_ready(Duration::from_secs(10)) {
-        return Err("the gateway was not ready within 10 s".to_owned());
+
+    /// Kills the first engine. The entry of an engine that crashed is removed after three
+    /// check-in intervals.
+    fn crash_engine(&mut self, record: &Record) {
+        let (id, engine) = &mut self.engines[0];
+        engine.kill();
+        record.line(format!("engine {id} was killed"));
+        let (id, store) = (id.clone(), self.store.clone());
+        std::thread::spawn(move || {
+            std::thread::sleep(Duration::from_millis(3_600));
+            store.remove("servers", &id);
+        });
+    }
+}
+
+/// Returns the status and body of an answer that came whole.
+fn fetch(frontend: SocketAddr, head: &str) -> std::io::Result<(u16, String)> {
+    let answer = call(frontend, head.as_bytes(), Duration::from_secs(6))?;
+    Ok((answer.status(), answer.text()))
+}
+
+/// Answers that are no streams.
+pub fn run_whole(folder: &Path, record: &Record, has_trouble: bool) -> Result<bool, String> {
+    let mut fleet = Fleet::start(folder, record)?;
+    let frontend = fleet.gateway.frontend;
+    let consumers: Vec<_> = (0..18)
+        .map(|number| {
+            let record = record.clone();
+            std::thread::spawn(move || {
+                std::thread::sleep(Duration::from_millis(37) * number as u32);
+                let (mut whole, mut cut) = (0, 0);
+                for round in 0..6 {
+                    let (method, path) = match number % 2 {
+                        0 => ("POST", "/orders/2f"),
+                        _ => ("GET", "/stock/2f"),
+                    };
+                    let id = format!("{}-{number}-{round}", &path[1..6]);
+                    let request = format!(
+                        "{method} {path} HTTP/1.1\r\nHost: shop.example\r\nX-Attempt-Id: {id}\r\n\
+                         X-Deadline-Ms: 4000\r\nAuthorization: Token key-1\r\n\
+                         Content-Length: 0\r\nConnection: close\r\n\r\n"
+                    );
+                    record.line(format!("consumer sends {id}"));
+                    let Ok((status, body)) = fetch(frontend, &request) else {
+                        record.line(format!("consumer gets for {id}: no whole answer"));
+                        continue;
+                    };
+                    let lines = body.lines().count() as u64;
+                    record.line(format!("consumer gets for {id}: {status}, {lines} lines"));
+                    if status == 200 {
+                        whole += u64::from(lines == LINES);
+                        cut += u64::from(lines != LINES);
+                    }
+                }
+                (whole, cut)
+            })
+        })
+        .collect();
+    std::thread::sleep(Duration::from_millis(1_800));
+    if has_trouble {
+        fleet.crash_engine(record);
     }
-    std::thread::sleep(Duration::from_secs(2));
+    let counts: Vec<(u64, u64)> =
+        consumers.into_iter().filter_map(|consumer| consumer.join().ok()).collect();
+    let whole: u64 = counts.iter().map(|(whole, _)| whole).sum();
+    let cut: u64 = counts.iter().map(|(_, cut)| cut).sum();
+    record.line(format!("successes: {whole} with the whole body, {cut} with a part of it"));
+    Ok(cut == 0)
+}
+
+/// Streams.
+pub fn run(folder: &Path, record: &Record, has_trouble: bool) -> Result<bool, String> {
+    let mut fleet = Fleet::start(folder, record)?;
+    let gateway = &fleet.gateway;
     let frontend = gateway.frontend;
     let consumers: Vec<_> = (0..STREAMS * 2)
         .map(|number| {
@@ -192,15 +294,7 @@
         .collect();
     std::thread::sleep(Duration::from_millis(2_500));
     if has_trouble {
-        let (id, engine) = &mut engines[0];
-        engine.kill();
-        record.line(format!("engine {id} was killed"));
-        let (id, store) = (id.clone(), store.clone());
-        // The entry of an engine that crashed is removed after three check-in intervals.
-        std::thread::spawn(move || {
-            std::thread::sleep(Duration::from_millis(3_600));
-            store.remove("servers", &id);
-        });
+        fleet.crash_engine(record);
     }
     let outcomes: Vec<_> =
         consumers.into_iter().filter_map(|consumer| consumer.join().ok()?.ok()).collect();
