--- a/review/tool/src/memory.rs
+++ b/review/tool/src/memory.rs
@@ -18,8 +18,10 @@
 /// `max_body_bytes` of the config, and the body of a request with and without trouble.
 const MAX_BODY_BYTES: usize = 4 * 1024 * 1024;
 const SHORT_BODY_BYTES: usize = 3_600;
-/// Consumers at each of two machines. The sheet's consumers are 102.
-const CONSUMERS: usize = 51;
+/// Bodies are sent in chunks of this size.
+const CHUNK_BYTES: usize = 8 * 1024;
+/// Consumers with long bodies at each of two machines. The sheet's consumers are 102.
+const CONSUMERS: usize = 24;
 const ROUNDS: usize = 4;
 /// Time in which a consumer sends its body: the link of a machine carries 700 Mbit/s.
 const SEND_TIME: Duration = Duration::from_millis(2_500);
@@ -37,18 +39,19 @@
         let head = format!(
             "POST /orders/2f HTTP/1.1\r\nHost: shop.example\r\nX-Attempt-Id: {id}\r\n\
              X-Deadline-Ms: {TIME_BUDGET_MS}\r\nAuthorization: Token key-1\r\n\
-             Content-Length: {length}\r\n\r\n"
+             Transfer-Encoding: chunked\r\n\r\n"
         );
         (&stream).write_all(head.as_bytes())?;
-        let piece = vec![b'x'; length.div_ceil(50)];
         let (started, mut sent) = (Instant::now(), 0);
         while sent < length {
-            let count = piece.len().min(length - sent);
-            (&stream).write_all(&piece[..count])?;
-            sent += count;
+            let size = CHUNK_BYTES.min(length - sent);
+            let chunk = format!("{size:x}\r\n{}\r\n", "x".repeat(size));
+            (&stream).write_all(chunk.as_bytes())?;
+            sent += size;
             let due = send_time.mul_f64(sent as f64 / length as f64);
             std::thread::sleep(due.saturating_sub(started.elapsed()));
         }
+        (&stream).write_all(b"0\r\n\r\n")?;
         let answer = read_message(&mut BufReader::new(&stream))?;
         Ok(match answer {
             Some(answer) => answer.status().to_string(),
