--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -3,4 +3,4 @@
 cd "$(dirname "$0")/../.." || exit 2
 tool=target/review/release/review-tool
 [ -x "$tool" ] && [ -x target/release/skylark-gateway ] || exit 2
-exec "$tool" whole review/3/record.txt
+exec "$tool" frozen review/3/record.txt
--- a/review/tool/src/main.rs
+++ b/review/tool/src/main.rs
@@ -3,6 +3,7 @@
 //! the case could not run. With `TROUBLE=0` in the environment the disruption is left out.
 
 mod engine;
+mod frozen;
 mod gateway;
 mod http;
 mod json;
@@ -33,6 +34,7 @@
     let result = match case.as_str() {
         "stream" => stream::run(&folder, &record, has_trouble),
         "whole" => stream::run_whole(&folder, &record, has_trouble),
+        "frozen" => frozen::run(&folder, &record, has_trouble),
         "memory" => memory::run(&folder, &record, has_trouble),
         _ => Err("there is no such case".to_owned()),
     };
--- a/review/tool/src/store.rs
+++ b/review/tool/src/store.rs
@@ -98,6 +98,13 @@
         changed.notify_all();
     }
 
+    /// Returns the holder of the coordinator's lease.
+    pub fn find_holder(&self) -> Option<String> {
+        let data = self.data.0.lock().unwrap();
+        let object = data.kinds.get("skylark-leases")?.get("coordinator")?;
+        json::string(&object.spec, "holder")
+    }
+
     fn handle(&self, request: &Message) -> Option<Answer> {
         if self.is_silent() {
             std::thread::sleep(Duration::from_secs(5));
