--- a/review/tool/src/frozen.rs
+++ b/review/tool/src/frozen.rs
@@ -87,8 +87,6 @@
         })
         .collect();
     let mut late = 0;
-    // Machines that were frozen are out of touch, and so are their requests.
-    let mut frozen_names: Vec<String> = Vec::new();
     for round in 0..ROUNDS {
         // The freeze begins at another point between two renewals in each round.
         std::thread::sleep(Duration::from_millis(4_000 + 170 * round as u64));
@@ -100,7 +98,6 @@
         if has_trouble {
             gateway.signal("STOP");
             record.line(format!("{holder} is frozen"));
-            frozen_names.push(holder.clone());
         }
         std::thread::sleep(REMOVAL.saturating_sub(started.elapsed()));
         let engine = &engines[round];
@@ -117,10 +114,11 @@
         record.line(format!("{} ends; it was running {lost:?}", engine.id));
         std::thread::sleep(Duration::from_millis(1_500));
         let arrivals = engine.arrivals_after(removed + DRAIN);
-        let counted: Vec<_> = arrivals
-            .into_iter()
-            .filter(|(id, _)| !frozen_names.iter().any(|name| id.starts_with(&format!("{name}-"))))
-            .collect();
+        // The machine that was frozen is out of touch until 3 s after the freeze. The pause
+        // before the next round is longer.
+        let frozen = format!("{holder}-");
+        let counted: Vec<_> =
+            arrivals.into_iter().filter(|(id, _)| !id.starts_with(&frozen)).collect();
         for (id, at) in &counted {
             let after = at.duration_since(removed).as_millis();
             record
