--- a/review/tool/src/frozen.rs
+++ b/review/tool/src/frozen.rs
@@ -96,7 +96,7 @@
         let started = Instant::now();
         record.line(format!("{holder} is the coordinator"));
         if has_trouble {
-            gateway.signal("STOP");
+            gateway.signal("STOP")?;
             record.line(format!("{holder} is frozen"));
         }
         std::thread::sleep(REMOVAL.saturating_sub(started.elapsed()));
@@ -106,7 +106,7 @@
         record.line(format!("the entry of {} is removed", engine.id));
         std::thread::sleep(FREEZE.saturating_sub(started.elapsed()));
         if has_trouble {
-            gateway.signal("CONT");
+            gateway.signal("CONT")?;
             record.line(format!("{holder} goes on"));
         }
         std::thread::sleep(EXIT.saturating_sub(removed.elapsed()));
--- a/review/tool/src/gateway.rs
+++ b/review/tool/src/gateway.rs
@@ -93,11 +93,13 @@
         }
     }
 
-    /// Sends another signal.
-    #[allow(dead_code)]
-    pub fn signal(&self, name: &str) {
-        if let Some(pid) = self.pid() {
-            let _ = Command::new("kill").arg(format!("-{name}")).arg(pid.to_string()).status();
+    /// Sends another signal, with the command that is built into the shell.
+    pub fn signal(&self, name: &str) -> Result<(), String> {
+        let pid = self.pid().ok_or("the process does not run")?;
+        let status = Command::new("bash").args(["-c", &format!("kill -{name} {pid}")]).status();
+        match status {
+            Ok(status) if status.success() => Ok(()),
+            _ => Err(format!("cannot send {name} to {}", self.name)),
         }
     }
 
