--- a/review/tool/src/stream.rs
+++ b/review/tool/src/stream.rs
@@ -1,10 +1,12 @@
-//! Streams whose answers have no length, from engines of which one is killed.
+//! Answers of which some have no length, from engines of which one is killed.
 
 use std::io::{BufRead, BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::Path;
 use std::process::{Child, Command, Stdio};
-use std::time::Duration;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::time::{Duration, Instant};
 
 use crate::gateway::Gateway;
 use crate::http::{call, read_head, read_message};
@@ -17,24 +19,56 @@
 const LINES: u64 = 20;
 const LINE_GAP: Duration = Duration::from_millis(30);
 /// Streams of each of two routes.
-const STREAMS: usize = 12;
+const STREAMS: usize = 120;
+/// Half of the engines answer each twentieth request without a length.
+const SPOILING_ENGINES: u8 = 3;
+const SPOILED_ANSWER: u64 = 20;
+/// What an engine prints of such an answer.
+const UNFRAMED: &str = "answers without a length";
+/// Time from the start of such an answer of the first engine until that engine is killed.
+const CRASH_DELAY: Duration = Duration::from_millis(300);
 
 const CONFIG: &str = r#"{"version":1,"routes":[{"name":"r-guide","host":"shop.example","path_prefix":"/guide/","type":"streaming","timeout_ms":12000,"target_latency_ms":400,"priority":0,"service":"pool","max_attempts":2,"public":false,"sticky":true,"resumable":true,"target_gap_ms":250},{"name":"r-notes","host":"shop.example","path_prefix":"/notes/","type":"streaming","timeout_ms":20000,"target_latency_ms":5000,"priority":0,"service":"pool","max_attempts":1,"public":false,"sticky":true,"resumable":false,"target_gap_ms":250},{"name":"r-orders","host":"shop.example","path_prefix":"/orders/","type":"unsafe","timeout_ms":4000,"target_latency_ms":300,"priority":2,"service":"pool","max_attempts":1,"public":false,"sticky":false,"resumable":false},{"name":"r-stock","host":"shop.example","path_prefix":"/stock/","type":"safe","timeout_ms":4000,"target_latency_ms":300,"priority":2,"service":"pool","max_attempts":2,"public":false,"sticky":false,"resumable":false}],"services":[{"name":"pool","health_path":"/healthz","max_connections":822,"protocol":"h1","tls":false}],"tenants":[{"name":"farm","api_keys":["key-1"],"rate_per_s":0,"burst":0,"unit":"tokens","text_tokens":200}],"limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000}}"#;
 
-/// Runs an engine until it is killed. Its answers end with their connection.
+/// Runs an engine until it is killed. Engines with a low number answer some requests
+/// without a length.
 pub fn run_engine(ip: &str, id: &str) -> ! {
     let listener = TcpListener::bind((ip, 0)).expect("a free port for an engine");
     println!("{}", listener.local_addr().expect("a bound listener"));
+    let answers = Arc::new(AtomicU64::new(0));
     for stream in listener.incoming().flatten() {
-        let id = id.to_owned();
+        let (id, answers) = (id.to_owned(), answers.clone());
         std::thread::spawn(move || {
-            let _ = answer(stream, &id);
+            let _ = answer(stream, &id, &answers);
         });
     }
     std::process::exit(0)
 }
 
-fn answer(stream: TcpStream, id: &str) -> std::io::Result<()> {
+/// A body that is sent in chunks, or without a length.
+struct BodyWriter<'a> {
+    stream: &'a TcpStream,
+    is_chunked: bool,
+}
+
+impl BodyWriter<'_> {
+    fn write(&mut self, text: &str) -> std::io::Result<()> {
+        let text = match self.is_chunked {
+            true => format!("{:x}\r\n{text}\r\n", text.len()),
+            false => text.to_owned(),
+        };
+        self.stream.write_all(text.as_bytes())
+    }
+
+    fn end(&mut self) -> std::io::Result<()> {
+        match self.is_chunked {
+            true => self.stream.write_all(b"0\r\n\r\n"),
+            false => Ok(()),
+        }
+    }
+}
+
+fn answer(stream: TcpStream, id: &str, answers: &AtomicU64) -> std::io::Result<()> {
     stream.set_nodelay(true)?;
     let mut reader = BufReader::new(stream.try_clone()?);
     let Some(request) = read_message(&mut reader)? else { return Ok(()) };
@@ -45,42 +79,45 @@
         );
         return (&stream).write_all(text.as_bytes());
     }
-    if !request.target().starts_with("/guide/") && !request.target().starts_with("/notes/") {
-        println!("engine {id} runs {attempt}");
-        let head = format!(
-            "HTTP/1.1 200 OK\r\nX-Attempt-Id: {attempt}\r\nX-Server-Seal: seal.{attempt}\r\n\
-             Content-Type: text/plain\r\nConnection: close\r\n\r\n"
-        );
-        (&stream).write_all(head.as_bytes())?;
-        for number in 1..=LINES {
-            (&stream).write_all(format!("line {number} of {LINES}\n").as_bytes())?;
-            std::thread::sleep(LINE_GAP);
-        }
-        println!("engine {id} has ended {attempt} after line {LINES}");
-        return Ok(());
-    }
-    let first = request
-        .header("last-event-id")
-        .and_then(|text| text.parse::<u64>().ok())
-        .map_or(1, |last| last + 1);
-    println!("engine {id} runs {attempt} from event {first}");
+    let number = answers.fetch_add(1, Ordering::Relaxed) + 1;
+    let spoils = id.bytes().last().is_some_and(|digit| digit < b'0' + SPOILING_ENGINES);
+    let is_chunked = !spoils || number % SPOILED_ANSWER != 0;
+    let is_stream =
+        request.target().starts_with("/guide/") || request.target().starts_with("/notes/");
+    let media_type = if is_stream { "text/event-stream" } else { "text/plain" };
+    let framing = if is_chunked { "Transfer-Encoding: chunked\r\n" } else { "" };
     let head = format!(
         "HTTP/1.1 200 OK\r\nX-Attempt-Id: {attempt}\r\nX-Server-Seal: seal.{attempt}\r\n\
-         Content-Type: text/event-stream\r\nConnection: close\r\n\r\n"
+         Content-Type: {media_type}\r\n{framing}Connection: close\r\n\r\n"
     );
+    println!("engine {id} runs {attempt}");
+    if !is_chunked {
+        println!("engine {id} {UNFRAMED} {attempt}");
+    }
     (&stream).write_all(head.as_bytes())?;
-    for number in first..=EVENTS {
-        std::thread::sleep(EVENT_GAP);
-        (&stream)
-            .write_all(format!("id: {number}\ndata: piece {number} of {attempt}\n\n").as_bytes())?;
+    let mut body = BodyWriter { stream: &stream, is_chunked };
+    if is_stream {
+        let last = request.header("last-event-id").and_then(|text| text.parse::<u64>().ok());
+        for number in last.map_or(1, |last| last + 1)..=EVENTS {
+            std::thread::sleep(EVENT_GAP);
+            body.write(&format!("id: {number}\ndata: piece {number} of {attempt}\n\n"))?;
+        }
+    } else {
+        for number in 1..=LINES {
+            body.write(&format!("line {number} of {LINES}\n"))?;
+            std::thread::sleep(LINE_GAP);
+        }
     }
-    println!("engine {id} has ended {attempt} after event {EVENTS}");
+    body.end()?;
+    println!("engine {id} has ended {attempt}");
     Ok(())
 }
 
 struct EngineProcess {
     child: Child,
     address: SocketAddr,
+    /// Whether it has begun an answer without a length.
+    is_unframed: Arc<AtomicBool>,
 }
 
 impl EngineProcess {
@@ -95,10 +132,17 @@
         lines.read_line(&mut line)?;
         let address = line.trim().parse().map_err(|_| std::io::ErrorKind::InvalidData)?;
         let record = record.clone();
+        let is_unframed = Arc::new(AtomicBool::new(false));
+        let has_begun = is_unframed.clone();
         std::thread::spawn(move || {
-            lines.lines().map_while(Result::ok).for_each(|line| record.line(line))
+            lines.lines().map_while(Result::ok).for_each(|line| {
+                if line.contains(UNFRAMED) {
+                    has_begun.store(true, Ordering::Relaxed);
+                }
+                record.line(line);
+            })
         });
-        Ok(EngineProcess { child, address })
+        Ok(EngineProcess { child, address, is_unframed })
     }
 
     /// Sends SIGKILL and waits for the end of the process.
@@ -188,7 +232,7 @@
                 .map_err(|error| error.to_string())?;
             let entry = format!(
                 "{{\"service\":\"pool\",\"address\":\"{}\",\"zone\":\"a\",\"version\":\"v1\",\
-                 \"slots\":16,\"state\":\"ready\",\"cold_remaining_ms\":0,\"born\":1700000000000,\
+                 \"slots\":64,\"state\":\"ready\",\"cold_remaining_ms\":0,\"born\":1700000000000,\
                  \"sequence\":0}}",
                 engine.address
             );
@@ -204,6 +248,19 @@
         Ok(Fleet { store, engines, gateway })
     }
 
+    /// Waits until an answer without a length of the first engine is on its way.
+    fn wait_unframed(&self) -> Result<(), String> {
+        let started = Instant::now();
+        while !self.engines[0].1.is_unframed.load(Ordering::Relaxed) {
+            if started.elapsed() > Duration::from_secs(20) {
+                return Err("the engine gave no answer without a length".to_owned());
+            }
+            std::thread::sleep(Duration::from_millis(5));
+        }
+        std::thread::sleep(CRASH_DELAY);
+        Ok(())
+    }
+
     /// Kills the first engine. The entry of an engine that crashed is removed after three
     /// check-in intervals.
     fn crash_engine(&mut self, record: &Record) {
@@ -234,7 +291,7 @@
             std::thread::spawn(move || {
                 std::thread::sleep(Duration::from_millis(37) * number as u32);
                 let (mut whole, mut cut) = (0, 0);
-                for round in 0..6 {
+                for round in 0..12 {
                     let (method, path) = match number % 2 {
                         0 => ("POST", "/orders/2f"),
                         _ => ("GET", "/stock/2f"),
@@ -261,7 +318,7 @@
             })
         })
         .collect();
-    std::thread::sleep(Duration::from_millis(1_800));
+    fleet.wait_unframed()?;
     if has_trouble {
         fleet.crash_engine(record);
     }
@@ -284,7 +341,7 @@
             let path = if number % 2 == 0 { "/guide/2f" } else { "/notes/2f" };
             let id = format!("{}-{number}", &path[1..6]);
             std::thread::spawn(move || {
-                std::thread::sleep(Duration::from_millis(37) * number as u32);
+                std::thread::sleep(Duration::from_millis(12) * number as u32);
                 record.line(format!("consumer sends {id}"));
                 let outcome = receive(frontend, path, &id);
                 record.line(format!("consumer gets for {id}: {outcome:?}"));
@@ -292,7 +349,7 @@
             })
         })
         .collect();
-    std::thread::sleep(Duration::from_millis(2_500));
+    fleet.wait_unframed()?;
     if has_trouble {
         fleet.crash_engine(record);
     }
