Keep a former instance of an engine unused when its successor is given up

What callers saw: requests to an engine that has ended, for the time until the next copy of the registry. The store had been restored from an older copy, which listed the engine's former instance under the same identifier.

Cause: the directory hides what is listed under the identifier of a missing entry only while the missing entry is awaited. The wait ends by the clock, and the next copy that retires the former instance comes later.

Change: a listed former instance stays hidden as long as the later one is known as missing.

--- a/crates/skylarkgw/src/decision/directory.rs
+++ b/crates/skylarkgw/src/decision/directory.rs
@@ -224,9 +224,9 @@
         let settling = self.is_settling(now);
         let is_awaited = move |since: Duration| settling && is_recent(now, since);
         let missing = self.missing.values().filter(move |(since, _)| is_awaited(*since));
-        // A former instance may be listed under the identifier of a missing entry.
-        let is_former = move |id| self.missing.get(id).is_some_and(|(since, _)| is_awaited(*since));
-        let listed = self.entries.iter().filter(move |(id, _)| !is_former(*id));
+        // What is listed under the identifier of a missing entry is a former instance, which
+        // has ended, whether the later one is still awaited or not.
+        let listed = self.entries.iter().filter(|(id, _)| !self.missing.contains_key(*id));
         let listed = listed
             .map(move |(id, entry)| self.retired.find_held(self.stamp.as_of, id).unwrap_or(entry));
         listed.chain(missing.map(|(_, entry)| entry))
--- a/crates/skylarkgw/tests/decisions/directory_eras.rs
+++ b/crates/skylarkgw/tests/decisions/directory_eras.rs
@@ -237,6 +237,21 @@
     assert_eq!(usable(&directory, settled + 10), ["e1"]);
 }
 
+/// Guards against requests to an engine that has ended: between two copies, the time of
+/// its later instance passed, and its entry in the restored store was used again.
+#[test]
+fn former_instance_is_not_used_when_the_time_of_a_later_one_is_over() {
+    let mut directory = EngineDirectory::default();
+    let later = instance("e1", 2, EnginePhase::Ready);
+    directory.update_from_store(ms(0), stamp(1, 800, 0), vec![later]);
+    directory.update_from_store(ms(500), stamp(2, 700, 500), vec![]);
+    directory.update_from_store(ms(600), stamp(2, 701, 600), vec![ready("e1")]);
+    let settled = 500 + millis(REREGISTRATION_TIME);
+    assert!(usable(&directory, settled).is_empty());
+    directory.update_from_store(ms(settled), stamp(2, 702, settled), vec![ready("e1")]);
+    assert!(usable(&directory, settled).is_empty());
+}
+
 /// Guards against an engine that stays retired although the newest copy of the era says
 /// otherwise, as it does without a restore.
 #[test]
