Let the largest incomplete answer give way when the memory for bodies is used up

What callers saw: beside engines that send bodies without end, whole answers of sound engines were lost; a request that cannot be repeated got a 502 though it had run. The process used several times the memory that held bodies may have.

Cause: the limit for all held bodies counted lengths, while buffers double as they grow, and refused the body that came last, whatever its length.

When the limit is reached, the largest body that has not arrived completely gives way; its reader is told at once and drops it, labelled body-evicted.

--- a/crates/skylarkgw/src/edge/forward/send.rs
+++ b/crates/skylarkgw/src/edge/forward/send.rs
@@ -440,7 +440,8 @@
     let PendingResponse { attempt, parts, info, mut body, connection, engine } = pending;
     let state = &admitted.state;
     let mut held = state.held_bodies.hold_body();
-    let read = state.wait_until(admitted.deadline, async {
+    let eviction = held.eviction();
+    let read = async {
         while let Some(frame) = body.frame().await {
             let Ok(frame) = frame else { return Err("broke-off") };
             let is_held =
@@ -450,9 +451,16 @@
             }
         }
         Ok(())
+    };
+    let read = state.wait_until(admitted.deadline, async {
+        tokio::select! {
+            result = read => result,
+            () = eviction => Err("body-evicted"),
+        }
     });
-    match read.await.unwrap_or(Err("body-silent")) {
-        Ok(()) => {
+    let read = read.await.unwrap_or(Err("body-silent"));
+    match read.and_then(|()| held.into_bytes().ok_or("body-evicted")) {
+        Ok(body) => {
             record.record_first_event();
             if let Some(attempt) = record.attempts.get_mut(attempt) {
                 attempt.progress = AnswerProgress::Streaming;
@@ -465,7 +473,7 @@
             if !closes_connection(&parts.headers) {
                 state.pool.release(engine.entry.address, connection, info.idle_limit);
             }
-            BodyOutcome::Complete(parts, held.into_bytes())
+            BodyOutcome::Complete(parts, body)
         }
         Err(label) => {
             let now = time_since_boot();
--- a/crates/skylarkgw/src/endpoint.rs
+++ b/crates/skylarkgw/src/endpoint.rs
@@ -9,7 +9,7 @@
 mod pool;
 mod service;
 
-pub use byte_budget::{ByteBudget, HeldBody};
+pub use byte_budget::{ByteBudget, HeldBody, HeldMemory};
 pub use connection::{ConnectionError, HttpConnection};
 pub use engine::{EngineClient, EngineError, EngineEvent, GenerateCall, TokenEvent, next_event};
 pub use generation::{GenerationEvent, GenerationFailure, GenerationTask, poll_engines};
--- a/crates/skylarkgw/tests/endpoint/main.rs
+++ b/crates/skylarkgw/tests/endpoint/main.rs
@@ -2,6 +2,7 @@
 //! end.
 
 mod answers;
+mod budgets;
 mod replays;
 
 use std::net::SocketAddr;
