Count partial events of all streams against the memory for held bodies

What callers saw: nothing yet; a host whose engines send events without end used more memory than it has, which ends the process and all its requests.

Cause: a partial event was limited to 256 KB, and its buffer doubles as it grows, but nothing limited those of all streams together.

Change: a partial event of over 16 KB counts against the limit for held bodies. The largest incomplete one gives way (event-evicted).

--- a/crates/skylarkgw/src/edge/forward/relay.rs
+++ b/crates/skylarkgw/src/edge/forward/relay.rs
@@ -2,6 +2,7 @@
 //! stream at another engine.
 
 use std::collections::HashSet;
+use std::future::pending;
 use std::pin::pin;
 use std::time::Duration;
 
@@ -27,13 +28,15 @@
     spend_retry_budget,
 };
 use crate::edge::forward::{ResponseAborted, ResponseBody};
-use crate::endpoint::HttpConnection;
+use crate::endpoint::{ByteBudget, HeldMemory, HttpConnection};
 use crate::gateway::clock::time_since_boot;
 use crate::gateway::declaration::RetryPolicy;
 use crate::ids::EndpointId;
 
 /// Maximum size of a single event.
 const MAX_EVENT_BYTES: usize = 256 * 1024;
+/// Size of a partial event above which it counts against the memory for all held bodies.
+const UNCOUNTED_EVENT_BYTES: usize = 16 * 1024;
 /// Time without a whole event after which a resumable stream that has begun is considered
 /// stalled. It continues at another engine if there is one that can take it, and is left
 /// to its engine otherwise.
@@ -57,6 +60,8 @@
     media_type: Option<HeaderValue>,
     /// Start of an event that has not arrived completely.
     buffer: EventBuffer,
+    /// Memory of a long partial event.
+    held: Option<HeldMemory>,
     /// Events that were relayed.
     sequence: EventSequence,
     /// Fault of the event after the last relayed one.
@@ -135,6 +140,7 @@
             head: Some(head),
             media_type,
             buffer: EventBuffer::default(),
+            held: None,
             sequence: EventSequence::default(),
             fault: None,
             tried,
@@ -273,7 +279,14 @@
             if now >= read_deadline {
                 return SourceRead::Stalled;
             }
-            let frame = match timeout_at(read_deadline, source.body.frame()).await {
+            let frame = tokio::select! {
+                biased;
+                () = wait_for_eviction(self.held.as_ref()) => {
+                    return SourceRead::Interrupted("event-evicted");
+                }
+                frame = timeout_at(read_deadline, source.body.frame()) => frame,
+            };
+            let frame = match frame {
                 Ok(Some(Ok(frame))) => frame,
                 Ok(Some(Err(_))) => return SourceRead::Interrupted("stream-broken"),
                 // Only an event of the next engine shows that it has the same stream.
@@ -297,9 +310,11 @@
             let Ok(data) = frame.into_data() else { continue };
             self.buffer.push(&data);
             if let Some(read) = take_events(&mut self.buffer, &mut self.sequence, &mut self.fault) {
+                self.held = None;
                 return read;
             }
-            if self.buffer.len() > MAX_EVENT_BYTES {
+            let budget = &self.admitted.state.held_bodies;
+            if !hold_partial_event(budget, self.buffer.len(), &mut self.held) {
                 return SourceRead::Interrupted("event-too-long");
             }
         }
@@ -431,6 +446,7 @@
         self.admitted.state.metrics.resumes.inc();
         // A partial event of the last source is discarded.
         self.buffer.begin_rest();
+        self.held = None;
         self.sequence.begin_rest();
         self.source_attempt = pending.attempt;
         self.source = Some(StreamSource::new(*pending).1);
@@ -492,6 +508,25 @@
     Some(text.split(';').next()?.trim().to_owned())
 }
 
+/// Counts a partial event of `length` bytes against the budget, and returns whether it may
+/// be held.
+fn hold_partial_event(budget: &ByteBudget, length: usize, held: &mut Option<HeldMemory>) -> bool {
+    if length <= UNCOUNTED_EVENT_BYTES {
+        return true;
+    }
+    // The buffer may double when it grows.
+    length <= MAX_EVENT_BYTES
+        && held.get_or_insert_with(|| budget.hold_memory()).try_resize(2 * length)
+}
+
+/// Waits until a partial event has given way to a smaller one, or forever without one.
+async fn wait_for_eviction(held: Option<&HeldMemory>) {
+    match held {
+        Some(held) => held.eviction().await,
+        None => pending().await,
+    }
+}
+
 /// Takes the whole events out of a buffer up to the first one that must not be relayed.
 fn take_events(
     buffer: &mut EventBuffer,
