Decode regions, cold starts and the bounds on evacuations

What chooses, counts and retries for one request moves to decision/dispatch, without a change of behaviour.

--- a/crates/skylarkgw/src/decision/coordinator.rs
+++ b/crates/skylarkgw/src/decision/coordinator.rs
@@ -11,7 +11,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::decision::deputies::{DeputyHost, choose_deputies};
-use crate::decision::engine_loads::{EngineLoads, EngineNumber, LoadTable};
+use crate::decision::dispatch::engine_loads::{EngineLoads, EngineNumber, LoadTable};
 use crate::decision::engine_statements::{
     EngineStatement, StatedFact, StatementBook, StatementReport,
 };
--- /dev/null
+++ b/crates/skylarkgw/src/decision/dispatch.rs
@@ -0,0 +1,8 @@
+//! Decisions about one request at a time: which engine runs it, whether it waits, and
+//! whether it may be sent again.
+
+pub mod engine_choice;
+pub mod engine_loads;
+pub mod outcomes;
+pub mod retry_budget;
+pub mod traffic;
--- a/crates/skylarkgw/src/decision/traffic.rs
+++ b/crates/skylarkgw/src/decision/dispatch/traffic.rs
@@ -4,8 +4,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use crate::decision::dispatch::retry_budget::RetryBudget;
 use crate::decision::model_demand::ModelUse;
-use crate::decision::retry_budget::RetryBudget;
 use crate::gateway::declaration::ServiceName;
 use crate::ids::{EndpointId, ModelName};
 
--- a/crates/skylarkgw/src/decision/obligations.rs
+++ b/crates/skylarkgw/src/decision/obligations.rs
@@ -12,10 +12,10 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::decision::invariant::Invariant;
-use crate::decision::outcomes::{
+use crate::decision::dispatch::outcomes::{
     OUTCOME_LIFETIME, OutcomeLog, OutcomeReport, OutcomeState, UnservedRun,
 };
+use crate::decision::invariant::Invariant;
 use crate::gateway::declaration::{GenerationRule, ServiceName};
 use crate::gateway::registry::EngineEntry;
 use crate::ids::{EndpointId, ModelName};
--- a/crates/skylarkgw/src/edge/forward/select.rs
+++ b/crates/skylarkgw/src/edge/forward/select.rs
@@ -9,7 +9,7 @@
 use tokio::time::{Instant, timeout};
 
 use crate::decision::coordinator::QuotaAnswer;
-use crate::decision::engine_choice::{
+use crate::decision::dispatch::engine_choice::{
     EngineCandidate, choose_engine, compute_retry_after, should_queue,
 };
 use crate::decision::engine_statements::{KnownStatement, find_willing_engines};
--- a/crates/skylarkgw/src/edge/forward/send.rs
+++ b/crates/skylarkgw/src/edge/forward/send.rs
@@ -14,9 +14,9 @@
 use hyper::body::Incoming;
 use tokio::time::Instant;
 
+use crate::decision::dispatch::retry_budget::RetryBudget;
 use crate::decision::engine_statements::AnswerStatement;
 use crate::decision::prompt_evidence::AnswerProgress;
-use crate::decision::retry_budget::RetryBudget;
 use crate::edge::forward::admit::AdmittedRequest;
 use crate::edge::forward::crash::examine_interruption;
 use crate::edge::forward::record::{RequestEnd, RequestRecord};
--- a/crates/skylarkgw/src/gateway/control/load.rs
+++ b/crates/skylarkgw/src/gateway/control/load.rs
@@ -7,7 +7,7 @@
 use tokio::time::{Instant, sleep};
 
 use crate::decision::coordinator::CoordinatorReply;
-use crate::decision::engine_loads::EngineLoads;
+use crate::decision::dispatch::engine_loads::EngineLoads;
 use crate::gateway::clock::time_since_boot;
 use crate::gateway::control::{ControlContext, lock};
 use crate::telemetry::CoordinatorWork;
--- a/crates/skylarkgw/src/gateway/declaration.rs
+++ b/crates/skylarkgw/src/gateway/declaration.rs
@@ -7,7 +7,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::ids::{ModelName, Revision, Tokens, WorkspaceId};
+use crate::ids::{ModelName, RegionName, Revision, Tokens, WorkspaceId};
 
 /// Name of a service, a group of interchangeable endpoints.
 pub type ServiceName = Arc<str>;
@@ -62,6 +62,8 @@
     pub rank: u8,
     /// Whether requests are accepted without an API key.
     pub is_public: bool,
+    /// Regions in which requests may be processed; empty if they may be processed in all.
+    pub allowed_regions: Vec<RegionName>,
 }
 
 /// A model that the engines of a service can load.
@@ -101,6 +103,10 @@
     pub name: ServiceName,
     /// Maximum number of connections to one endpoint from all hosts together.
     pub connection_limit: u32,
+    /// Time after its start for which an engine is cold; zero if engines are never cold.
+    pub cold_start: Duration,
+    /// Number of requests per second that a cold engine takes from all hosts together.
+    pub cold_requests_per_s: f64,
     /// Models and capacity of its engines, if the service generates tokens.
     pub generation: Option<GenerationRule>,
 }
@@ -123,6 +129,8 @@
     pub default_tokens: Tokens,
     /// Whether the quota counts requests instead of tokens.
     pub counts_requests: bool,
+    /// Regions in which requests may be processed; empty if they may be processed in all.
+    pub allowed_regions: Vec<RegionName>,
 }
 
 /// Size and time limits for client requests.
--- a/crates/skylarkgw/src/gateway/settings.rs
+++ b/crates/skylarkgw/src/gateway/settings.rs
@@ -1,12 +1,13 @@
 //! Settings of a gateway host, as decoded by the platform adapter.
 
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 
 use crate::decision::quota_pool::QuotaTolerance;
-use crate::ids::{DataCentre, HostId};
+use crate::ids::{DataCentre, HostId, RegionName};
 
 /// Limits that the deployment guarantees.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
@@ -33,6 +34,23 @@
     pub drain: Duration,
     /// Time between SIGTERM and SIGKILL.
     pub grace: Duration,
+    /// Time after the confirmation of an evacuation within which every host stops sending
+    /// requests to the engines of the data centre. `None` if the deployment has no
+    /// evacuations.
+    pub evacuation: Option<Duration>,
+    /// Accuracy with which the request rate of cold engines is limited. `None` if the
+    /// deployment does not limit it.
+    pub cold: Option<ColdTolerance>,
+}
+
+/// Accuracy with which the request rate of cold engines is limited, over all hosts.
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct ColdTolerance {
+    /// Factor by which the requests of one second may exceed the rate.
+    pub overshoot: f64,
+    /// Number of requests in one second that are allowed in addition.
+    pub slack: f64,
 }
 
 /// Settings that a gateway host reads at startup.
@@ -43,6 +61,8 @@
     pub host: HostId,
     /// Data centre of the host.
     pub data_centre: DataCentre,
+    /// Regions of the deployment's data centres; empty if the settings name none.
+    pub regions: HashMap<DataCentre, RegionName>,
     /// Address that accepts client requests.
     pub callers: SocketAddr,
     /// Address that serves readiness checks.
--- a/crates/skylarkgw/src/gateway/state.rs
+++ b/crates/skylarkgw/src/gateway/state.rs
@@ -11,7 +11,8 @@
 use tokio::time::{Instant, timeout_at};
 
 use crate::decision::coordinator::QuotaAnswer;
-use crate::decision::engine_loads::{EngineLoads, EngineNumber};
+use crate::decision::dispatch::engine_loads::{EngineLoads, EngineNumber};
+use crate::decision::dispatch::traffic::TrafficStats;
 use crate::decision::engine_statements::{EngineStatements, KnownStatement};
 use crate::decision::fleet_planner::EngineNotice;
 use crate::decision::obligations::ServiceLog;
@@ -20,7 +21,6 @@
 use crate::decision::route_table::RouteTable;
 use crate::decision::stop_plan::StopPlan;
 use crate::decision::store_order::StorePosition;
-use crate::decision::traffic::TrafficStats;
 use crate::endpoint::{ByteBudget, ConnectionPool};
 use crate::gateway::clock::time_since_boot;
 use crate::gateway::declaration::{FleetDeclaration, ServiceName};
--- a/crates/skylarkgw/src/ids.rs
+++ b/crates/skylarkgw/src/ids.rs
@@ -9,6 +9,8 @@
 pub type Incarnation = u64;
 /// Name of a data centre.
 pub type DataCentre = Arc<str>;
+/// Name of a region, which has one or more data centres.
+pub type RegionName = Arc<str>;
 /// Name of a workspace.
 pub type WorkspaceId = Arc<str>;
 /// Name that clients use for a model or an adapter.
--- a/crates/skylarkgw/tests/decisions/choice.rs
+++ b/crates/skylarkgw/tests/decisions/choice.rs
@@ -1,7 +1,7 @@
 //! Tests of engine choice under flash crowds, across data centres and with
 //! failing engines.
 
-use skylarkgw::decision::engine_choice::{EngineCandidate, choose_engine};
+use skylarkgw::decision::dispatch::engine_choice::{EngineCandidate, choose_engine};
 
 fn candidate(running: u32) -> EngineCandidate {
     EngineCandidate { slots: 24, running, is_local: true, failure_share: 0.0, is_avoided: false }
--- a/crates/skylarkgw/tests/decisions/retries.rs
+++ b/crates/skylarkgw/tests/decisions/retries.rs
@@ -1,6 +1,6 @@
 //! Retry storms: retries stay within the budget of the fleet.
 
-use skylarkgw::decision::retry_budget::RetryBudget;
+use skylarkgw::decision::dispatch::retry_budget::RetryBudget;
 
 const RATIO: f64 = 0.2;
 const SLACK: f64 = 100.0;
--- a/crates/skylarkgw/tests/decisions/samples.rs
+++ b/crates/skylarkgw/tests/decisions/samples.rs
@@ -44,6 +44,7 @@
         burst_tokens: tokens_per_s,
         default_tokens: 200,
         counts_requests: false,
+        allowed_regions: Vec::new(),
     }
 }
 
@@ -60,6 +61,7 @@
         attempt_limit: 2,
         rank: 1,
         is_public: false,
+        allowed_regions: Vec::new(),
     }
 }
 
@@ -67,6 +69,8 @@
     let service = ServiceRule {
         name: MODEL_SERVICE.into(),
         connection_limit: 400,
+        cold_start: Duration::ZERO,
+        cold_requests_per_s: 0.0,
         generation: Some(generation(models)),
     };
     FleetDeclaration {
@@ -99,6 +103,7 @@
         started_ms: 1,
         copies_in_memory: Vec::new(),
         copies_on_disk: Vec::new(),
+        cold_for: None,
         is_awaited: false,
     })
 }
--- a/crates/skylarkgw/tests/decisions/scale.rs
+++ b/crates/skylarkgw/tests/decisions/scale.rs
@@ -6,7 +6,7 @@
 
 use bincode::Options;
 use skylarkgw::decision::coordinator::{Coordinator, CoordinatorReply, HostReport};
-use skylarkgw::decision::engine_loads::EngineLoads;
+use skylarkgw::decision::dispatch::engine_loads::EngineLoads;
 use skylarkgw::decision::freshness::exchange_interval;
 use skylarkgw::decision::model_demand::ModelUse;
 use skylarkgw::decision::quota_pool::{PoolStart, QuotaTolerance};
--- a/crates/skylarkgw/tests/gateway/standin.rs
+++ b/crates/skylarkgw/tests/gateway/standin.rs
@@ -1,5 +1,6 @@
 //! A control thread whose store is driven by the test.
 
+use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -35,6 +36,7 @@
     GatewaySettings {
         host: "edge-1".into(),
         data_centre: "muscat-a".into(),
+        regions: HashMap::new(),
         callers: address,
         readiness: address,
         peers: address,
@@ -55,6 +57,8 @@
             load_window: Duration::from_secs(5),
             drain: Duration::from_secs(2),
             grace: Duration::from_secs(8),
+            evacuation: None,
+            cold: None,
         },
     }
 }
@@ -73,6 +77,7 @@
         started_ms: 1,
         copies_in_memory: Vec::new(),
         copies_on_disk: Vec::new(),
+        cold_for: None,
         is_awaited: false,
     }
 }
