Check a configuration before it is sent

Operators had no way to see an entry that never matches, or limits that contradict each other, before the store accepted them.

The check of the declaration is a module of the library and needs nothing but the declaration.

--- a/crates/skylarkgw/src/gateway.rs
+++ b/crates/skylarkgw/src/gateway.rs
@@ -7,6 +7,7 @@
 //! is soft: a new coordinator rebuilds it. An adapter translates the formats and
 //! calls of the platform; [`ports`] and [`wire`] define its interface.
 
+pub mod check;
 pub mod clock;
 pub mod control;
 pub mod declaration;
--- a/crates/skylarkgw/tests/decisions/main.rs
+++ b/crates/skylarkgw/tests/decisions/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the gateway's decisions under the loads and failures that they have
 //! to handle, without a network or a clock.
 
+mod check;
 mod choice;
 mod connection_clock;
 mod coordinator;
