Obey the operator's evacuations of data centres

An entry of the operator asks that nothing more be sent to the engines of a data centre. Nothing read it.

A host knows the evacuations from the coordinator's replies, from deputies, or from its own watch of the store while neither is recent. Choice, retry and resumption leave evacuated engines out, the last check before the send drops a request that was about to go there, and the planner knows none of them, so models whose last replica is there are restored elsewhere. A host that has not heard of the evacuations refuses, and is not ready.

Without the bound in the settings nothing is watched, sent or refused.

--- a/crates/skylarkgw/src/decision.rs
+++ b/crates/skylarkgw/src/decision.rs
@@ -16,6 +16,7 @@
 pub mod directory;
 pub mod dispatch;
 pub mod engine_statements;
+pub mod evacuations;
 pub mod event_buffer;
 pub mod event_sequence;
 pub mod fencing;
--- a/crates/skylarkgw/src/decision/coordinator.rs
+++ b/crates/skylarkgw/src/decision/coordinator.rs
@@ -4,6 +4,8 @@
 //! workspaces' quotas and plans the placement of models. All its state is soft:
 //! a new holder of the lease rebuilds it from the reports of hosts and engines.
 
+mod evacuations;
+
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
@@ -15,6 +17,7 @@
 use crate::decision::engine_statements::{
     EngineStatement, StatedFact, StatementBook, StatementReport,
 };
+use crate::decision::evacuations::{DeclaredEvacuation, EvacuationAge};
 use crate::decision::fleet_planner::{EngineNotice, FleetPlanner, PlacementEvent, PlannerCall};
 use crate::decision::freshness::{EXCHANGE_TIMEOUT, exchange_interval, silence_timeout};
 use crate::decision::model_demand::{DemandEstimate, ModelUse};
@@ -77,6 +80,8 @@
     pub prompts: PromptReport,
     /// What engines state about themselves.
     pub statements: StatementReport,
+    /// Version of the evacuations that the host has from a coordinator.
+    pub evacuation_version: MapVersion,
     /// Whether models, adapters and engines serve the requests for them.
     pub service: ServiceReport,
 }
@@ -107,6 +112,9 @@
     pub registry: Duration,
     /// Position of the store up to which the registry contains all changes.
     pub registry_position: StorePosition,
+    /// Age and position of the evacuations; `None` if the host has not heard of them, or the
+    /// deployment has none.
+    pub evacuations: Option<EvacuationAge>,
 }
 
 /// Reply of the coordinator to a [`HostReport`].
@@ -138,7 +146,9 @@
     pub trials: Vec<PartHash>,
     /// Version and list of the deputies, if the host has a different version.
     pub deputies: Option<(MapVersion, Vec<DeputyHost>)>,
-    /// Revision and ages of the coordinator's declaration and registry.
+    /// Version and list of the evacuations, if the host has a different version.
+    pub evacuations: Option<(MapVersion, Vec<DeclaredEvacuation>)>,
+    /// Revision and ages of the coordinator's declaration, registry and evacuations.
     pub age: KnowledgeAge,
     /// Position of the lease record and the remaining time of the lease, if the
     /// coordinator still holds it.
@@ -431,8 +441,8 @@
 
     /// Processes the report of a host and returns the reply.
     ///
-    /// The fields `age` and `lease` of the reply are not set; the caller sets
-    /// them.
+    /// The fields `age`, `evacuations` and `lease` of the reply are not set; the caller
+    /// sets them.
     pub fn exchange(&mut self, now: Duration, report: HostReport) -> CoordinatorReply {
         self.quota_pool.record_report(now, &report.host);
         for (service, model, usage) in report.uses {
@@ -479,6 +489,7 @@
             prompts: self.quarantine.state_since(quarantine_version),
             trials,
             statements: self.statements.delta_since(now, report.statements.version),
+            evacuations: None,
             age: KnowledgeAge::default(),
             lease: None,
         }
--- a/crates/skylarkgw/src/decision/fleet_planner.rs
+++ b/crates/skylarkgw/src/decision/fleet_planner.rs
@@ -7,6 +7,7 @@
 
 mod adapters;
 mod ledger;
+mod registry;
 mod vacancy;
 
 use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
@@ -14,6 +15,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use crate::decision::evacuations::EvacuationView;
 use crate::decision::fleet_planner::ledger::{EngineLedger, MemoryRule};
 use crate::decision::fleet_planner::vacancy::VacancyLog;
 use crate::decision::model_demand::DemandEstimate;
@@ -21,7 +23,6 @@
 use crate::decision::obligations::{ObligationBook, ServiceObligation};
 use crate::gateway::declaration::{FleetDeclaration, GenerationRule, ServiceName, ServiceRule};
 use crate::gateway::ports::{EngineOrder, EngineReport, OrderAnswer, OrderKind};
-use crate::gateway::registry::EngineEntry;
 use crate::ids::{EndpointId, ModelName};
 
 pub use adapters::AdapterDecision;
@@ -117,38 +118,13 @@
     vacancies: VacancyLog,
     /// Whether the next list may be older than the known one.
     is_restored: bool,
+    /// Data centres to whose engines nothing is sent.
+    evacuations: EvacuationView,
+    /// Listed engines in them.
+    evacuated: HashSet<EndpointId>,
 }
 
 impl FleetPlanner {
-    /// Records that the next list comes from a store that has begun a new era, so that its
-    /// entries may be older than the known ones.
-    pub fn record_new_era(&mut self) {
-        self.is_restored = true;
-    }
-
-    /// Updates the ledgers from the registry, and removes those of engines that are
-    /// not in it.
-    pub fn update_registry(&mut self, engines: &[Arc<EngineEntry>]) {
-        let ids: HashSet<&EndpointId> = engines.iter().map(|entry| &entry.id).collect();
-        self.engines.retain(|id, _| ids.contains(id));
-        self.limits.retain(|id, _| ids.contains(id));
-        let is_restored = std::mem::take(&mut self.is_restored);
-        for entry in engines {
-            self.engines
-                .entry(entry.id.clone())
-                .and_modify(|ledger| ledger.update_entry(entry, is_restored))
-                .or_insert_with(|| EngineLedger::new(entry.clone()));
-        }
-    }
-
-    /// Sets or removes the request rate that an engine takes, in requests per second.
-    pub fn set_engine_limit(&mut self, engine: &EndpointId, limit: Option<f64>) {
-        match limit {
-            Some(limit) => self.limits.insert(engine.clone(), limit),
-            None => self.limits.remove(engine),
-        };
-    }
-
     /// Records that an engine has said that it leaves, so that its models count as lost.
     pub fn set_engine_leaving(&mut self, engine: &EndpointId) {
         if let Some(ledger) = self.engines.get_mut(engine) {
--- a/crates/skylarkgw/src/decision/fleet_planner/vacancy.rs
+++ b/crates/skylarkgw/src/decision/fleet_planner/vacancy.rs
@@ -181,7 +181,11 @@
                 }
             }
             for model in &seen.serving {
-                if let Some(cause) = loss_cause(model, ledger, same_run) {
+                let cause = match self.evacuated.contains(id) {
+                    true => Some("evacuated"),
+                    false => loss_cause(model, ledger, same_run),
+                };
+                if let Some(cause) = cause {
                     lost.insert(model.clone(), (id.clone(), cause));
                 }
             }
--- a/crates/skylarkgw/src/decision/freshness.rs
+++ b/crates/skylarkgw/src/decision/freshness.rs
@@ -81,7 +81,12 @@
 /// An answer with changes proves only that the state was current when the watch was
 /// sent, so the next watch must end sooner.
 pub fn watch_wait(age: Duration) -> Duration {
-    WATCH_WAIT.saturating_sub(age).max(MIN_WATCH_WAIT)
+    limit_watch_wait(WATCH_WAIT, age)
+}
+
+/// Returns the same time for a kind of object whose watches wait for `longest`.
+pub fn limit_watch_wait(longest: Duration, age: Duration) -> Duration {
+    longest.saturating_sub(age).max(MIN_WATCH_WAIT)
 }
 
 /// Returns the delay between an answer with changes and the next watch.
--- a/crates/skylarkgw/src/edge/forward/refusal.rs
+++ b/crates/skylarkgw/src/edge/forward/refusal.rs
@@ -35,6 +35,10 @@
     OverQuota,
     /// Engines have crashed on a part of the prompt.
     PromptRefused,
+    /// This host has not heard yet which data centres are evacuated.
+    EvacuationsUnknown,
+    /// Every available engine that could run the request is in an evacuated data centre.
+    Evacuated,
     /// No available engine holds the model.
     NoEngine,
     /// No engine that holds the model has the adapter, and none was assigned to load
@@ -73,6 +77,8 @@
             RefusalReason::Stopping => "stopping",
             RefusalReason::OverQuota => "over-quota",
             RefusalReason::PromptRefused => "prompt-refused",
+            RefusalReason::EvacuationsUnknown => "evacuations-unknown",
+            RefusalReason::Evacuated => "evacuated",
             RefusalReason::NoEngine => "no-engine",
             RefusalReason::NoAdapter => "no-adapter",
             RefusalReason::EngineLimited => "engine-limited",
@@ -91,6 +97,8 @@
             | RefusalReason::StaleKeys
             | RefusalReason::Stopping
             | RefusalReason::PromptRefused
+            | RefusalReason::EvacuationsUnknown
+            | RefusalReason::Evacuated
             | RefusalReason::NoEngine
             | RefusalReason::NoAdapter
             | RefusalReason::EngineLimited
@@ -113,7 +121,8 @@
     /// to do with engines.
     pub fn unserved_cause(self) -> Option<UnservedCause> {
         match self {
-            RefusalReason::NoEngine
+            RefusalReason::Evacuated
+            | RefusalReason::NoEngine
             | RefusalReason::EngineLimited
             | RefusalReason::TurnedAway
             | RefusalReason::NotRun
--- a/crates/skylarkgw/src/edge/forward/select.rs
+++ b/crates/skylarkgw/src/edge/forward/select.rs
@@ -59,8 +59,11 @@
 
 impl SelectedEngine {
     /// Returns whether the engine has stated since its selection that it takes no
-    /// request.
+    /// request, or its data centre has been evacuated.
     pub fn is_withdrawn(&self, state: &GatewayState) -> bool {
+        if !state.snapshot.load().evacuations.allows(&self.entry.data_centre) {
+            return true;
+        }
         let statement = state.find_statement(&self.entry);
         let has_left = !self.is_leaving && statement.leaving_for.is_some();
         statement.turned_away_for.is_some()
@@ -87,6 +90,8 @@
         )
     };
     let mut usable = find_usable_engines(&snapshot, admitted);
+    remove_evacuated_engines(&snapshot, &mut usable)
+        .map_err(|reason| refuse(reason, LOAD_WAIT_MS))?;
     let mut waits = remove_unwilling_engines(admitted, tried, &mut usable);
     if usable.is_empty() && waits.limit.is_none() {
         return Err(match waits.turned_away {
@@ -132,6 +137,24 @@
     }
 }
 
+/// Removes the engines of evacuated data centres.
+///
+/// # Errors
+///
+/// Returns the [`RefusalReason`] if there were engines and none is left, or if this host has
+/// not heard of the evacuations yet.
+fn remove_evacuated_engines(
+    snapshot: &FleetSnapshot,
+    usable: &mut Vec<Arc<EngineEntry>>,
+) -> Result<(), RefusalReason> {
+    if snapshot.evacuations.is_unknown {
+        return Err(RefusalReason::EvacuationsUnknown);
+    }
+    let had_engines = !usable.is_empty();
+    usable.retain(|entry| snapshot.evacuations.allows(&entry.data_centre));
+    if had_engines && usable.is_empty() { Err(RefusalReason::Evacuated) } else { Ok(()) }
+}
+
 /// Removes the engines that were tried and those that take no request by what they state
 /// about themselves, and returns the shortest times until one of them may take a request
 /// again.
--- a/crates/skylarkgw/src/gateway.rs
+++ b/crates/skylarkgw/src/gateway.rs
@@ -157,10 +157,12 @@
         engine_calls: ports.engine_calls,
         watch_declarations: ports.watch_declarations,
         watch_engines: ports.watch_engines,
+        watch_evacuations: ports.watch_evacuations,
     };
     let context = Arc::new(ControlContext::new(state.clone(), control_ports));
     tokio::spawn(control::follow_declarations(context.clone(), ports.declarations));
     tokio::spawn(control::follow_engines(context.clone(), ports.engines));
+    tokio::spawn(control::follow_evacuations(context.clone(), ports.evacuations));
     tokio::spawn(control::serve_coordinator_requests(context.clone(), coordinator_requests));
     tokio::spawn(peers::serve_peers(peer_listener, context.clone()));
     tokio::spawn(probe::serve_probe(readiness_listener, state.clone()));
--- a/crates/skylarkgw/src/gateway/control.rs
+++ b/crates/skylarkgw/src/gateway/control.rs
@@ -5,6 +5,7 @@
 //! coordinator, plan the placement of models.
 
 mod deputy;
+mod evacuation;
 mod exchange;
 mod knowledge;
 mod load;
@@ -28,6 +29,7 @@
 use crate::decision::declaration_confirmation::DeclarationConfirmation;
 use crate::decision::deputies::DeputyGuide;
 use crate::decision::directory::EngineDirectory;
+use crate::decision::evacuations::EvacuationBook;
 use crate::decision::fleet_planner::{AdapterDecision, PlannerCall};
 use crate::decision::quota_pool::PoolStart;
 use crate::gateway::clock::time_since_boot;
@@ -64,6 +66,7 @@
 /// Longest time that placing an adapter may take.
 const ADAPTER_TIMEOUT: Duration = Duration::from_millis(150);
 
+pub use evacuation::follow_evacuations;
 pub use exchange::run_exchange;
 pub use knowledge::{follow_declarations, follow_engines};
 pub use load::log_coordinator_load;
@@ -81,6 +84,7 @@
     coordinator: Mutex<Option<Coordinator>>,
     directory: Mutex<EngineDirectory>,
     confirmation: Mutex<DeclarationConfirmation>,
+    evacuations: Mutex<EvacuationBook>,
     /// Change count of the directory when its engines were last published.
     published: Mutex<Option<u64>>,
     contact: Mutex<CoordinatorContact>,
@@ -89,6 +93,7 @@
     engine_calls: mpsc::Sender<EngineCall>,
     watch_declarations: watch::Sender<WatchMode>,
     watch_engines: watch::Sender<WatchMode>,
+    watch_evacuations: watch::Sender<WatchMode>,
 }
 
 /// Sending halves of the adapter's channels that the control thread uses.
@@ -102,6 +107,8 @@
     pub watch_declarations: watch::Sender<WatchMode>,
     /// Whether and how the adapter watches the engine registry.
     pub watch_engines: watch::Sender<WatchMode>,
+    /// Whether and how the adapter watches the evacuations.
+    pub watch_evacuations: watch::Sender<WatchMode>,
 }
 
 /// Locks a mutex, including one that is poisoned.
@@ -132,6 +139,7 @@
             coordinator: Mutex::default(),
             directory: Mutex::new(directory),
             confirmation: Mutex::default(),
+            evacuations: Mutex::default(),
             published: Mutex::default(),
             contact: Mutex::default(),
             guide: Mutex::default(),
@@ -139,6 +147,7 @@
             engine_calls: ports.engine_calls,
             watch_declarations: ports.watch_declarations,
             watch_engines: ports.watch_engines,
+            watch_evacuations: ports.watch_evacuations,
         }
     }
 
@@ -148,10 +157,12 @@
         let now = time_since_boot();
         let lease = lock(&self.lease).remaining(now);
         let declaration = self.state.snapshot.load().declaration.clone();
-        let (reply, stamp, events) = self.with_coordinator(|now, coordinator| {
+        let known_version = report.evacuation_version;
+        let (reply, token, stamp, events) = self.with_coordinator(|now, coordinator| {
             let reply =
                 self.measure_work(CoordinatorWork::Exchange, || coordinator.exchange(now, report));
-            (reply, coordinator.registry_stamp(), coordinator.take_quarantine_events())
+            let stamp = coordinator.registry_stamp();
+            (reply, coordinator.token(), stamp, coordinator.take_quarantine_events())
         })?;
         if !events.is_empty() {
             self.record_refused_parts();
@@ -162,9 +173,12 @@
             declaration: self.state.declaration_age(now),
             registry: now.saturating_sub(stamp.as_of),
             registry_position: stamp.position,
+            evacuations: None,
         };
+        let (evacuation_age, evacuations) = self.share_evacuations(now, token, known_version);
+        let age = KnowledgeAge { evacuations: evacuation_age, ..age };
         self.count_reply(&reply);
-        Some(CoordinatorReply { age, lease, ..reply })
+        Some(CoordinatorReply { age, evacuations, lease, ..reply })
     }
 
     /// Draws quota tokens for one client request, or returns `None` if this host
@@ -266,7 +280,8 @@
         let holder = self.state.settings.host.clone();
         let call = EngineCall::Order { order: order.clone(), holder, reply };
         // The right to give orders may have ended since the order was planned.
-        let may_order = lock(&self.lease).order_token(time_since_boot()) == Some(order.token);
+        let may_order = lock(&self.lease).order_token(time_since_boot()) == Some(order.token)
+            && self.may_call_engine(&order.engine);
         let answer = match may_order {
             true => match self.engine_calls.send(call).await {
                 Ok(()) => answer.await.unwrap_or(OrderAnswer::Unknown),
@@ -289,6 +304,9 @@
 
     /// Requests an engine's report and records it in the planner.
     async fn request_report(&self, engine: EndpointId, address: std::net::SocketAddr) {
+        if !self.may_call_engine(&engine) {
+            return;
+        }
         let (reply, report) = oneshot::channel();
         if self.engine_calls.send(EngineCall::Report { address, reply }).await.is_err() {
             return;
@@ -307,6 +325,7 @@
             route_table: current.route_table.clone(),
             engines: current.engines.clone(),
             registry: current.registry,
+            evacuations: current.evacuations.clone(),
             view: current.view.clone(),
         };
         change(&mut snapshot);
@@ -429,6 +448,7 @@
                 }
                 let refused = self.state.lock_prompt_guard().refused_parts(now);
                 coordinator.adopt_refused(now, &refused);
+                coordinator.set_evacuations(&self.state.snapshot.load().evacuations);
                 let engines: Vec<_> = lock(&self.directory).engines(now).cloned().collect();
                 coordinator.update_registry(lock(&self.directory).stamp(), &engines);
                 *lock(&self.coordinator) = Some(coordinator);
@@ -543,6 +563,9 @@
     loop {
         sleep(interval).await;
         let Some(declaration) = control.state.snapshot.load().declaration.clone() else { continue };
+        if control.state.snapshot.load().evacuations.is_unknown {
+            continue;
+        }
         let started = Instant::now();
         let order_token = lock(&control.lease).order_token(time_since_boot());
         let window = control.state.settings.bounds.load_window;
--- a/crates/skylarkgw/src/gateway/control/deputy.rs
+++ b/crates/skylarkgw/src/gateway/control/deputy.rs
@@ -35,6 +35,7 @@
             let is_newer = own.era != known.era || own.revision > known.revision;
             (stamp, is_newer.then(|| directory.engines(now).cloned().collect()))
         };
+        let shared = lock(&self.evacuations).share(now);
         let lease = lock(&self.lease);
         let coordinator = if lease.token(now).is_some() {
             Some((self.state.settings.host.clone(), self.state.settings.peers))
@@ -48,9 +49,11 @@
                 declaration: self.state.declaration_age(now),
                 registry: now.saturating_sub(stamp.as_of),
                 registry_position: stamp.position,
+                evacuations: shared.as_ref().map(|shared| shared.age),
             },
             declaration: declaration.filter(|_| revision > question.revision),
             engines,
+            evacuations: shared.map(|shared| shared.evacuations),
         }
     }
 
@@ -74,7 +77,9 @@
         let looks_for_coordinator = !self.has_contact(now);
         let is_current = answer.as_ref().is_some_and(|answer| {
             let names_coordinator = looks_for_coordinator && answer.coordinator.is_some();
-            names_coordinator || answer.age.declaration <= STORE_READ_AGE
+            let is_recent = answer.age.declaration <= STORE_READ_AGE
+                && !self.needs_evacuations(false, Some(&answer.age));
+            names_coordinator || is_recent
         });
         lock(&self.guide).end_question(now, answer.is_some(), is_current);
         self.state.metrics.fleet.count_exchange(match &answer {
@@ -124,6 +129,12 @@
         if is_used {
             self.record_registry_copy(RegistrySource::Deputy, stamp, true);
         }
+        self.apply_shared_evacuations(
+            sent_at,
+            answer.age.evacuations,
+            answer.evacuations.as_deref(),
+            RegistrySource::Deputy,
+        );
         self.publish_engines();
     }
 }
--- a/crates/skylarkgw/src/gateway/control/exchange.rs
+++ b/crates/skylarkgw/src/gateway/control/exchange.rs
@@ -11,6 +11,7 @@
 use crate::decision::coordinator_lease::takeover_delay;
 use crate::decision::deputies::DeputyHost;
 use crate::decision::dispatch::engine_loads::EngineNumber;
+use crate::decision::evacuations::DeclaredEvacuation;
 use crate::decision::fleet_planner::EngineNotice;
 use crate::decision::freshness::{EXCHANGE_INTERVAL, contact_timeout, exchange_interval};
 use crate::decision::quota_pool::LocalQuota;
@@ -34,6 +35,8 @@
     pub(super) engines: HashMap<EndpointId, RegisteredEngine>,
     /// Placement notices as the coordinator sent them.
     notices: HashMap<EndpointId, Arc<EngineNotice>>,
+    /// Version and list of the evacuations as the coordinator sent them.
+    pub(super) evacuations: (MapVersion, Vec<DeclaredEvacuation>),
     /// Whether the last reply was a part, after which more follows.
     expects_part: bool,
 }
@@ -58,9 +61,9 @@
     ///
     /// Usage counts cover the time since the previous report and are reset.
     fn build_report(&self, now: Duration) -> HostReport {
-        let (notice_version, registry_version) = {
+        let (notice_version, registry_version, evacuation_version) = {
             let contact = lock(&self.contact);
-            (contact.notice_version, contact.registry_version)
+            (contact.notice_version, contact.registry_version, contact.evacuations.0)
         };
         let view = self.state.snapshot.load().view.clone();
         let prompts = self.state.lock_prompt_guard().build_report(now);
@@ -96,6 +99,7 @@
             registry_version,
             prompts,
             statements,
+            evacuation_version,
             service,
         }
     }
@@ -123,6 +127,7 @@
             let seed = self.state.settings.peers.ip().to_string().bytes().map(usize::from).sum();
             lock(&self.guide).set_deputies(version, deputies, host, centre, seed);
         }
+        self.apply_evacuations(sent.sent_at, &reply.age, reply.evacuations);
         let has_registry_part = reply.registry.as_ref().is_some_and(|delta| !delta.is_last);
         let numbers = self.apply_fleet_state(sent.sent_at, &reply.age, reply.registry);
         self.state.lock_prompt_guard().apply_reply(now, reply.prompts, reply.trials);
--- a/crates/skylarkgw/src/gateway/control/knowledge.rs
+++ b/crates/skylarkgw/src/gateway/control/knowledge.rs
@@ -62,8 +62,11 @@
     /// just have begun anew.
     pub(super) fn record_lease_start(&self, now: Duration) {
         let is_settled = lock(&self.lease).is_era_settled();
-        if is_settled == Some(false) && !self.state.has_confirmed_declaration() {
-            lock(&self.confirmation).record_unsettled_start(now);
+        if is_settled == Some(false) {
+            lock(&self.evacuations).record_unsettled_start(now);
+            if !self.state.has_confirmed_declaration() {
+                lock(&self.confirmation).record_unsettled_start(now);
+            }
         }
     }
 
@@ -176,9 +179,10 @@
         let is_coordinator = lock(&self.lease).token(now).is_some();
         let uptime = now.saturating_sub(self.started_at);
         let is_searching = !is_coordinator && is_searching_coordinator(uptime);
+        let evacuations = self.needs_evacuations(is_coordinator, age);
         let asks_deputies = {
             let mut guide = lock(&self.guide);
-            guide.set_needed(now, !is_coordinator && (declaration || engines));
+            guide.set_needed(now, !is_coordinator && (declaration || engines || evacuations));
             guide.is_needed() && guide.access(now) == StoreAccess::Deputy
         };
         let set_mode = |mode: &watch::Sender<WatchMode>, is_on: bool| {
@@ -190,13 +194,14 @@
         let has_changed = [
             set_mode(&self.watch_declarations, declaration),
             set_mode(&self.watch_engines, engines),
+            set_mode(&self.watch_evacuations, evacuations),
         ];
         if has_changed.contains(&true) {
             let age_ms = |age: Duration| age.as_millis() as i64;
             let declaration_age_ms = age.map_or(-1, |age| age_ms(age.declaration));
             let registry_age_ms = age.map_or(-1, |age| age_ms(age.registry));
             info!("store watches changed", kv: {
-                declaration, engines, declaration_age_ms, registry_age_ms
+                declaration, engines, evacuations, declaration_age_ms, registry_age_ms
             });
         }
     }
--- a/crates/skylarkgw/src/gateway/peers.rs
+++ b/crates/skylarkgw/src/gateway/peers.rs
@@ -13,6 +13,7 @@
 use tokio_util::codec::LengthDelimitedCodec;
 
 use crate::decision::coordinator::{CoordinatorReply, HostReport, KnowledgeAge, QuotaAnswer};
+use crate::decision::evacuations::DeclaredEvacuation;
 use crate::decision::freshness::EXCHANGE_TIMEOUT;
 use crate::decision::store_order::StorePosition;
 use crate::gateway::control::ControlContext;
@@ -59,6 +60,8 @@
     pub declaration: Option<Arc<FleetDeclaration>>,
     /// All engines, if the registry is newer than that of the asking host.
     pub engines: Option<Vec<Arc<EngineEntry>>>,
+    /// All evacuations, if the deputy has heard of them.
+    pub evacuations: Option<Vec<DeclaredEvacuation>>,
 }
 
 /// Calls that the coordinator answers for other hosts, and one that any host answers.
--- a/crates/skylarkgw/src/gateway/ports.rs
+++ b/crates/skylarkgw/src/gateway/ports.rs
@@ -10,6 +10,7 @@
 use serde::{Deserialize, Serialize};
 use tokio::sync::{mpsc, oneshot, watch};
 
+use crate::decision::evacuations::DeclaredEvacuation;
 use crate::decision::store_order::StorePosition;
 use crate::gateway::declaration::FleetDeclaration;
 use crate::gateway::registry::RegistryCopy;
@@ -202,10 +203,14 @@
     pub declarations: mpsc::Receiver<StoreUpdate<Arc<FleetDeclaration>>>,
     /// Updates of the engine registry.
     pub engines: mpsc::Receiver<StoreUpdate<RegistryCopy>>,
+    /// Updates of the evacuations; closed if the deployment has none.
+    pub evacuations: mpsc::Receiver<StoreUpdate<Vec<DeclaredEvacuation>>>,
     /// Whether and how the adapter watches the declaration; initially not.
     pub watch_declarations: watch::Sender<WatchMode>,
     /// Whether and how the adapter watches the engine registry; initially not.
     pub watch_engines: watch::Sender<WatchMode>,
+    /// Whether and how the adapter watches the evacuations; initially not.
+    pub watch_evacuations: watch::Sender<WatchMode>,
     /// Reads and writes of the lease record.
     pub lease_calls: mpsc::Sender<LeaseCall>,
     /// Orders to engines and requests for their reports.
--- a/crates/skylarkgw/src/gateway/probe.rs
+++ b/crates/skylarkgw/src/gateway/probe.rs
@@ -15,6 +15,7 @@
 use tokio::net::TcpListener;
 use tokio::time::sleep;
 
+use crate::decision::evacuations::is_evacuation_copy_ready;
 use crate::decision::freshness::READY_MAX_AGE;
 use crate::gateway::clock::time_since_boot;
 use crate::gateway::state::GatewayState;
@@ -81,6 +82,7 @@
 fn find_unready_reason(state: &GatewayState) -> Option<&'static str> {
     let now = time_since_boot();
     let snapshot = state.snapshot.load();
+    let bound = state.settings.bounds.evacuation;
     let reason = if state.is_draining() {
         Some("draining")
     } else if snapshot.declaration.is_none() {
@@ -89,6 +91,11 @@
         Some("no engines")
     } else if state.declaration_age(now) > READY_MAX_AGE {
         Some("declaration too old")
+    } else if snapshot.evacuations.is_unknown {
+        Some("evacuations unknown")
+    } else if !bound.is_none_or(|bound| is_evacuation_copy_ready(bound, state.evacuation_age(now)))
+    {
+        Some("evacuations too old")
     } else {
         None
     };
--- a/crates/skylarkgw/src/gateway/state.rs
+++ b/crates/skylarkgw/src/gateway/state.rs
@@ -14,6 +14,7 @@
 use crate::decision::dispatch::engine_loads::{EngineLoads, EngineNumber};
 use crate::decision::dispatch::traffic::TrafficStats;
 use crate::decision::engine_statements::{EngineStatements, KnownStatement};
+use crate::decision::evacuations::EvacuationView;
 use crate::decision::fleet_planner::EngineNotice;
 use crate::decision::obligations::ServiceLog;
 use crate::decision::prompt_guard::PromptGuard;
@@ -47,6 +48,8 @@
     pub engines: Arc<EngineIndex>,
     /// Origin of the engines.
     pub registry: RegistryOrigin,
+    /// Data centres to whose engines nothing is sent.
+    pub evacuations: Arc<EvacuationView>,
     /// State from the last reply of the coordinator.
     pub view: Arc<FleetView>,
 }
@@ -172,6 +175,7 @@
     service_log: Mutex<ServiceLog>,
     declaration_as_of_ms: AtomicU64,
     registry_as_of_ms: AtomicU64,
+    evacuations_as_of_ms: AtomicU64,
 }
 
 impl GatewayState {
@@ -185,11 +189,17 @@
         coordinator_requests: mpsc::Sender<CoordinatorRequest>,
     ) -> GatewayState {
         let held_bytes = settings.memory_mb as usize * 1024 * 1024 / HELD_BODIES_DIVISOR;
+        let evacuations = match settings.bounds.evacuation {
+            Some(_) => EvacuationView::unknown(),
+            None => EvacuationView::default(),
+        };
+        let snapshot =
+            FleetSnapshot { evacuations: Arc::new(evacuations), ..FleetSnapshot::default() };
         GatewayState {
             settings,
             codec,
             incarnation,
-            snapshot: ArcSwap::from_pointee(FleetSnapshot::default()),
+            snapshot: ArcSwap::from_pointee(snapshot),
             pool: ConnectionPool::default(),
             held_bodies: ByteBudget::new(held_bytes),
             metrics,
@@ -204,6 +214,7 @@
             service_log: Mutex::default(),
             declaration_as_of_ms: AtomicU64::new(0),
             registry_as_of_ms: AtomicU64::new(0),
+            evacuations_as_of_ms: AtomicU64::new(0),
         }
     }
 
@@ -281,6 +292,17 @@
         now.saturating_sub(Duration::from_millis(self.registry_as_of_ms.load(Ordering::Relaxed)))
     }
 
+    /// Records that the evacuations were current at `as_of`, in time since boot.
+    pub fn record_evacuation_time(&self, as_of: Duration) {
+        self.evacuations_as_of_ms.fetch_max(as_of.as_millis() as u64, Ordering::Relaxed);
+    }
+
+    /// Returns the time since the evacuations were last confirmed to be current, or
+    /// since boot if that has not happened yet.
+    pub fn evacuation_age(&self, now: Duration) -> Duration {
+        now.saturating_sub(Duration::from_millis(self.evacuations_as_of_ms.load(Ordering::Relaxed)))
+    }
+
     /// Returns whether the host is draining before it exits.
     pub fn is_draining(&self) -> bool {
         self.stop_plan.get().is_some()
--- a/crates/skylarkgw/src/telemetry/fleet_metrics.rs
+++ b/crates/skylarkgw/src/telemetry/fleet_metrics.rs
@@ -48,6 +48,7 @@
     registry_copies: IntCounterVec,
     target_events: IntCounterVec,
     unserved_targets: IntGauge,
+    evacuated_centres: IntGauge,
 }
 
 impl FleetMetrics {
@@ -78,8 +79,14 @@
             "Models and adapters that are requested and not served, on the coordinator",
         )?;
         registry.register(Box::new(unserved_targets.clone()))?;
+        let evacuated_centres = IntGauge::new(
+            "skylark_evacuated_data_centres",
+            "Data centres to whose engines nothing is sent",
+        )?;
+        registry.register(Box::new(evacuated_centres.clone()))?;
         Ok(FleetMetrics {
             unserved_targets,
+            evacuated_centres,
             target_events: counter(
                 "skylark_target_events_total",
                 "Models and adapters that were not served for two seconds, for longer than the bound, or are served again",
@@ -211,6 +218,11 @@
         self.unserved_targets.set(targets as i64);
     }
 
+    /// Sets the number of data centres to whose engines nothing is sent.
+    pub fn set_evacuated_centres(&self, centres: usize) {
+        self.evacuated_centres.set(centres as i64);
+    }
+
     /// Counts a copy of the engine registry that arrived.
     pub fn count_registry_copy(&self, source: &str, is_older: bool) {
         let age = if is_older { "older" } else { "current" };
--- a/crates/skylarkgw/tests/decisions/store_restores/host.rs
+++ b/crates/skylarkgw/tests/decisions/store_restores/host.rs
@@ -259,6 +259,7 @@
             declaration: self.confirmed_age(now),
             registry: ms(now).saturating_sub(stamp.as_of),
             registry_position: stamp.position,
+            evacuations: None,
         }
     }
 
--- a/crates/skylarkgw/tests/gateway/standin.rs
+++ b/crates/skylarkgw/tests/gateway/standin.rs
@@ -98,11 +98,13 @@
         let (engine_sender, engine_calls) = mpsc::channel(1);
         let (watch_declarations, declarations) = watch::channel(WatchMode::Off);
         let (watch_engines, engines) = watch::channel(WatchMode::Off);
+        let (watch_evacuations, _) = watch::channel(WatchMode::Off);
         let ports = ControlPorts {
             lease_calls: lease_sender,
             engine_calls: engine_sender,
             watch_declarations,
             watch_engines,
+            watch_evacuations,
         };
         let control = Arc::new(ControlContext::new(state, ports));
         let (registry, updates) = mpsc::channel(8);
