--- a/crates/skylarkgw/tests/decisions/evacuations.rs
+++ b/crates/skylarkgw/tests/decisions/evacuations.rs
@@ -1,21 +1,22 @@
 //! Tests of the evacuations that a host knows, and of the placement of models meanwhile.
 
+use std::sync::Arc;
 use std::time::Duration;
 
-use skylarkgw::decision::coordinator::Coordinator;
+use skylarkgw::decision::coordinator::{Coordinator, HostReport};
 use skylarkgw::decision::evacuations::{
     DeclaredEvacuation, EVACUATION_SETTLE_TIME, EvacuationBook, EvacuationView, SharedEvacuations,
     evacuation_watch_wait, is_evacuation_copy_ready, needs_evacuation_read,
 };
 use skylarkgw::decision::fleet_planner::PlannerCall;
+use skylarkgw::decision::model_demand::ModelUse;
 use skylarkgw::decision::quota_pool::{PoolStart, QuotaTolerance};
 use skylarkgw::decision::store_order::{StorePosition, StoreStamp};
-use skylarkgw::gateway::ports::{EngineOrder, EngineReport, OrderKind};
+use skylarkgw::gateway::ports::{EngineOrder, EngineReport, OrderAnswer, OrderKind};
 use skylarkgw::gateway::registry::EngineEntry;
 use skylarkgw::ids::{ObjectVersion, StoreEra};
-use std::sync::Arc;
 
-use crate::samples::{declaration, engine, ms};
+use crate::samples::{MODEL_SERVICE, declaration, engine, ms};
 
 const BOUND: Duration = Duration::from_millis(5_000);
 const WINDOW: Duration = Duration::from_secs(5);
@@ -268,6 +269,34 @@
     assert!(asked.iter().all(|engine| engine == "b1"), "{asked:?}");
 }
 
+/// The load: models of which one is in demand lose their last replicas at once, and one
+/// engine elsewhere can load one after the other.
+#[test]
+fn model_in_demand_is_restored_first() {
+    for busy in ["common", "rare"] {
+        let mut fleet = PlacedFleet::new(&[("a1", "a", &["common", "rare"]), ("b1", "b", &[])]);
+        for _ in 0..10 {
+            let usage = ModelUse { arrivals: 8, ..ModelUse::default() };
+            let report = HostReport {
+                host: "edge-1".into(),
+                uses: vec![(MODEL_SERVICE.into(), busy.into(), usage)],
+                ..HostReport::default()
+            };
+            fleet.coordinator.exchange(ms(fleet.now), report);
+            let (orders, _) = fleet.plan(1);
+            // The busy model may get a second replica, which is not the subject here.
+            for order in orders {
+                let (now, refused) = (ms(fleet.now), OrderAnswer::Conflict);
+                fleet.coordinator.record_answer(now, &order, refused);
+            }
+        }
+        fleet.evacuate(&["a"]);
+        let (orders, _) = fleet.plan(10);
+        let loaded: Vec<_> = orders.iter().map(|order| &*order.model).collect();
+        assert_eq!(loaded.first(), Some(&busy), "{orders:?}");
+    }
+}
+
 #[test]
 fn engines_that_return_report_before_they_get_orders() {
     let mut fleet = PlacedFleet::new(&[("a1", "a", &["common"]), ("b1", "b", &["common"])]);
