--- a/crates/skylarkgw/src/decision.rs
+++ b/crates/skylarkgw/src/decision.rs
@@ -8,6 +8,7 @@
 //! of them over a simulated network that loses messages.
 
 pub mod allowance;
+pub mod cold_engines;
 pub mod connection_clock;
 pub mod coordinator;
 pub mod coordinator_lease;
--- a/crates/skylarkgw/src/decision/coordinator.rs
+++ b/crates/skylarkgw/src/decision/coordinator.rs
@@ -4,12 +4,15 @@
 //! workspaces' quotas and plans the placement of models. All its state is soft:
 //! a new holder of the lease rebuilds it from the reports of hosts and engines.
 
+mod draws;
+
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 
+use crate::decision::cold_engines::pool::ColdPool;
 use crate::decision::deputies::{DeputyHost, choose_deputies};
 use crate::decision::dispatch::engine_loads::{EngineLoads, EngineNumber, LoadTable};
 use crate::decision::engine_statements::{
@@ -31,6 +34,8 @@
     EndpointId, HostId, MapVersion, ModelName, PartHash, Revision, Tokens, WorkspaceId,
 };
 
+pub use draws::EngineLimits;
+
 /// Time without a report after which the coordinator evicts a host: it discards
 /// the last report and no longer counts the host.
 const HOST_EVICTION_TIMEOUT: Duration = Duration::from_secs(5);
@@ -183,6 +188,7 @@
     running: HashMap<EndpointId, f64>,
     averaged_at: Duration,
     quota_pool: QuotaPool,
+    cold_pool: ColdPool,
     planner: FleetPlanner,
     notices: SharedMap<Arc<EngineNotice>>,
     registry: SharedMap<RegisteredEngine>,
@@ -217,6 +223,7 @@
             running: HashMap::new(),
             averaged_at: now,
             quota_pool: QuotaPool::new(now, tolerance, start),
+            cold_pool: ColdPool::new(now),
             planner: FleetPlanner::default(),
             notices: SharedMap::new(token),
             registry: SharedMap::new(token),
--- a/crates/skylarkgw/src/decision/dispatch.rs
+++ b/crates/skylarkgw/src/decision/dispatch.rs
@@ -3,6 +3,7 @@
 
 pub mod engine_choice;
 pub mod engine_loads;
+pub mod homes;
 pub mod outcomes;
 pub mod retry_budget;
 pub mod traffic;
--- a/crates/skylarkgw/src/decision/fleet_planner.rs
+++ b/crates/skylarkgw/src/decision/fleet_planner.rs
@@ -24,7 +24,7 @@
 use crate::gateway::registry::EngineEntry;
 use crate::ids::{EndpointId, ModelName};
 
-pub use adapters::AdapterDecision;
+pub use adapters::{AdapterDecision, AdapterRequest};
 pub use vacancy::{PlacementEvent, VacancyWait};
 
 /// Time between the start of draining a model and its unload. Hosts receive the
--- a/crates/skylarkgw/src/decision/fleet_planner/adapters.rs
+++ b/crates/skylarkgw/src/decision/fleet_planner/adapters.rs
@@ -4,12 +4,15 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
+
+use crate::decision::dispatch::homes::is_allowed;
 use crate::decision::fleet_planner::ledger::{EngineLedger, HeldAdapter};
 use crate::decision::fleet_planner::{FleetPlanner, PlannerCall};
 use crate::decision::obligations::ServiceObligation;
 use crate::gateway::declaration::{FleetDeclaration, GenerationRule, ServiceName};
 use crate::gateway::ports::{EngineOrder, OrderKind};
-use crate::ids::{EndpointId, ModelName};
+use crate::ids::{DataCentre, EndpointId, ModelName};
 
 /// Time since its last use after which an adapter may be unloaded.
 const ADAPTER_MIN_IDLE: Duration = Duration::from_millis(500);
@@ -24,6 +27,20 @@
 /// engines.
 const REQUESTED_ADAPTER_LIFETIME: Duration = Duration::from_secs(4);
 
+/// A request for an engine that holds an adapter.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct AdapterRequest {
+    /// Service whose engines are considered.
+    pub service: ServiceName,
+    /// Model to which the adapter belongs.
+    pub model: ModelName,
+    /// Name of the adapter.
+    pub adapter: Arc<str>,
+    /// Data centres whose engines may be used; `None` for all.
+    pub allowed: Option<Arc<[DataCentre]>>,
+}
+
 /// How to proceed with a request for an adapter.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum AdapterDecision {
@@ -194,16 +211,16 @@
         &mut self,
         now: Duration,
         token: Option<u64>,
-        service: &ServiceName,
-        model: &ModelName,
-        adapter: &Arc<str>,
+        request: &AdapterRequest,
         slots: u32,
     ) -> AdapterDecision {
+        let AdapterRequest { service, model, adapter, allowed } = request;
         self.requested_adapters.insert((model.clone(), adapter.clone()), now);
         let mut holders: Vec<&mut EngineLedger> = self
             .engines
             .values_mut()
             .filter(|ledger| ledger.entry.service == *service && ledger.is_ready())
+            .filter(|ledger| is_allowed(allowed.as_deref(), &ledger.entry.data_centre))
             .filter(|ledger| ledger.models.contains(model) && !ledger.is_being_removed(model))
             .collect();
         if holders.is_empty() {
--- a/crates/skylarkgw/src/edge/forward/refusal.rs
+++ b/crates/skylarkgw/src/edge/forward/refusal.rs
@@ -37,11 +37,14 @@
     PromptRefused,
     /// No available engine holds the model.
     NoEngine,
+    /// No available engine that holds the model is in a region that the route and the
+    /// workspace allow.
+    OutsideRegions,
     /// No engine that holds the model has the adapter, and none was assigned to load
     /// it in time, for example because none has room for it.
     NoAdapter,
-    /// Every available engine that holds the model has named a request rate that is used
-    /// up.
+    /// Every available engine that holds the model is cold or has named a request rate, and
+    /// its rate is used up.
     EngineLimited,
     /// Every available engine that holds the model has turned this host away for a time
     /// that has not ended.
@@ -74,6 +77,7 @@
             RefusalReason::OverQuota => "over-quota",
             RefusalReason::PromptRefused => "prompt-refused",
             RefusalReason::NoEngine => "no-engine",
+            RefusalReason::OutsideRegions => "outside-regions",
             RefusalReason::NoAdapter => "no-adapter",
             RefusalReason::EngineLimited => "engine-limited",
             RefusalReason::TurnedAway => "turned-away",
@@ -92,6 +96,7 @@
             | RefusalReason::Stopping
             | RefusalReason::PromptRefused
             | RefusalReason::NoEngine
+            | RefusalReason::OutsideRegions
             | RefusalReason::NoAdapter
             | RefusalReason::EngineLimited
             | RefusalReason::TurnedAway
--- a/crates/skylarkgw/src/edge/forward/select.rs
+++ b/crates/skylarkgw/src/edge/forward/select.rs
@@ -8,17 +8,20 @@
 use tokio::sync::oneshot;
 use tokio::time::{Instant, timeout};
 
-use crate::decision::coordinator::QuotaAnswer;
+use crate::decision::cold_engines::{ColdRate, choose_warm_first};
+use crate::decision::coordinator::{EngineLimits, QuotaAnswer};
 use crate::decision::dispatch::engine_choice::{
-    EngineCandidate, choose_engine, compute_retry_after, should_queue,
+    EngineCandidate, compute_retry_after, should_queue,
 };
+use crate::decision::dispatch::homes::{find_allowed_centres, is_allowed};
 use crate::decision::engine_statements::{KnownStatement, find_willing_engines};
+use crate::decision::fleet_planner::AdapterRequest;
 use crate::edge::forward::admit::AdmittedRequest;
 use crate::edge::forward::refusal::{RefusalReason, RequestRefusal};
 use crate::gateway::clock::time_since_boot;
 use crate::gateway::registry::{EngineEntry, EnginePhase};
 use crate::gateway::state::{CoordinatorRequest, FleetSnapshot, GatewayState};
-use crate::ids::EndpointId;
+use crate::ids::{DataCentre, EndpointId};
 
 /// Time that a request waits for the coordinator to assign its adapter to an
 /// engine.
@@ -55,17 +58,20 @@
     pub is_leaving: bool,
     /// Whether another engine could have been selected.
     pub has_alternative: bool,
+    /// Whether the request was drawn as one to a cold engine.
+    pub is_drawn_cold: bool,
 }
 
 impl SelectedEngine {
     /// Returns whether the engine has stated since its selection that it takes no
-    /// request.
+    /// request, or has become cold.
     pub fn is_withdrawn(&self, state: &GatewayState) -> bool {
         let statement = state.find_statement(&self.entry);
         let has_left = !self.is_leaving && statement.leaving_for.is_some();
         statement.turned_away_for.is_some()
             || statement.is_gone(state.settings.bounds.drain)
             || has_left && self.has_alternative
+            || !self.is_drawn_cold && state.is_cold(&self.entry)
     }
 }
 
@@ -87,6 +93,13 @@
         )
     };
     let mut usable = find_usable_engines(&snapshot, admitted);
+    let allowed = find_homes(admitted);
+    if !usable.is_empty() {
+        usable.retain(|entry| is_allowed(allowed.as_deref(), &entry.data_centre));
+        if usable.is_empty() {
+            return Err(refuse(RefusalReason::OutsideRegions, LOAD_WAIT_MS));
+        }
+    }
     let mut waits = remove_unwilling_engines(admitted, tried, &mut usable);
     if usable.is_empty() && waits.limit.is_none() {
         return Err(match waits.turned_away {
@@ -96,7 +109,7 @@
     }
     let adapter = admitted.header.target.as_ref().and_then(|target| target.adapter.as_ref());
     if adapter.is_some() && !usable.iter().any(|entry| has_adapter(&snapshot, admitted, entry)) {
-        let engine = request_adapter(admitted).await;
+        let engine = request_adapter(admitted, allowed).await;
         usable.retain(|entry| Some(&entry.id) == engine.as_ref());
         if usable.is_empty() && waits.limit.is_none() {
             return Err(match waits.turned_away {
@@ -110,7 +123,8 @@
     loop {
         let candidates: Vec<EngineCandidate> =
             usable.iter().map(|entry| build_candidate(&snapshot, admitted, entry)).collect();
-        let Some(index) = choose_engine(&candidates, rand::rng().random()) else {
+        let is_cold: Vec<bool> = usable.iter().map(|entry| admitted.state.is_cold(entry)).collect();
+        let Some(index) = choose_warm_first(&candidates, &is_cold, rand::rng().random()) else {
             let wait = waits.limit.into_iter().chain(waits.turned_away).min();
             let wait_ms = wait.map_or(LOAD_WAIT_MS, |wait| wait.as_secs_f64() * 1_000.0);
             return Err(refuse(RefusalReason::EngineLimited, wait_ms));
@@ -121,13 +135,24 @@
             return Err(refuse(RefusalReason::Overloaded, wait_ms));
         }
         let entry = usable.swap_remove(index);
-        match draw_request(admitted, &entry).await {
+        match draw_request(admitted, &snapshot, &entry).await {
             None => {
+                let is_drawn_cold = is_cold[index];
                 let is_leaving = admitted.state.find_statement(&entry).leaving_for.is_some();
                 let has_alternative = !usable.is_empty();
-                return Ok(SelectedEngine { entry, running, wait_ms, is_leaving, has_alternative });
+                return Ok(SelectedEngine {
+                    entry,
+                    running,
+                    wait_ms,
+                    is_leaving,
+                    has_alternative,
+                    is_drawn_cold,
+                });
+            }
+            Some(wait) => {
+                waits.limit = waits.limit.into_iter().chain([wait]).min();
+                remove_resting_engines(admitted, false, &mut usable, &mut waits);
             }
-            wait => waits.limit = waits.limit.into_iter().chain(wait).min(),
         }
     }
 }
@@ -159,6 +184,8 @@
         waits.limit = waits.limit.into_iter().chain(limit_wait).min();
         limit_wait.is_none()
     });
+    let is_alone = statements.is_alone(now);
+    remove_resting_engines(admitted, is_alone, usable, &mut waits);
     waits.turned_away.take_if(|_| has_failed);
     let known: Vec<KnownStatement> = usable.iter().map(|entry| find(entry)).collect();
     let willing = find_willing_engines(&known, admitted.state.settings.bounds.drain);
@@ -166,23 +193,55 @@
     waits
 }
 
+/// Removes the cold engines for which no request can be drawn now, and adds the shortest
+/// time until one may be to `waits`.
+fn remove_resting_engines(
+    admitted: &AdmittedRequest,
+    is_alone: bool,
+    usable: &mut Vec<Arc<EngineEntry>>,
+    waits: &mut EngineWaits,
+) {
+    let (now, cold_engines) = (time_since_boot(), admitted.state.lock_cold_engines());
+    usable.retain(|entry| {
+        let wait = cold_engines.find_wait(now, &entry.id, entry.started_ms, is_alone);
+        waits.limit = waits.limit.into_iter().chain(wait).min();
+        wait.is_none()
+    });
+}
+
 /// Returns the refusal of a request while all its engines turn this host away, with the
 /// shortest time until one of them does not.
 fn refuse_turned_away(wait: Duration) -> RequestRefusal {
     RequestRefusal::with_retry_after(RefusalReason::TurnedAway, wait + RETRY_ROUNDING)
 }
 
-/// Draws one request from the limit of an engine, if it has named one.
+/// Draws one request from the limits of an engine, if it is cold or has named one.
 ///
 /// Returns the time until another request may be drawn, or `None` if the request may be
 /// sent.
-async fn draw_request(admitted: &AdmittedRequest, entry: &EngineEntry) -> Option<Duration> {
+async fn draw_request(
+    admitted: &AdmittedRequest,
+    snapshot: &FleetSnapshot,
+    entry: &EngineEntry,
+) -> Option<Duration> {
     let state = &admitted.state;
-    let (limit, is_alone) = {
+    let cold = if state.is_cold(entry) {
+        let tolerance = state.settings.bounds.cold;
+        ColdRate::find(snapshot.declaration.as_deref(), &admitted.service, tolerance)
+    } else {
+        None
+    };
+    let (named, is_alone) = {
         let statements = state.lock_engine_statements();
-        let limit = statements.limit(&entry.id, entry.started_ms)?;
-        (limit, statements.is_alone(time_since_boot()))
+        let named = statements.limit(&entry.id, entry.started_ms);
+        (named, statements.is_alone(time_since_boot()))
     };
+    if named.is_none() && cold.is_none() {
+        return None;
+    }
+    if is_alone && cold.is_some() {
+        return Some(LIMIT_RETRY_DELAY);
+    }
     if is_alone {
         let (now, hosts) = (time_since_boot(), state.host_count());
         let is_allowed = {
@@ -192,23 +251,36 @@
         return (!is_allowed).then_some(LIMIT_RETRY_DELAY);
     }
     let (reply, answer) = oneshot::channel();
-    let request = CoordinatorRequest::EngineRequest { engine: entry.id.clone(), limit, reply };
+    let limits = EngineLimits { named, cold };
+    let request = CoordinatorRequest::EngineRequest { engine: entry.id.clone(), limits, reply };
     let answer = match state.coordinator_requests.try_send(request) {
         Ok(()) => timeout(LIMIT_TIMEOUT, answer).await.ok().and_then(Result::ok),
         // The queue of requests to the coordinator is full.
         Err(_) => None,
     };
+    let now = time_since_boot();
     match answer {
         Some(QuotaAnswer::Granted) => None,
         Some(QuotaAnswer::Refused { retry_after }) => {
-            let now = time_since_boot();
-            state.lock_engine_statements().record_exhausted(now, &entry.id, retry_after);
+            if cold.is_some() {
+                state.lock_cold_engines().record_exhausted(now, &entry.id, retry_after);
+            } else {
+                state.lock_engine_statements().record_exhausted(now, &entry.id, retry_after);
+            }
             Some(retry_after)
         }
+        None if cold.is_some() => Some(state.lock_cold_engines().record_unanswered(now)),
         None => Some(LIMIT_RETRY_DELAY),
     }
 }
 
+/// Returns the data centres in which a request may be processed, or `None` if it may be
+/// processed in all.
+fn find_homes(admitted: &AdmittedRequest) -> Option<Arc<[DataCentre]>> {
+    let regions = &admitted.state.settings.regions;
+    find_allowed_centres(&admitted.route, admitted.workspace.as_deref(), regions)
+}
+
 /// Returns the engines of the service that are ready and are not due for termination. If
 /// the service generates tokens, they also hold the requested model and are not about to
 /// unload it.
@@ -265,15 +337,19 @@
 ///
 /// Returns `None` if there is no such engine, or no reply within
 /// [`ADAPTER_TIMEOUT`].
-async fn request_adapter(admitted: &AdmittedRequest) -> Option<EndpointId> {
+async fn request_adapter(
+    admitted: &AdmittedRequest,
+    allowed: Option<Arc<[DataCentre]>>,
+) -> Option<EndpointId> {
     let target = admitted.header.target.as_ref()?;
     let (reply, answer) = oneshot::channel();
-    let request = CoordinatorRequest::Adapter {
+    let request = AdapterRequest {
         service: admitted.service.clone(),
         model: target.model.clone(),
         adapter: target.adapter.clone()?,
-        reply,
+        allowed,
     };
+    let request = CoordinatorRequest::Adapter { request, reply };
     admitted.state.coordinator_requests.try_send(request).ok()?;
     timeout(ADAPTER_TIMEOUT, answer).await.ok()?.ok()
 }
--- a/crates/skylarkgw/src/gateway/control.rs
+++ b/crates/skylarkgw/src/gateway/control.rs
@@ -4,6 +4,7 @@
 //! coordinator lease, exchange reports with the coordinator and, on the
 //! coordinator, plan the placement of models.
 
+mod cold;
 mod deputy;
 mod exchange;
 mod knowledge;
@@ -20,7 +21,7 @@
 use tokio::time::{Instant, sleep, timeout};
 
 use crate::decision::coordinator::{
-    Coordinator, CoordinatorReply, HostReport, KnowledgeAge, QuotaAnswer,
+    Coordinator, CoordinatorReply, EngineLimits, HostReport, KnowledgeAge, QuotaAnswer,
 };
 use crate::decision::coordinator_lease::{
     CoordinatorLease, LeaseAction, compute_capacity, takeover_delay,
@@ -28,19 +29,18 @@
 use crate::decision::declaration_confirmation::DeclarationConfirmation;
 use crate::decision::deputies::DeputyGuide;
 use crate::decision::directory::EngineDirectory;
-use crate::decision::fleet_planner::{AdapterDecision, PlannerCall};
+use crate::decision::fleet_planner::{AdapterDecision, AdapterRequest, PlannerCall};
 use crate::decision::quota_pool::PoolStart;
 use crate::gateway::clock::time_since_boot;
 use crate::gateway::control::exchange::CoordinatorContact;
 use crate::gateway::control::placement::{log_obligation_events, log_placement_events};
 use crate::gateway::control::quarantine::log_quarantine_events;
-use crate::gateway::declaration::ServiceName;
 use crate::gateway::engine_index::EngineIndex;
 use crate::gateway::ports::{
     EngineCall, EngineOrder, LeaseAnswer, LeaseCall, OrderAnswer, WatchMode,
 };
 use crate::gateway::state::{CoordinatorRequest, FleetSnapshot, GatewayState};
-use crate::ids::{EndpointId, HostId, ModelName, Tokens, WorkspaceId};
+use crate::ids::{EndpointId, HostId, Tokens, WorkspaceId};
 use crate::telemetry::CoordinatorWork;
 
 /// Interval at which the lease state is checked.
@@ -182,17 +182,17 @@
         })
     }
 
-    /// Draws one request to an engine from the limit that it named, or returns `None` if
-    /// this host is not the coordinator.
+    /// Draws one request to an engine from its limits, or returns `None` if this host is
+    /// not the coordinator.
     pub fn draw_request(
         &self,
         host: &HostId,
         engine: &EndpointId,
-        limit: f64,
+        limits: EngineLimits,
     ) -> Option<QuotaAnswer> {
         self.with_coordinator(|now, coordinator| {
             self.measure_work(CoordinatorWork::Draw, || {
-                coordinator.draw_request(now, host, engine, limit)
+                coordinator.draw_engine(now, host, engine, limits)
             })
         })
     }
@@ -204,20 +204,15 @@
     /// describes the models of the service, if no engine serves the model, if no
     /// engine holds the adapter and this host may not send orders, or if the adapter
     /// is not placed within `ADAPTER_TIMEOUT`.
-    pub async fn place_adapter(
-        self: &Arc<Self>,
-        service: &ServiceName,
-        model: &ModelName,
-        adapter: &Arc<str>,
-    ) -> Option<EndpointId> {
+    pub async fn place_adapter(self: &Arc<Self>, request: &AdapterRequest) -> Option<EndpointId> {
         let started = time_since_boot();
         let declaration = self.state.snapshot.load().declaration.clone()?;
-        let slots = declaration.services.get(service)?.generation.as_ref()?.adapter_slots;
+        let slots = declaration.services.get(&request.service)?.generation.as_ref()?.adapter_slots;
         while time_since_boot().saturating_sub(started) < ADAPTER_TIMEOUT {
             let order_token = lock(&self.lease).order_token(time_since_boot());
             let decision = self.with_coordinator(|now, coordinator| {
                 let planner = coordinator.planner_mut();
-                planner.place_adapter(now, order_token, service, model, adapter, slots)
+                planner.place_adapter(now, order_token, request, slots)
             })?;
             match decision {
                 AdapterDecision::Ready { engine, at } => {
@@ -317,6 +312,7 @@
     /// coordinator, to its planner.
     fn publish_engines(&self) {
         let now = time_since_boot();
+        self.observe_cold_engines(now);
         let (engines, stamp, change_count) = {
             let directory = lock(&self.directory);
             let (stamp, change_count) = (directory.stamp(), directory.change_count());
@@ -329,6 +325,9 @@
             }
             (directory.engines(now).cloned().collect::<Vec<_>>(), stamp, change_count)
         };
+        // A host that selects an engine must know that it is cold.
+        let declaration = self.state.snapshot.load().declaration.clone();
+        self.update_cold_engines(now, declaration.as_deref());
         let index = Arc::new(EngineIndex::new(engines.clone()));
         if index != self.state.snapshot.load().engines {
             self.update_snapshot(|snapshot| snapshot.engines = index);
@@ -487,32 +486,33 @@
                     let _ = reply.send(answer);
                 }
             }
-            CoordinatorRequest::EngineRequest { engine, limit, reply } => {
+            CoordinatorRequest::EngineRequest { engine, limits, reply } => {
                 let host = self.state.settings.host.clone();
-                let answer = match self.draw_request(&host, &engine, limit) {
+                let answer = match self.draw_request(&host, &engine, limits) {
                     Some(answer) => Some(answer),
                     None => match self.connect_coordinator().await {
-                        Some(client) => client.draw_request(host, engine, limit).await,
+                        Some(client) => client.draw_request(host, engine, limits).await,
                         None => None,
                     },
                 };
-                self.state.metrics.fleet.count_engine_draw(match &answer {
+                let outcome = match &answer {
                     Some(QuotaAnswer::Granted) => "granted",
                     Some(QuotaAnswer::Refused { .. }) => "refused",
                     None => "no-reply",
-                });
+                };
+                self.state.metrics.fleet.count_engine_draw(limits.cold.is_some(), outcome);
                 if let Some(answer) = answer {
                     // If the client request has been abandoned, its token is lost.
                     let _ = reply.send(answer);
                 }
             }
-            CoordinatorRequest::Adapter { service, model, adapter, reply } => {
+            CoordinatorRequest::Adapter { request, reply } => {
                 let is_coordinator = lock(&self.lease).token(time_since_boot()).is_some();
                 let engine = if is_coordinator {
-                    self.place_adapter(&service, &model, &adapter).await
+                    self.place_adapter(&request).await
                 } else {
                     match self.connect_coordinator().await {
-                        Some(client) => client.place_adapter(service, model, adapter).await,
+                        Some(client) => client.place_adapter(request).await,
                         None => None,
                     }
                 };
--- a/crates/skylarkgw/src/gateway/control/knowledge.rs
+++ b/crates/skylarkgw/src/gateway/control/knowledge.rs
@@ -46,6 +46,7 @@
         if let Some(coordinator) = lock(&self.coordinator).as_mut() {
             coordinator.apply_declaration(time_since_boot(), &declaration);
         }
+        self.update_cold_engines(time_since_boot(), Some(&declaration));
         self.update_snapshot(|snapshot| {
             snapshot.declaration = Some(declaration);
             snapshot.route_table = route_table;
--- a/crates/skylarkgw/src/gateway/peers.rs
+++ b/crates/skylarkgw/src/gateway/peers.rs
@@ -12,13 +12,16 @@
 use tokio::time::{sleep, timeout};
 use tokio_util::codec::LengthDelimitedCodec;
 
-use crate::decision::coordinator::{CoordinatorReply, HostReport, KnowledgeAge, QuotaAnswer};
+use crate::decision::coordinator::{
+    CoordinatorReply, EngineLimits, HostReport, KnowledgeAge, QuotaAnswer,
+};
+use crate::decision::fleet_planner::AdapterRequest;
 use crate::decision::freshness::EXCHANGE_TIMEOUT;
 use crate::decision::store_order::StorePosition;
 use crate::gateway::control::ControlContext;
-use crate::gateway::declaration::{FleetDeclaration, ServiceName};
+use crate::gateway::declaration::FleetDeclaration;
 use crate::gateway::registry::EngineEntry;
-use crate::ids::{EndpointId, HostId, ModelName, Revision, Tokens, WorkspaceId};
+use crate::ids::{EndpointId, HostId, Revision, Tokens, WorkspaceId};
 use serde::{Deserialize, Serialize};
 
 /// Longest time to open a connection to the coordinator.
@@ -74,15 +77,14 @@
     async fn ask(question: DeputyQuestion) -> DeputyAnswer;
     /// Draws quota tokens for one client request.
     async fn draw(host: HostId, workspace: WorkspaceId, tokens: Tokens) -> Option<QuotaAnswer>;
-    /// Draws one request to an engine from the limit that it named, in requests per
-    /// second.
-    async fn draw_request(host: HostId, engine: EndpointId, limit: f64) -> Option<QuotaAnswer>;
+    /// Draws one request to an engine from its limits.
+    async fn draw_request(
+        host: HostId,
+        engine: EndpointId,
+        limits: EngineLimits,
+    ) -> Option<QuotaAnswer>;
     /// Returns an engine that holds an adapter, having it loaded if necessary.
-    async fn adapter(
-        service: ServiceName,
-        model: ModelName,
-        adapter: Arc<str>,
-    ) -> Option<EndpointId>;
+    async fn adapter(request: AdapterRequest) -> Option<EndpointId>;
 }
 
 #[derive(Clone)]
@@ -118,19 +120,13 @@
         _: context::Context,
         host: HostId,
         engine: EndpointId,
-        limit: f64,
+        limits: EngineLimits,
     ) -> Option<QuotaAnswer> {
-        self.control.draw_request(&host, &engine, limit)
+        self.control.draw_request(&host, &engine, limits)
     }
 
-    async fn adapter(
-        self,
-        _: context::Context,
-        service: ServiceName,
-        model: ModelName,
-        adapter: Arc<str>,
-    ) -> Option<EndpointId> {
-        self.control.place_adapter(&service, &model, &adapter).await
+    async fn adapter(self, _: context::Context, request: AdapterRequest) -> Option<EndpointId> {
+        self.control.place_adapter(&request).await
     }
 }
 
@@ -211,8 +207,7 @@
             .ok()?
     }
 
-    /// Draws one request to an engine from the limit that it named, in requests per
-    /// second.
+    /// Draws one request to an engine from its limits.
     ///
     /// `None` means that the outcome is unknown, or that the host is not the
     /// coordinator.
@@ -220,10 +215,10 @@
         &self,
         host: HostId,
         engine: EndpointId,
-        limit: f64,
+        limits: EngineLimits,
     ) -> Option<QuotaAnswer> {
         self.client
-            .draw_request(context_with_timeout(QUOTA_CALL_TIMEOUT), host, engine, limit)
+            .draw_request(context_with_timeout(QUOTA_CALL_TIMEOUT), host, engine, limits)
             .await
             .ok()?
     }
@@ -232,16 +227,8 @@
     ///
     /// `None` means that no engine was found, that no answer arrived, or that the
     /// host is not the coordinator.
-    pub async fn place_adapter(
-        &self,
-        service: ServiceName,
-        model: ModelName,
-        adapter: Arc<str>,
-    ) -> Option<EndpointId> {
-        self.client
-            .adapter(context_with_timeout(ADAPTER_CALL_TIMEOUT), service, model, adapter)
-            .await
-            .ok()?
+    pub async fn place_adapter(&self, request: AdapterRequest) -> Option<EndpointId> {
+        self.client.adapter(context_with_timeout(ADAPTER_CALL_TIMEOUT), request).await.ok()?
     }
 }
 
--- a/crates/skylarkgw/src/gateway/registry.rs
+++ b/crates/skylarkgw/src/gateway/registry.rs
@@ -55,7 +55,8 @@
     pub copies_in_memory: Vec<ModelName>,
     /// Models whose weights are cached on the engine's disk.
     pub copies_on_disk: Vec<ModelName>,
-    /// Time for which the engine stays cold, counted from when it published the entry.
+    /// Time for which the engine stays cold, counted from when it published the entry;
+    /// zero if it states that it is not cold.
     pub cold_for: Option<Duration>,
     /// Whether the store does not list the entry, and a host keeps it because it may have
     /// expired in an outage of the store.
--- a/crates/skylarkgw/src/gateway/state.rs
+++ b/crates/skylarkgw/src/gateway/state.rs
@@ -10,11 +10,12 @@
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::{Instant, timeout_at};
 
-use crate::decision::coordinator::QuotaAnswer;
+use crate::decision::cold_engines::ColdEngines;
+use crate::decision::coordinator::{EngineLimits, QuotaAnswer};
 use crate::decision::dispatch::engine_loads::{EngineLoads, EngineNumber};
 use crate::decision::dispatch::traffic::TrafficStats;
 use crate::decision::engine_statements::{EngineStatements, KnownStatement};
-use crate::decision::fleet_planner::EngineNotice;
+use crate::decision::fleet_planner::{AdapterRequest, EngineNotice};
 use crate::decision::obligations::ServiceLog;
 use crate::decision::prompt_guard::PromptGuard;
 use crate::decision::quota_pool::LocalQuota;
@@ -23,12 +24,12 @@
 use crate::decision::store_order::StorePosition;
 use crate::endpoint::{ByteBudget, ConnectionPool};
 use crate::gateway::clock::time_since_boot;
-use crate::gateway::declaration::{FleetDeclaration, ServiceName};
+use crate::gateway::declaration::FleetDeclaration;
 use crate::gateway::engine_index::EngineIndex;
 use crate::gateway::registry::EngineEntry;
 use crate::gateway::settings::GatewaySettings;
 use crate::gateway::wire::HeaderCodec;
-use crate::ids::{EndpointId, ModelName, Tokens, WorkspaceId};
+use crate::ids::{EndpointId, Tokens, WorkspaceId};
 use crate::telemetry::Metrics;
 
 /// Part of the memory of the process that held response bodies may use.
@@ -119,23 +120,19 @@
         /// Receives the answer; dropped if no coordinator is reachable in time.
         reply: oneshot::Sender<QuotaAnswer>,
     },
-    /// Draws one request to an engine from the limit that it named.
+    /// Draws one request to an engine from its limits.
     EngineRequest {
         /// Engine to which the request is to be sent.
         engine: EndpointId,
-        /// Limit that this host knows, in requests per second.
-        limit: f64,
+        /// Limits that this host knows.
+        limits: EngineLimits,
         /// Receives the answer; dropped if no coordinator is reachable in time.
         reply: oneshot::Sender<QuotaAnswer>,
     },
     /// Finds an engine that holds an adapter, having it loaded if necessary.
     Adapter {
-        /// Service whose engines are considered.
-        service: ServiceName,
-        /// Model to which the adapter belongs.
-        model: ModelName,
-        /// Name of the adapter.
-        adapter: Arc<str>,
+        /// The adapter, and where it may be used.
+        request: AdapterRequest,
         /// Receives the engine; dropped if there is none.
         reply: oneshot::Sender<EndpointId>,
     },
@@ -169,6 +166,7 @@
     local_quotas: Mutex<HashMap<WorkspaceId, LocalQuota>>,
     prompt_guard: Mutex<PromptGuard>,
     engine_statements: Mutex<EngineStatements>,
+    cold_engines: Mutex<ColdEngines>,
     service_log: Mutex<ServiceLog>,
     declaration_as_of_ms: AtomicU64,
     registry_as_of_ms: AtomicU64,
@@ -201,6 +199,7 @@
             local_quotas: Mutex::default(),
             prompt_guard: Mutex::default(),
             engine_statements: Mutex::default(),
+            cold_engines: Mutex::default(),
             service_log: Mutex::default(),
             declaration_as_of_ms: AtomicU64::new(0),
             registry_as_of_ms: AtomicU64::new(0),
@@ -230,6 +229,18 @@
         self.engine_statements.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Locks what is known of cold engines.
+    pub fn lock_cold_engines(&self) -> MutexGuard<'_, ColdEngines> {
+        // Every change is a single call, so a panic leaves none half done.
+        self.cold_engines.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Returns whether an engine counts as cold.
+    pub fn is_cold(&self, entry: &EngineEntry) -> bool {
+        let cold_engines = self.lock_cold_engines();
+        cold_engines.find_cold(time_since_boot(), &entry.id, entry.started_ms).is_some()
+    }
+
     /// Locks the outcomes of requests by model, adapter and engine.
     pub fn lock_service_log(&self) -> MutexGuard<'_, ServiceLog> {
         // A panic leaves at most one outcome out.
--- a/crates/skylarkgw/src/telemetry/fleet_metrics.rs
+++ b/crates/skylarkgw/src/telemetry/fleet_metrics.rs
@@ -38,6 +38,8 @@
     exchanges: IntCounterVec,
     quota_draws: IntCounterVec,
     engine_draws: IntCounterVec,
+    cold_draws: IntCounterVec,
+    cold_engines: IntGauge,
     reply_items: IntCounterVec,
     work: CounterVec,
     connections: IntCounterVec,
@@ -78,7 +80,11 @@
             "Models and adapters that are requested and not served, on the coordinator",
         )?;
         registry.register(Box::new(unserved_targets.clone()))?;
+        let cold_engines =
+            IntGauge::new("skylark_cold_engines", "Engines that count as cold at this host")?;
+        registry.register(Box::new(cold_engines.clone()))?;
         Ok(FleetMetrics {
+            cold_engines,
             unserved_targets,
             target_events: counter(
                 "skylark_target_events_total",
@@ -105,6 +111,11 @@
                 "Draws of single requests to engines that named a request rate by outcome",
                 &["outcome"],
             )?,
+            cold_draws: counter(
+                "skylark_cold_engine_draws_total",
+                "Draws of single requests to cold engines by outcome",
+                &["outcome"],
+            )?,
             reply_items: counter(
                 "skylark_coordinator_reply_items_total",
                 "Entries in replies of this host as coordinator by part of the reply",
@@ -155,9 +166,15 @@
         self.quota_draws.with_label_values(&[outcome]).inc();
     }
 
-    /// Counts a draw of one request to an engine with a limit.
-    pub fn count_engine_draw(&self, outcome: &str) {
-        self.engine_draws.with_label_values(&[outcome]).inc();
+    /// Counts a draw of one request to an engine that is cold or has named a limit.
+    pub fn count_engine_draw(&self, is_cold: bool, outcome: &str) {
+        let draws = if is_cold { &self.cold_draws } else { &self.engine_draws };
+        draws.with_label_values(&[outcome]).inc();
+    }
+
+    /// Sets the number of engines that count as cold.
+    pub fn set_cold_engines(&self, engines: usize) {
+        self.cold_engines.set(engines as i64);
     }
 
     /// Counts entries in a part of a reply.
--- /dev/null
+++ b/crates/skylarkgw/tests/decisions/cold_engines.rs
@@ -0,0 +1,381 @@
+//! Cold engines: bursts of all hosts on an engine that has just started, and the return
+//! of a whole data centre.
+
+use std::time::Duration;
+
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use skylarkgw::decision::cold_engines::pool::ColdPool;
+use skylarkgw::decision::cold_engines::{ColdCause, ColdEngines, ColdRate, choose_warm_first};
+use skylarkgw::decision::coordinator::{Coordinator, EngineLimits, QuotaAnswer};
+use skylarkgw::decision::dispatch::engine_choice::{EngineCandidate, choose_engine};
+use skylarkgw::decision::quota_pool::{PoolStart, QuotaTolerance};
+use skylarkgw::gateway::registry::EngineEntry;
+use skylarkgw::gateway::settings::ColdTolerance;
+
+use crate::samples::{engine, ms};
+
+/// Requests per second that a cold engine takes.
+const RATE: f64 = 8.0;
+const TOLERANCE: ColdTolerance = ColdTolerance { overshoot: 1.5, slack: 5.0 };
+/// Requests to a cold engine that are tolerated in any second.
+const TOLERATED: usize = 17;
+const COLD_START: Duration = Duration::from_secs(3);
+/// Time without an answer after which a host counts as alone, in milliseconds.
+const LONE_MS: u64 = 1_000;
+/// Longest time between a draw and the arrival of its request, in milliseconds.
+const MAX_SEND_MS: u64 = 500;
+/// Time between two steps, in milliseconds.
+const STEP_MS: u64 = 5;
+
+/// Returns the entry of an engine that started at `started_ms` and stays cold.
+fn cold_entry(id: &str, started_ms: u64, cold_for: Option<u64>) -> EngineEntry {
+    EngineEntry { started_ms, cold_for: cold_for.map(ms), ..(*engine(id, &["sage"])).clone() }
+}
+
+fn apply(cold_engines: &mut ColdEngines, now: u64, entries: &[EngineEntry]) {
+    cold_engines.update(ms(now), entries, |_| COLD_START, false);
+}
+
+fn new_coordinator(now: u64, token: u64) -> Coordinator {
+    Coordinator::new(ms(now), token, QuotaTolerance::default(), PoolStart::AfterLoss)
+}
+
+struct ColdHost {
+    cold_engines: ColdEngines,
+    is_cut: bool,
+    answered_at: u64,
+}
+
+/// Hosts that all send to the engines they know.
+struct ColdFleet {
+    hosts: Vec<ColdHost>,
+    coordinator: Option<Coordinator>,
+    /// Names and arrival times of the requests that engines got, in milliseconds.
+    arrived: Vec<(String, u64)>,
+    now: u64,
+    random: ChaCha8Rng,
+}
+
+impl ColdFleet {
+    fn new(hosts: usize, seed: u64, entries: &[EngineEntry]) -> ColdFleet {
+        let new_host = || {
+            let mut cold_engines = ColdEngines::default();
+            apply(&mut cold_engines, 0, entries);
+            ColdHost { cold_engines, is_cut: false, answered_at: 0 }
+        };
+        ColdFleet {
+            hosts: (0..hosts).map(|_| new_host()).collect(),
+            coordinator: Some(new_coordinator(0, 1)),
+            arrived: Vec::new(),
+            now: 0,
+            random: ChaCha8Rng::seed_from_u64(seed),
+        }
+    }
+
+    /// Records an exchange of every host that reaches the coordinator.
+    fn exchange(&mut self) {
+        let reached = self.hosts.iter_mut().filter(|host| !host.is_cut);
+        if self.coordinator.is_some() {
+            reached.for_each(|host| host.answered_at = self.now);
+        }
+    }
+
+    /// Sends a request of a host to an engine, as the gateway does, and returns whether it
+    /// was sent.
+    fn send(&mut self, number: usize, id: &str, started_ms: u64) -> bool {
+        let (now, host) = (ms(self.now), &mut self.hosts[number]);
+        let is_alone = self.now - host.answered_at > LONE_MS;
+        if host.cold_engines.find_wait(now, id, started_ms, is_alone).is_some() {
+            return false;
+        }
+        if host.cold_engines.find_cold(now, id, started_ms).is_some() {
+            let cold = Some(ColdRate::new(RATE, TOLERANCE));
+            let limits = EngineLimits { named: None, cold };
+            let coordinator = self.coordinator.as_mut().filter(|_| !host.is_cut);
+            let name = format!("edge-{number}").into();
+            match coordinator.map(|known| known.draw_engine(now, &name, &id.into(), limits)) {
+                Some(QuotaAnswer::Granted) => {}
+                Some(QuotaAnswer::Refused { retry_after }) => {
+                    host.cold_engines.record_exhausted(now, id, retry_after);
+                    return false;
+                }
+                None => {
+                    host.cold_engines.record_unanswered(now);
+                    return false;
+                }
+            }
+        }
+        let arrival = self.now + self.random.random_range(0..MAX_SEND_MS);
+        self.arrived.push((id.to_owned(), arrival));
+        true
+    }
+
+    /// Returns the largest number of requests that an engine got in any second up to
+    /// `until`, in milliseconds.
+    fn busiest_second(&self, id: &str, until: u64) -> usize {
+        let arrived = self.arrived.iter().filter(|(engine, at)| engine == id && *at < until);
+        let arrived: Vec<u64> = arrived.map(|(_, at)| *at).collect();
+        let count =
+            |from: &u64| arrived.iter().filter(|at| (*from..from + 1_000).contains(at)).count();
+        arrived.iter().map(count).max().unwrap_or_default()
+    }
+}
+
+// Guards against a burst of all hosts on the emptiest engine, which has just started,
+// while some hosts are cut off and the coordinator changes.
+#[test]
+fn fresh_engine_keeps_its_rate_under_a_burst_of_all_hosts() {
+    for (hosts, seed) in
+        [12, 124, 300].into_iter().flat_map(|hosts| (0..6).map(move |s| (hosts, s)))
+    {
+        let mut fleet = ColdFleet::new(hosts, seed, &[]);
+        let learned: Vec<u64> =
+            (0..hosts).map(|_| 2_000 + fleet.random.random_range(0..400)).collect();
+        fleet.hosts.iter_mut().step_by(3).for_each(|host| host.is_cut = true);
+        for now in (STEP_MS..5_000).step_by(STEP_MS as usize) {
+            fleet.now = now;
+            for (number, at) in learned.iter().enumerate() {
+                // The entry states at first 2.9 s and, one renewal later, 1.7 s.
+                let statements = [(*at, 2_900), (at + 1_200, 1_700)];
+                for (_, stated) in
+                    statements.iter().filter(|(at, _)| at.div_ceil(STEP_MS) * STEP_MS == now)
+                {
+                    let entry = cold_entry("i-1", 9, Some(*stated));
+                    apply(&mut fleet.hosts[number].cold_engines, now, &[entry]);
+                }
+            }
+            match now {
+                2_900 => fleet.coordinator = None,
+                3_300 => fleet.coordinator = Some(new_coordinator(now, 2)),
+                4_000 => fleet.coordinator = Some(new_coordinator(now, 3)),
+                _ => {}
+            }
+            if now % 100 == 0 {
+                fleet.exchange();
+            }
+            for _ in 0..3 {
+                let number = fleet.random.random_range(0..hosts);
+                if now >= learned[number] {
+                    fleet.send(number, "i-1", 9);
+                }
+            }
+        }
+        let busiest = fleet.busiest_second("i-1", 4_900);
+        assert!(busiest <= TOLERATED, "{hosts} hosts, seed {seed}: {busiest} in a second");
+        let sent = fleet.arrived.len();
+        assert!(sent >= 12, "{hosts} hosts, seed {seed}: {sent} requests in 2.9 s");
+    }
+}
+
+// Guards against a data centre that returns from an evacuation and gets all requests at
+// once, and against refusals while the engines elsewhere have room.
+#[test]
+fn data_centre_returns_by_its_rate_while_others_carry_the_rest() {
+    let names = ["i-1", "i-2", "i-3", "i-4"];
+    let entries: Vec<EngineEntry> = names.iter().map(|id| cold_entry(id, 1, Some(0))).collect();
+    for (hosts, seed) in [(12, 1), (124, 2), (300, 3)] {
+        let mut returned = entries.clone();
+        returned[0].data_centre = "b".into();
+        let mut fleet = ColdFleet::new(hosts, seed, &returned);
+        let (mut running, mut ends) = ([0_u32; 4], Vec::new());
+        let (mut refused, mut late) = (0, 0);
+        for now in (STEP_MS..8_000).step_by(STEP_MS as usize) {
+            fleet.now = now;
+            if now == 1_000 {
+                let returns = fleet.hosts.iter_mut();
+                returns.for_each(|host| host.cold_engines.record_return(ms(now), &"b".into()));
+            }
+            if now % 100 == 0 {
+                fleet.exchange();
+            }
+            ends.retain(|(at, index): &(u64, usize)| {
+                let is_running = *at > now;
+                running[*index] -= u32::from(!is_running);
+                is_running
+            });
+            // One request in 5 ms that runs for 150 ms takes 30 of the 48 slots.
+            let number = fleet.random.random_range(0..hosts);
+            let mut open: Vec<usize> = if now < 1_000 { vec![1, 2, 3] } else { vec![0, 1, 2, 3] };
+            let sent = loop {
+                let candidates: Vec<EngineCandidate> =
+                    open.iter().map(|index| candidate(running[*index])).collect();
+                let known = &fleet.hosts[number].cold_engines;
+                let find = |index: &usize| known.find_cold(ms(now), names[*index], 1).is_some();
+                let is_cold: Vec<bool> = open.iter().map(find).collect();
+                let tie = fleet.random.random();
+                let Some(chosen) = choose_warm_first(&candidates, &is_cold, tie) else {
+                    break None;
+                };
+                let index = open.swap_remove(chosen);
+                if fleet.send(number, names[index], 1) {
+                    break Some(index);
+                }
+            };
+            match sent {
+                Some(index) => {
+                    running[index] += 1;
+                    late += usize::from(index == 0 && now > 5_000);
+                    ends.push((now + 150, index));
+                }
+                None => refused += 1,
+            }
+        }
+        let busiest = fleet.busiest_second("i-1", 4_000);
+        assert!(busiest <= TOLERATED, "{hosts} hosts: {busiest} in a second");
+        assert_eq!(refused, 0, "{hosts} hosts: refusals while engines have room");
+        assert!(late > 100, "{hosts} hosts: {late} requests to the engine once it is warm");
+    }
+}
+
+fn candidate(running: u32) -> EngineCandidate {
+    EngineCandidate { slots: 12, running, is_local: true, failure_share: 0.0, is_avoided: false }
+}
+
+// Guards against a cold engine that draws all requests because it is empty, and against
+// one that stays unused while warm engines are full.
+#[test]
+fn cold_engine_is_chosen_only_if_no_warm_one_has_room() {
+    let candidates = [candidate(0), candidate(11), candidate(10)];
+    let is_cold = [true, false, false];
+    assert_eq!(choose_engine(&candidates, 7), Some(0));
+    assert_eq!(choose_warm_first(&candidates, &is_cold, 7), Some(2));
+    let full = [candidate(0), candidate(12), candidate(14)];
+    assert_eq!(choose_warm_first(&full, &is_cold, 7), Some(0));
+    let failing = [candidate(0), EngineCandidate { failure_share: 1.0, ..candidate(3) }];
+    assert_eq!(choose_warm_first(&failing, &[true, false], 7), Some(0));
+    assert_eq!(choose_warm_first(&[], &[], 7), None);
+}
+
+// Guards against an engine that gets its first burst before anybody has said that it is
+// cold, and against a fleet that counts as cold when it first starts.
+#[test]
+fn engine_counts_as_cold_from_its_appearance() {
+    let mut known = ColdEngines::default();
+    let first = [cold_entry("i-1", 1, Some(0)), cold_entry("i-2", 1, None)];
+    apply(&mut known, 100, &first);
+    assert_eq!(known.find_cold(ms(100), "i-1", 1), None);
+    assert_eq!(known.find_cold(ms(100), "i-2", 1), Some(COLD_START));
+    // A restart under the same name, a new name, and a host that reads an old statement.
+    let next = [cold_entry("i-1", 2, Some(0)), first[1].clone(), cold_entry("i-3", 5, None)];
+    apply(&mut known, 1_100, &next);
+    assert_eq!(known.find_cold(ms(1_100), "i-1", 2), Some(COLD_START));
+    assert_eq!(known.find_cold(ms(1_100), "i-3", 5), Some(COLD_START));
+    assert_eq!(known.find_cold(ms(1_100), "i-2", 1), Some(ms(2_000)));
+    assert_eq!(known.count_cold(ms(1_100)), 3);
+    apply(&mut known, 1_200, &first);
+    assert_eq!(known.find_cold(ms(1_200), "i-1", 2), Some(ms(2_900)), "an older instance");
+    let causes: Vec<ColdCause> = known.take_events().iter().map(|event| event.cause).collect();
+    assert_eq!(causes, [ColdCause::Appeared; 3]);
+}
+
+// Guards against statements that end the cold time of an engine too soon: missing ones,
+// repeated ones, and those of a store that was restored.
+#[test]
+fn only_a_newer_statement_shortens_the_cold_time() {
+    let mut known = ColdEngines::default();
+    let mut state = |now, cold_for, is_settling| {
+        let entry = cold_entry("i-1", 1, cold_for);
+        known.update(ms(now), [&entry], |_| COLD_START, is_settling);
+        known.find_cold(ms(now), "i-1", 1)
+    };
+    assert_eq!(state(0, Some(0), false), None);
+    assert_eq!(state(1_000, Some(2_800), false), Some(ms(2_800)));
+    assert_eq!(state(1_500, None, false), Some(ms(2_300)));
+    assert_eq!(state(1_600, Some(2_800), false), Some(ms(2_200)));
+    assert_eq!(state(1_700, Some(0), true), Some(ms(2_100)));
+    assert_eq!(state(2_200, Some(1_500), false), Some(ms(1_500)));
+    assert_eq!(state(2_300, Some(2_600), false), Some(ms(2_600)));
+    assert_eq!(state(3_400, Some(0), false), None);
+}
+
+// Guards against a statement from before the return of a data centre that ends the cold
+// time of its engines, and against engines elsewhere that count as cold with them.
+#[test]
+fn returned_data_centre_is_cold_until_a_newer_statement() {
+    let mut known = ColdEngines::default();
+    let mut there = cold_entry("i-1", 1, Some(400));
+    there.data_centre = "b".into();
+    apply(&mut known, 0, &[there.clone(), cold_entry("i-2", 1, Some(0))]);
+    known.record_return(ms(1_000), &"b".into());
+    assert_eq!(known.find_cold(ms(1_000), "i-1", 1), Some(COLD_START));
+    assert_eq!(known.find_cold(ms(1_000), "i-2", 1), None);
+    there.cold_for = Some(ms(10));
+    apply(&mut known, 1_100, &[there.clone(), cold_entry("i-2", 1, Some(0))]);
+    assert_eq!(known.find_cold(ms(1_100), "i-1", 1), Some(ms(2_900)));
+    there.cold_for = Some(Duration::ZERO);
+    apply(&mut known, 2_300, &[there, cold_entry("i-2", 1, Some(0))]);
+    assert_eq!(known.find_cold(ms(2_300), "i-1", 1), None);
+}
+
+// Guards against an engine that was silent, and returns under the same start time.
+#[test]
+fn engine_that_returns_to_the_registry_counts_as_cold() {
+    let mut known = ColdEngines::default();
+    let entries = [cold_entry("i-1", 1, Some(0)), cold_entry("i-2", 1, Some(0))];
+    apply(&mut known, 0, &entries);
+    apply(&mut known, 4_000, &entries[1..]);
+    apply(&mut known, 6_000, &entries);
+    assert_eq!(known.find_cold(ms(6_000), "i-1", 1), Some(COLD_START));
+    apply(&mut known, 10_000, &entries[1..]);
+    // After an outage of the store, engines are listed again that ran all the while.
+    known.update(ms(11_000), &entries, |_| COLD_START, true);
+    assert_eq!(known.find_cold(ms(11_000), "i-1", 1), None);
+}
+
+// Guards against hosts without a coordinator that add up to more than a cold engine takes.
+#[test]
+fn host_without_coordinator_sends_nothing_to_cold_engines() {
+    let mut known = ColdEngines::default();
+    apply(&mut known, 0, &[cold_entry("i-1", 1, None), cold_entry("i-2", 1, Some(0))]);
+    assert_eq!(known.find_wait(ms(10), "i-1", 1, false), None);
+    assert_eq!(known.find_wait(ms(10), "i-1", 1, true), Some(ms(500)));
+    assert_eq!(known.find_wait(ms(10), "i-2", 1, true), None);
+    known.record_unanswered(ms(20));
+    assert_eq!(known.find_wait(ms(30), "i-1", 1, false), Some(ms(490)));
+    assert_eq!(known.find_wait(ms(2_800), "i-1", 1, true), Some(ms(200)), "the end of its time");
+    assert_eq!(known.find_wait(ms(3_000), "i-1", 1, true), None);
+}
+
+// Guards against a coordinator whose buckets start full beside what its predecessor
+// granted, and against hosts that all ask again at the same time.
+#[test]
+fn new_coordinator_brings_no_second_burst() {
+    let rate = ColdRate::new(RATE, TOLERANCE);
+    let mut granted = Vec::new();
+    for term in 0..8_u64 {
+        let mut pool = ColdPool::new(ms(term * 150));
+        for now in (term * 150..(term + 1) * 150).step_by(5) {
+            if pool.draw(ms(now), &"i-1".into(), rate).is_ok() {
+                granted.push(now);
+            }
+        }
+    }
+    assert!(granted.len() <= 8, "{granted:?}");
+    let mut pool = ColdPool::new(ms(0));
+    let waits = (0..20).map(|_| pool.draw(ms(0), &"i-1".into(), rate).expect_err("no token"));
+    let waits: Vec<Duration> = waits.collect();
+    assert!(waits.windows(2).all(|pair| pair[0] <= pair[1]), "{waits:?}");
+    assert_eq!((waits[0], waits[19]), (ms(125), ms(1_000)));
+    pool.give_back(&"i-1".into());
+    assert!(pool.draw(ms(0), &"i-1".into(), rate).is_ok());
+}
+
+// Guards against a lower named limit that the cold rate replaces.
+#[test]
+fn lower_limit_of_an_engine_binds() {
+    let mut coordinator = new_coordinator(0, 1);
+    coordinator.update_registry(Default::default(), &[engine("i-1", &["sage"])]);
+    let cold = Some(ColdRate::new(RATE, TOLERANCE));
+    let mut count = |limits: EngineLimits, from: u64| {
+        let draw = |now: &u64| {
+            let answer = coordinator.draw_engine(ms(*now), &"h".into(), &"i-1".into(), limits);
+            answer == QuotaAnswer::Granted
+        };
+        (from..from + 10_000).step_by(20).filter(draw).count()
+    };
+    let both = count(EngineLimits { named: Some(2.0), cold }, 0);
+    assert!((18..=22).contains(&both), "{both} requests in 10 s");
+    let cold_only = count(EngineLimits { named: None, cold }, 10_000);
+    assert!((78..=84).contains(&cold_only), "{cold_only} requests in 10 s");
+}
--- a/crates/skylarkgw/tests/decisions/fleet_model.rs
+++ b/crates/skylarkgw/tests/decisions/fleet_model.rs
@@ -12,7 +12,9 @@
 use rand_chacha::ChaCha8Rng;
 use rand_chacha::rand_core::SeedableRng;
 use skylarkgw::decision::coordinator::{Coordinator, HostReport};
-use skylarkgw::decision::fleet_planner::{AdapterDecision, EngineNotice, PlannerCall};
+use skylarkgw::decision::fleet_planner::{
+    AdapterDecision, AdapterRequest, EngineNotice, PlannerCall,
+};
 use skylarkgw::decision::model_demand::ModelUse;
 use skylarkgw::decision::obligations::{ServiceLog, ServiceTarget, UnservedCause};
 use skylarkgw::decision::quota_pool::{PoolStart, QuotaTolerance};
@@ -567,13 +569,19 @@
         adapter: &Arc<str>,
         rule: &GenerationRule,
     ) -> Option<EndpointId> {
-        let (now, service) = (self.now(), MODEL_SERVICE.into());
+        let now = self.now();
+        let request = AdapterRequest {
+            service: MODEL_SERVICE.into(),
+            model: model.clone(),
+            adapter: adapter.clone(),
+            allowed: None,
+        };
         for _ in 0..MAX_PLACEMENT_STEPS {
             let coordinator = self.coordinator.as_mut()?;
             let token = self.gives_orders.then_some(self.token);
             let planner = coordinator.planner_mut();
             let slots = rule.adapter_slots;
-            match planner.place_adapter(now, token, &service, model, adapter, slots) {
+            match planner.place_adapter(now, token, &request, slots) {
                 AdapterDecision::Ready { engine, .. } => return Some(engine),
                 AdapterDecision::Order(order) => self.send_order(&order, rule),
                 AdapterDecision::Wait | AdapterDecision::NoEngine => return None,
--- a/crates/skylarkgw/tests/decisions/main.rs
+++ b/crates/skylarkgw/tests/decisions/main.rs
@@ -2,6 +2,7 @@
 //! to handle, without a network or a clock.
 
 mod choice;
+mod cold_engines;
 mod connection_clock;
 mod coordinator;
 mod declaration_confirmation;
@@ -12,6 +13,7 @@
 mod event_sequence;
 mod fleet_model;
 mod freshness;
+mod homes;
 mod lease;
 mod lease_restores;
 mod limits;
--- a/crates/skylarkgw/tests/decisions/placement.rs
+++ b/crates/skylarkgw/tests/decisions/placement.rs
@@ -4,7 +4,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use skylarkgw::decision::fleet_planner::{AdapterDecision, FleetPlanner, PlannerCall};
+use skylarkgw::decision::fleet_planner::{
+    AdapterDecision, AdapterRequest, FleetPlanner, PlannerCall,
+};
 use skylarkgw::decision::model_demand::{DemandEstimate, ModelUse};
 use skylarkgw::decision::model_plan::{EngineSnapshot, ModelDemand, PlanChange, plan_change};
 use skylarkgw::decision::obligations::ObligationBook;
@@ -368,8 +370,9 @@
     fleet.report("e1", &["a"], 0, false);
     let mut request_adapter = |now| {
         let (service, model, adapter) = (MODEL_SERVICE.into(), "a".into(), "a1".into());
+        let request = AdapterRequest { service, model, adapter, allowed: None };
         let planner = &mut fleet.planner;
-        let decision = planner.place_adapter(ms(now), Some(TOKEN), &service, &model, &adapter, 2);
+        let decision = planner.place_adapter(ms(now), Some(TOKEN), &request, 2);
         if let AdapterDecision::Order(order) = &decision {
             planner.record_answer(ms(now), order, OrderAnswer::Accepted);
         }
