--- a/crates/skylarkgw/src/decision/fleet_planner.rs
+++ b/crates/skylarkgw/src/decision/fleet_planner.rs
@@ -25,7 +25,7 @@
 use crate::gateway::ports::{EngineOrder, EngineReport, OrderAnswer, OrderKind};
 use crate::ids::{EndpointId, ModelName};
 
-pub use adapters::AdapterDecision;
+pub use adapters::{AdapterDecision, AdapterRequest};
 pub use vacancy::{PlacementEvent, VacancyWait};
 
 /// Time between the start of draining a model and its unload. Hosts receive the
--- a/crates/skylarkgw/src/gateway/control/evacuation.rs
+++ b/crates/skylarkgw/src/gateway/control/evacuation.rs
@@ -100,9 +100,14 @@
             let source = source.to_owned();
             match event.is_in_force {
                 true => info!("evacuation in force", kv: { data_centre, revision, source }),
-                false => info!("evacuation ended", kv: { data_centre, revision, source }),
+                false => {
+                    // Requests must not see the engines again before they count as cold.
+                    self.state.lock_cold_engines().record_return(now, &event.data_centre);
+                    info!("evacuation ended", kv: { data_centre, revision, source });
+                }
             }
         }
+        self.observe_cold_engines(now);
         if let Some(known_until) = known_until {
             self.state.record_evacuation_time(known_until);
         }
--- a/crates/skylarkgw/tests/decisions/main.rs
+++ b/crates/skylarkgw/tests/decisions/main.rs
@@ -3,6 +3,7 @@
 
 mod check;
 mod choice;
+mod cold_engines;
 mod connection_clock;
 mod coordinator;
 mod declaration_confirmation;
@@ -14,6 +15,7 @@
 mod event_sequence;
 mod fleet_model;
 mod freshness;
+mod homes;
 mod lease;
 mod lease_restores;
 mod limits;
