--- a/crates/skylarkgw/src/gateway/state.rs
+++ b/crates/skylarkgw/src/gateway/state.rs
@@ -63,7 +63,7 @@
     pub source: RegistrySource,
 }
 
-/// Where a host got its copy of the engine registry.
+/// Where a host got its copy of the engine registry or of the evacuations.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub enum RegistrySource {
     /// Read by the host itself.
