Load an adapter elsewhere while its cold engine rests

Cause: where only a cold engine held the adapter of a request, a draw that was refused refused the request, though a warm engine of the model had room.

Change: a request for an adapter names the engines that rest, and the coordinator uses them only if there are no others. Cold engines are chosen once the warm ones have taken half of their slots, so that traffic returns to them at their rate.

--- a/crates/skylarkgw/src/decision/cold_engines.rs
+++ b/crates/skylarkgw/src/decision/cold_engines.rs
@@ -37,6 +37,8 @@
 const SEND_DELAY_S: f64 = 0.6;
 /// Largest burst of a cold engine, in seconds of its rate.
 const MAX_BURST_S: f64 = 0.25;
+/// Part of its slots below which a warm engine is preferred to a cold one.
+const WARM_SLOT_DIVISOR: u32 = 2;
 /// Share of recent failures from which a warm engine is not preferred to a cold one.
 const MAX_FAILURE_SHARE: f64 = 0.5;
 /// Maximum number of events that are kept until they are taken.
@@ -316,8 +318,8 @@
 /// Returns the index of the engine that gets a request, or `None` if there are no
 /// candidates.
 ///
-/// A cold engine is usually the emptiest of all. It is chosen only if no warm engine has
-/// a free slot. `is_cold` tells for each candidate whether it is cold; `tie` is as for
+/// A cold engine is usually the emptiest of all. It is chosen only if every warm engine has
+/// taken half of its slots. `is_cold` tells for each candidate whether it is cold; `tie` is as for
 /// [`choose_engine`].
 pub fn choose_warm_first(
     candidates: &[EngineCandidate],
@@ -325,7 +327,7 @@
     tie: u64,
 ) -> Option<usize> {
     let has_room = |candidate: &EngineCandidate| {
-        candidate.running < candidate.slots
+        candidate.running < candidate.slots / WARM_SLOT_DIVISOR
             && !candidate.is_avoided
             && candidate.failure_share < MAX_FAILURE_SHARE
     };
--- a/crates/skylarkgw/src/decision/fleet_planner/adapters.rs
+++ b/crates/skylarkgw/src/decision/fleet_planner/adapters.rs
@@ -39,6 +39,9 @@
     pub adapter: Arc<str>,
     /// Data centres whose engines may be used; `None` for all.
     pub allowed: Option<Arc<[DataCentre]>>,
+    /// Engines to which the host cannot send now, which are used only if there are no
+    /// others.
+    pub resting: Vec<EndpointId>,
 }
 
 /// How to proceed with a request for an adapter.
@@ -214,7 +217,7 @@
         request: &AdapterRequest,
         slots: u32,
     ) -> AdapterDecision {
-        let AdapterRequest { service, model, adapter, allowed } = request;
+        let AdapterRequest { service, model, adapter, allowed, resting } = request;
         self.requested_adapters.insert((model.clone(), adapter.clone()), now);
         let mut holders: Vec<&mut EngineLedger> = self
             .engines
@@ -230,7 +233,8 @@
         // model.
         let is_sound = |ledger: &EngineLedger| {
             let id = &ledger.entry.id;
-            !self.limits.contains_key(id) && !self.suspects.contains(id)
+            let is_limited = self.limits.contains_key(id) || resting.contains(id);
+            !is_limited && !self.suspects.contains(id)
         };
         if holders.iter().any(|ledger| is_sound(ledger)) {
             holders.retain(|ledger| is_sound(ledger));
--- a/crates/skylarkgw/src/edge/forward/select.rs
+++ b/crates/skylarkgw/src/edge/forward/select.rs
@@ -38,12 +38,14 @@
 const RETRY_ROUNDING: Duration = Duration::from_millis(5);
 
 /// Shortest times until an engine may take a request again.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Debug, Default)]
 struct EngineWaits {
     /// Time until a token is expected for an engine with a limit.
     limit: Option<Duration>,
     /// Remaining time for which an engine turns this host away.
     turned_away: Option<Duration>,
+    /// Cold engines for which no request can be drawn now.
+    resting: Vec<EndpointId>,
 }
 
 /// The engine selected for a request, and the estimates behind the selection.
@@ -83,6 +85,23 @@
 pub async fn select_engine(
     admitted: &AdmittedRequest,
     tried: &HashSet<EndpointId>,
+) -> Result<SelectedEngine, RequestRefusal> {
+    let target = admitted.header.target.as_ref();
+    match try_select_engine(admitted, tried).await {
+        // The engines that hold the adapter rest now, so another one may load it.
+        Err(refusal)
+            if refusal.reason == RefusalReason::EngineLimited
+                && target.is_some_and(|target| target.adapter.is_some()) =>
+        {
+            try_select_engine(admitted, tried).await
+        }
+        result => result,
+    }
+}
+
+async fn try_select_engine(
+    admitted: &AdmittedRequest,
+    tried: &HashSet<EndpointId>,
 ) -> Result<SelectedEngine, RequestRefusal> {
     let snapshot = admitted.state.snapshot.load_full();
     let time_left = admitted.deadline.saturating_duration_since(Instant::now());
@@ -109,7 +128,7 @@
     }
     let adapter = admitted.header.target.as_ref().and_then(|target| target.adapter.as_ref());
     if adapter.is_some() && !usable.iter().any(|entry| has_adapter(&snapshot, admitted, entry)) {
-        let engine = request_adapter(admitted, allowed).await;
+        let engine = request_adapter(admitted, allowed, &waits.resting).await;
         usable.retain(|entry| Some(&entry.id) == engine.as_ref());
         if usable.is_empty() && waits.limit.is_none() {
             return Err(match waits.turned_away {
@@ -205,6 +224,7 @@
     usable.retain(|entry| {
         let wait = cold_engines.find_wait(now, &entry.id, entry.started_ms, is_alone);
         waits.limit = waits.limit.into_iter().chain(wait).min();
+        waits.resting.extend(wait.map(|_| entry.id.clone()));
         wait.is_none()
     });
 }
@@ -340,6 +360,7 @@
 async fn request_adapter(
     admitted: &AdmittedRequest,
     allowed: Option<Arc<[DataCentre]>>,
+    resting: &[EndpointId],
 ) -> Option<EndpointId> {
     let target = admitted.header.target.as_ref()?;
     let (reply, answer) = oneshot::channel();
@@ -348,6 +369,7 @@
         model: target.model.clone(),
         adapter: target.adapter.clone()?,
         allowed,
+        resting: resting.to_vec(),
     };
     let request = CoordinatorRequest::Adapter { request, reply };
     admitted.state.coordinator_requests.try_send(request).ok()?;
--- a/crates/skylarkgw/tests/decisions/fleet_model.rs
+++ b/crates/skylarkgw/tests/decisions/fleet_model.rs
@@ -575,6 +575,7 @@
             model: model.clone(),
             adapter: adapter.clone(),
             allowed: None,
+            resting: Vec::new(),
         };
         for _ in 0..MAX_PLACEMENT_STEPS {
             let coordinator = self.coordinator.as_mut()?;
