Order requests by both ranks and let batch work wait at its host

Cause: the urgency sent to engines kept only the rank of the workspace, and every request was sent or refused at once, so a batch with a long objective queued at engines while live requests were refused for want of a place.

Change: one order of workspace rank, route rank and objective for engines and queues; requests of a route that yields to another one wait in a bounded queue of their host until an engine has a free place besides those left to it.

Result: the decision tests urgency, waiting and choice pass; the process tests have not run yet.

--- a/crates/skylarkgw/src/decision/dispatch.rs
+++ b/crates/skylarkgw/src/decision/dispatch.rs
@@ -6,3 +6,5 @@
 pub mod outcomes;
 pub mod retry_budget;
 pub mod traffic;
+pub mod urgency;
+pub mod wait_queue;
--- a/crates/skylarkgw/src/decision/dispatch/engine_choice.rs
+++ b/crates/skylarkgw/src/decision/dispatch/engine_choice.rs
@@ -79,17 +79,22 @@
 /// Share of the time to the deadline within which a client should retry.
 const RETRY_SHARE: f64 = 0.3;
 
+/// Returns the longest time that a request may wait for a slot.
+///
+/// `objective` is the latency objective of the route, and `time_left` the time to the
+/// deadline of the request. A queue that exceeds the latency objective delays every request
+/// without increasing throughput, so a request may wait for `WAIT_SHARE` of `objective` and
+/// of `time_left`. This prevents head-of-line blocking during an overload.
+pub fn compute_patience(objective: Duration, time_left: Duration) -> Duration {
+    objective.min(time_left).mul_f64(WAIT_SHARE)
+}
+
 /// Returns whether a request should wait for a slot rather than be refused.
 ///
-/// `wait_ms` is the estimated wait, `objective` the latency objective of the route,
-/// and `time_left` the time to the deadline of the request. A queue that exceeds the
-/// latency objective delays every request without increasing throughput, so a
-/// request that would wait for longer than `WAIT_SHARE` of `objective` or of
-/// `time_left` is refused immediately. This prevents head-of-line blocking during an
-/// overload.
-pub fn should_queue(wait_ms: f64, objective: Duration, time_left: Duration) -> bool {
-    let limit = objective.mul_f64(WAIT_SHARE).min(time_left.mul_f64(WAIT_SHARE));
-    wait_ms <= limit.as_secs_f64() * 1_000.0
+/// `wait_ms` is the estimated wait, and `patience` the longest time that the request may
+/// wait.
+pub fn should_queue(wait_ms: f64, patience: Duration) -> bool {
+    wait_ms <= patience.as_secs_f64() * 1_000.0
 }
 
 /// Returns the delay after which a client that was refused for lack of slots
--- a/crates/skylarkgw/src/decision/route_table.rs
+++ b/crates/skylarkgw/src/decision/route_table.rs
@@ -3,6 +3,7 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 
+use crate::decision::dispatch::urgency::UrgencyTable;
 use crate::gateway::declaration::{FleetDeclaration, RouteRule, WorkspaceRule};
 
 /// Index of routes by host name, longest path prefix first, and of workspaces by
@@ -11,6 +12,7 @@
 pub struct RouteTable {
     routes: HashMap<Arc<str>, Vec<Arc<RouteRule>>>,
     workspaces: HashMap<Arc<str>, Arc<WorkspaceRule>>,
+    urgencies: UrgencyTable,
 }
 
 impl RouteTable {
@@ -33,7 +35,7 @@
                 keys.into_iter().map(move |key| (key, workspace.clone()))
             })
             .collect();
-        RouteTable { routes, workspaces }
+        RouteTable { routes, workspaces, urgencies: UrgencyTable::new(declaration) }
     }
 
     /// Returns the route of `host` with the longest path prefix that matches
@@ -56,4 +58,9 @@
     pub fn has_workspaces(&self) -> bool {
         !self.workspaces.is_empty()
     }
+
+    /// Returns the urgencies of the requests of all services.
+    pub fn urgencies(&self) -> &UrgencyTable {
+        &self.urgencies
+    }
 }
--- a/crates/skylarkgw/src/edge/forward.rs
+++ b/crates/skylarkgw/src/edge/forward.rs
@@ -1,8 +1,9 @@
 //! Reverse proxy that forwards HTTP requests to the endpoints of declared routes.
 //!
 //! A request passes through these modules in order: `admit` reads it, finds its
-//! route and workspace and reserves its quota tokens; `select` selects an engine;
-//! `send` sends it and evaluates the response; `relay` relays an event stream.
+//! route and workspace and reserves its quota tokens; `wait` holds it until there is a
+//! place for it, if its service asks for that; `select` selects an engine; `send` sends it
+//! and evaluates the response; `relay` relays an event stream.
 
 mod admit;
 mod connection;
@@ -12,6 +13,7 @@
 mod relay;
 mod select;
 mod send;
+mod wait;
 
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
--- a/crates/skylarkgw/src/edge/forward/admit.rs
+++ b/crates/skylarkgw/src/edge/forward/admit.rs
@@ -15,6 +15,7 @@
 use tokio::time::{Instant, timeout, timeout_at};
 
 use crate::decision::coordinator::QuotaAnswer;
+use crate::decision::dispatch::urgency::{RequestUrgency, UrgencyLevel};
 use crate::decision::freshness::{ABSENCE_MAX_AGE, can_check_keys};
 use crate::decision::obligations::ServiceTarget;
 use crate::decision::prompt_evidence::hash_shared_parts;
@@ -34,7 +35,7 @@
 const STORE_RETRY_AFTER: Duration = Duration::from_millis(600);
 /// Retry delay reported to the client by a host that stops. Any other host can take the
 /// request at once.
-const STOP_RETRY_AFTER: Duration = Duration::from_millis(20);
+pub const STOP_RETRY_AFTER: Duration = Duration::from_millis(20);
 /// Shortest retry delay reported to the client if no coordinator responds to a
 /// quota request. The delay is drawn from one to three times this value, so that
 /// clients do not retry at the same moment.
@@ -69,6 +70,19 @@
     pub shared_parts: Vec<PartHash>,
 }
 
+impl AdmittedRequest {
+    /// Returns the urgency of the request.
+    pub fn urgency(&self) -> RequestUrgency {
+        RequestUrgency::new(&self.route, self.workspace.as_deref())
+    }
+
+    /// Returns the position of the request among those of its service, from 0 (first) to 9.
+    pub fn urgency_level(&self) -> UrgencyLevel {
+        let snapshot = self.state.snapshot.load();
+        snapshot.route_table.urgencies().level(&self.service, &self.urgency())
+    }
+}
+
 /// Reserved quota tokens, which are refunded on drop unless they were committed.
 pub struct QuotaReservation {
     state: Arc<GatewayState>,
--- a/crates/skylarkgw/src/edge/forward/record.rs
+++ b/crates/skylarkgw/src/edge/forward/record.rs
@@ -7,6 +7,8 @@
 use spdlog::info;
 use tokio::time::Instant;
 
+use crate::decision::dispatch::urgency::UrgencyLevel;
+use crate::decision::dispatch::wait_queue::WaitOutcome;
 use crate::decision::engine_statements::KnownStatement;
 use crate::decision::obligations::{ServiceTarget, UnservedCause};
 use crate::decision::prompt_evidence::AnswerProgress;
@@ -101,6 +103,10 @@
     pub shared_parts: Vec<PartHash>,
     /// Tokens counted against the quota.
     pub tokens: Tokens,
+    /// Position among the requests of its service, once the request is admitted.
+    pub urgency: Option<UrgencyLevel>,
+    /// Time that the request waited at this host for a free place, and how that ended.
+    pub wait: Option<(Duration, WaitOutcome)>,
     /// Attempts in chronological order.
     pub attempts: Vec<AttemptRecord>,
     /// HTTP status of the response.
@@ -138,6 +144,8 @@
             is_stream: false,
             shared_parts: Vec::new(),
             tokens: 0,
+            urgency: None,
+            wait: None,
             attempts: Vec::new(),
             status: 0,
             reason: "",
@@ -281,6 +289,9 @@
         let (end, reason, status, tokens) =
             (self.end.label(), self.reason, self.status, self.tokens);
         let tries = self.format_attempts();
+        let urgency = self.urgency.map_or(-1, i64::from);
+        let queued_ms = self.wait.map_or(-1, |(waited, _)| to_millis(waited) as i64);
+        let queue_end = self.wait.map_or("", |(_, outcome)| outcome.label());
         let parts = format_parts(self.shared_parts.iter().copied());
         let first_ms = self.first_latency.map_or(-1, |first| to_millis(first) as i64);
         let retry_after_ms = self.retry_after.map_or(-1, |after| to_millis(after) as i64);
@@ -292,7 +303,8 @@
         let registry_era = registry.position.era.map_or(-1, i64::from);
         let (pause_ms, total_ms) = (to_millis(self.longest_pause), to_millis(total));
         info!("request ended", kv: {
-            request = id, route, workspace, model, adapter, end, reason, status, tokens, tries, parts,
+            request = id, route, workspace, model, adapter, end, reason, status, tokens, urgency, queued_ms,
+            queue_end, tries, parts,
             first_ms, pause_ms, total_ms, retry_after_ms, revision, declaration_age_ms = age_ms, registry_age_ms,
             registry_revision, registry_era, registry_source
         });
--- a/crates/skylarkgw/src/edge/forward/refusal.rs
+++ b/crates/skylarkgw/src/edge/forward/refusal.rs
@@ -49,6 +49,11 @@
     /// The estimated wait at the selected engine exceeds what the latency objective
     /// or the deadline allows.
     Overloaded,
+    /// The request waited for a free place until it could not make its latency objective
+    /// any more, or another one for the same model has just done so.
+    NoPlace,
+    /// The queue of requests that wait for a free place is full of more urgent ones.
+    QueueFull,
     /// Every attempt failed before the request was executed.
     NotRun,
     /// The deadline passed before the request was sent.
@@ -78,6 +83,8 @@
             RefusalReason::EngineLimited => "engine-limited",
             RefusalReason::TurnedAway => "turned-away",
             RefusalReason::Overloaded => "overloaded",
+            RefusalReason::NoPlace => "no-place",
+            RefusalReason::QueueFull => "queue-full",
             RefusalReason::NotRun => "not-run",
             RefusalReason::DeadlinePassed => "deadline-passed",
             RefusalReason::NoResponse => "no-answer",
@@ -96,6 +103,8 @@
             | RefusalReason::EngineLimited
             | RefusalReason::TurnedAway
             | RefusalReason::Overloaded
+            | RefusalReason::NoPlace
+            | RefusalReason::QueueFull
             | RefusalReason::NotRun
             | RefusalReason::DeadlinePassed => StatusCode::SERVICE_UNAVAILABLE,
             RefusalReason::NoRoute => StatusCode::NOT_FOUND,
@@ -120,7 +129,9 @@
             | RefusalReason::NoResponse
             | RefusalReason::ResponseTimeout => Some(UnservedCause::NoService),
             RefusalReason::NoAdapter => Some(UnservedCause::NoAdapter),
-            RefusalReason::Overloaded => Some(UnservedCause::Overloaded),
+            RefusalReason::Overloaded | RefusalReason::NoPlace | RefusalReason::QueueFull => {
+                Some(UnservedCause::Overloaded)
+            }
             _ => None,
         }
     }
--- a/crates/skylarkgw/src/edge/forward/select.rs
+++ b/crates/skylarkgw/src/edge/forward/select.rs
@@ -10,8 +10,9 @@
 
 use crate::decision::coordinator::QuotaAnswer;
 use crate::decision::dispatch::engine_choice::{
-    EngineCandidate, choose_engine, compute_retry_after, should_queue,
+    EngineCandidate, choose_engine, compute_patience, compute_retry_after, should_queue,
 };
+use crate::decision::dispatch::wait_queue::{compute_headroom, has_place};
 use crate::decision::engine_statements::{KnownStatement, find_willing_engines};
 use crate::edge::forward::admit::AdmittedRequest;
 use crate::edge::forward::refusal::{RefusalReason, RequestRefusal};
@@ -69,7 +70,47 @@
     }
 }
 
-/// Selects an engine that is not in `tried`.
+/// What a request asks of the place at its engine.
+#[derive(Clone, Copy, Debug)]
+pub struct PlaceTerms {
+    /// Longest time that the request may wait in all, here and at the engine.
+    pub patience: Duration,
+    /// Time that it has waited here.
+    pub waited: Duration,
+    /// Whether it takes only a free place, and leaves some to more urgent requests.
+    pub must_yield: bool,
+}
+
+impl PlaceTerms {
+    /// Returns the terms of a request that is sent or refused at once.
+    fn at_once(admitted: &AdmittedRequest) -> PlaceTerms {
+        let time_left = admitted.deadline.saturating_duration_since(Instant::now());
+        let patience = compute_patience(admitted.route.latency_objective, time_left);
+        PlaceTerms { patience, waited: Duration::ZERO, must_yield: false }
+    }
+
+    /// Returns the longest time that the request may wait from now on.
+    fn patience_left(&self) -> Duration {
+        self.patience.saturating_sub(self.waited)
+    }
+}
+
+/// Why no engine is selected.
+pub enum SelectionError {
+    /// The request cannot be served in time.
+    Refused(RequestRefusal),
+    /// No engine has a free place for the request, but one may get it in time; holds the
+    /// shortest estimated wait in milliseconds.
+    NoPlace(f64),
+}
+
+impl From<RequestRefusal> for SelectionError {
+    fn from(refusal: RequestRefusal) -> SelectionError {
+        SelectionError::Refused(refusal)
+    }
+}
+
+/// Selects an engine that is not in `tried`, for a request that does not wait here.
 ///
 /// # Errors
 ///
@@ -78,6 +119,30 @@
     admitted: &AdmittedRequest,
     tried: &HashSet<EndpointId>,
 ) -> Result<SelectedEngine, RequestRefusal> {
+    let selection = select_place(admitted, tried, PlaceTerms::at_once(admitted)).await;
+    selection.map_err(|error| match error {
+        SelectionError::Refused(refusal) => refusal,
+        SelectionError::NoPlace(wait_ms) => refuse_without_place(admitted, wait_ms),
+    })
+}
+
+/// Returns the refusal of a request for which there is no place in time.
+pub fn refuse_without_place(admitted: &AdmittedRequest, wait_ms: f64) -> RequestRefusal {
+    let time_left = admitted.deadline.saturating_duration_since(Instant::now());
+    let retry_after = compute_retry_after(wait_ms, time_left, rand::rng().random());
+    RequestRefusal::with_retry_after(RefusalReason::NoPlace, retry_after)
+}
+
+/// Selects an engine that is not in `tried` and has a place on the given terms.
+///
+/// # Errors
+///
+/// [`SelectionError`] if there is none.
+pub async fn select_place(
+    admitted: &AdmittedRequest,
+    tried: &HashSet<EndpointId>,
+    terms: PlaceTerms,
+) -> Result<SelectedEngine, SelectionError> {
     let snapshot = admitted.state.snapshot.load_full();
     let time_left = admitted.deadline.saturating_duration_since(Instant::now());
     let refuse = |reason, wait_ms| {
@@ -89,36 +154,39 @@
     let mut usable = find_usable_engines(&snapshot, admitted);
     let mut waits = remove_unwilling_engines(admitted, tried, &mut usable);
     if usable.is_empty() && waits.limit.is_none() {
-        return Err(match waits.turned_away {
+        return Err(SelectionError::Refused(match waits.turned_away {
             Some(wait) => refuse_turned_away(wait),
             None => refuse(RefusalReason::NoEngine, LOAD_WAIT_MS),
-        });
+        }));
     }
     let adapter = admitted.header.target.as_ref().and_then(|target| target.adapter.as_ref());
     if adapter.is_some() && !usable.iter().any(|entry| has_adapter(&snapshot, admitted, entry)) {
         let engine = request_adapter(admitted).await;
         usable.retain(|entry| Some(&entry.id) == engine.as_ref());
         if usable.is_empty() && waits.limit.is_none() {
-            return Err(match waits.turned_away {
+            return Err(SelectionError::Refused(match waits.turned_away {
                 Some(wait) => refuse_turned_away(wait),
                 None => refuse(RefusalReason::NoAdapter, LOAD_WAIT_MS),
-            });
+            }));
         }
     } else if adapter.is_some() {
         usable.retain(|entry| has_adapter(&snapshot, admitted, entry));
     }
+    if terms.must_yield {
+        remove_full_engines(&snapshot, admitted, &terms, &mut usable)?;
+    }
     loop {
         let candidates: Vec<EngineCandidate> =
             usable.iter().map(|entry| build_candidate(&snapshot, admitted, entry)).collect();
         let Some(index) = choose_engine(&candidates, rand::rng().random()) else {
             let wait = waits.limit.into_iter().chain(waits.turned_away).min();
             let wait_ms = wait.map_or(LOAD_WAIT_MS, |wait| wait.as_secs_f64() * 1_000.0);
-            return Err(refuse(RefusalReason::EngineLimited, wait_ms));
+            return Err(refuse(RefusalReason::EngineLimited, wait_ms).into());
         };
         let running = candidates[index].running;
         let wait_ms = candidates[index].estimate_wait_ms();
-        if !should_queue(wait_ms, admitted.route.latency_objective, time_left) {
-            return Err(refuse(RefusalReason::Overloaded, wait_ms));
+        if !should_queue(wait_ms, terms.patience_left()) {
+            return Err(refuse(RefusalReason::Overloaded, wait_ms).into());
         }
         let entry = usable.swap_remove(index);
         match draw_request(admitted, &entry).await {
@@ -132,6 +200,34 @@
     }
 }
 
+/// Removes the engines without a free place for a request that yields to others.
+///
+/// # Errors
+///
+/// [`SelectionError`] if none is left.
+fn remove_full_engines(
+    snapshot: &FleetSnapshot,
+    admitted: &AdmittedRequest,
+    terms: &PlaceTerms,
+    usable: &mut Vec<Arc<EngineEntry>>,
+) -> Result<(), SelectionError> {
+    let mut shortest_ms = f64::INFINITY;
+    usable.retain(|entry| {
+        let candidate = build_candidate(snapshot, admitted, entry);
+        shortest_ms = shortest_ms.min(candidate.estimate_wait_ms());
+        let headroom = compute_headroom(candidate.slots, terms.waited, terms.patience);
+        has_place(&candidate, headroom)
+    });
+    // Without any engine, the limits that they named decide.
+    if !usable.is_empty() || shortest_ms.is_infinite() {
+        return Ok(());
+    }
+    if should_queue(shortest_ms, terms.patience_left()) {
+        return Err(SelectionError::NoPlace(shortest_ms));
+    }
+    Err(SelectionError::Refused(refuse_without_place(admitted, shortest_ms)))
+}
+
 /// Removes the engines that were tried and those that take no request by what they state
 /// about themselves, and returns the shortest times until one of them may take a request
 /// again.
--- a/crates/skylarkgw/src/edge/forward/send.rs
+++ b/crates/skylarkgw/src/edge/forward/send.rs
@@ -22,8 +22,9 @@
 use crate::edge::forward::record::{RequestEnd, RequestRecord};
 use crate::edge::forward::refusal::{RefusalReason, RequestRefusal};
 use crate::edge::forward::relay::{StreamRelay, relay_stream};
-use crate::edge::forward::select::{SelectedEngine, select_engine};
+use crate::edge::forward::select::SelectedEngine;
 use crate::edge::forward::send::attempts::{OpenAttempt, send_repeatable};
+use crate::edge::forward::wait::wait_for_engine;
 use crate::edge::forward::{ResponseAborted, ResponseBody};
 use crate::endpoint::HttpConnection;
 use crate::gateway::clock::time_since_boot;
@@ -31,6 +32,7 @@
 use crate::gateway::registry::EngineEntry;
 use crate::gateway::state::GatewayState;
 use crate::gateway::wire::{EngineHeaders, ResponseMetadata};
+use crate::ids::ModelName;
 
 pub use attempts::send_once;
 
@@ -91,6 +93,11 @@
 impl Drop for EngineRequestGuard {
     fn drop(&mut self) {
         self.state.lock_traffic().end_request(&self.entry.id);
+        self.state.wake_waiting(|(service, model)| {
+            let holds =
+                |model: &ModelName| self.entry.models.iter().any(|held| held.name == *model);
+            *service == self.entry.service && model.as_ref().is_none_or(holds)
+        });
     }
 }
 
@@ -164,7 +171,7 @@
             refusal = RequestRefusal::new(RefusalReason::DeadlinePassed);
             break;
         }
-        let selected = match select_engine(&admitted, &tried).await {
+        let selected = match wait_for_engine(&admitted, &tried, &mut record).await {
             Ok(selected) => selected,
             Err(reason) => {
                 let is_turned_away = reason.reason == RefusalReason::TurnedAway;
@@ -367,12 +374,11 @@
     remove_hop_by_hop_headers(&mut headers);
     headers.remove(header::EXPECT);
     let workspace = admitted.workspace.as_ref();
-    let rank = workspace.and_then(|workspace| workspace.rank).unwrap_or(admitted.route.rank);
     let engine_header = EngineHeaders {
         time_left: admitted.deadline.saturating_duration_since(Instant::now()),
         engine: &entry.id,
         workspace: workspace.map(|workspace| &*workspace.name),
-        urgency: admitted.header.target.as_ref().map(|_| compute_urgency(admitted, rank)),
+        urgency: admitted.header.target.as_ref().map(|_| admitted.urgency_level()),
         resume_after,
     };
     (admitted.state.codec.set_engine_headers)(&mut headers, &engine_header);
@@ -390,15 +396,6 @@
     request
 }
 
-/// Computes the urgency of a request at its engine, from 1 (most urgent) to 9.
-///
-/// Each step of the rank, up to 3, adds 2. A latency objective of 1.5 s or more adds
-/// 2 as well, because the first event is not due so soon.
-fn compute_urgency(admitted: &AdmittedRequest, rank: u8) -> u8 {
-    let is_deferrable = admitted.route.latency_objective >= Duration::from_millis(1_500);
-    (rank.min(3) * 2 + if is_deferrable { 3 } else { 1 }).min(9)
-}
-
 /// Returns whether the engine closes the connection after its response.
 pub fn closes_connection(headers: &HeaderMap) -> bool {
     let values = headers.get_all(header::CONNECTION).iter();
--- a/crates/skylarkgw/src/gateway/control/exchange.rs
+++ b/crates/skylarkgw/src/gateway/control/exchange.rs
@@ -145,6 +145,7 @@
         if let Some(loads) = reply.loads {
             view.loads = loads;
             view.reported = sent.running.into_iter().collect();
+            view.loads_at = now;
         }
         let mut contact = lock(&self.contact);
         if contact.last_reply_at.is_none() {
@@ -164,6 +165,8 @@
         }
         self.state.metrics.members.set(i64::from(view.hosts));
         self.update_snapshot(|snapshot| snapshot.view = Arc::new(view));
+        drop(contact);
+        self.state.wake_waiting(|_| true);
     }
 
     /// Returns a connection to the coordinator, opening one if necessary.
--- a/crates/skylarkgw/src/gateway/state.rs
+++ b/crates/skylarkgw/src/gateway/state.rs
@@ -7,12 +7,13 @@
 
 use arc_swap::ArcSwap;
 use spdlog::info;
-use tokio::sync::{mpsc, oneshot, watch};
+use tokio::sync::{Notify, mpsc, oneshot, watch};
 use tokio::time::{Instant, timeout_at};
 
 use crate::decision::coordinator::QuotaAnswer;
 use crate::decision::dispatch::engine_loads::{EngineLoads, EngineNumber};
 use crate::decision::dispatch::traffic::TrafficStats;
+use crate::decision::dispatch::wait_queue::{QueueLimits, WaitQueue, WaitTarget};
 use crate::decision::engine_statements::{EngineStatements, KnownStatement};
 use crate::decision::fleet_planner::EngineNotice;
 use crate::decision::obligations::ServiceLog;
@@ -94,6 +95,8 @@
     pub numbers: Arc<HashMap<EndpointId, EngineNumber>>,
     /// Requests of this host that are part of `loads`, by the number of the engine.
     pub reported: HashMap<EngineNumber, u32>,
+    /// Time since boot at which `loads` arrived.
+    pub loads_at: Duration,
     /// Placement on each engine.
     pub placement: Arc<HashMap<EndpointId, Arc<EngineNotice>>>,
 }
@@ -166,6 +169,7 @@
     /// Number of open client connections.
     pub open_connections: AtomicU32,
     traffic: Mutex<TrafficStats>,
+    wait_queue: Mutex<WaitQueue<Arc<Notify>>>,
     local_quotas: Mutex<HashMap<WorkspaceId, LocalQuota>>,
     prompt_guard: Mutex<PromptGuard>,
     engine_statements: Mutex<EngineStatements>,
@@ -185,6 +189,7 @@
         coordinator_requests: mpsc::Sender<CoordinatorRequest>,
     ) -> GatewayState {
         let held_bytes = settings.memory_mb as usize * 1024 * 1024 / HELD_BODIES_DIVISOR;
+        let wait_queue = WaitQueue::new(QueueLimits::new(settings.memory_mb as usize));
         GatewayState {
             settings,
             codec,
@@ -198,6 +203,7 @@
             process_end: watch::Sender::new(false),
             open_connections: AtomicU32::new(0),
             traffic: Mutex::default(),
+            wait_queue: Mutex::new(wait_queue),
             local_quotas: Mutex::default(),
             prompt_guard: Mutex::default(),
             engine_statements: Mutex::default(),
@@ -213,6 +219,18 @@
         self.traffic.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Locks the requests that wait for a free place at an engine.
+    pub fn lock_wait_queue(&self) -> MutexGuard<'_, WaitQueue<Arc<Notify>>> {
+        // Every change is a single call, so a panic leaves none half done.
+        self.wait_queue.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Wakes the waiting requests whose target `is_affected`, the first one first.
+    pub fn wake_waiting(&self, is_affected: impl Fn(&WaitTarget) -> bool) {
+        let wakers = self.lock_wait_queue().find_wakers(is_affected);
+        wakers.iter().for_each(|waker| waker.notify_one());
+    }
+
     /// Locks the quota tokens that this host holds for each workspace.
     pub fn lock_local_quotas(&self) -> MutexGuard<'_, HashMap<WorkspaceId, LocalQuota>> {
         self.local_quotas.lock().unwrap_or_else(PoisonError::into_inner)
--- a/crates/skylarkgw/src/telemetry.rs
+++ b/crates/skylarkgw/src/telemetry.rs
@@ -3,6 +3,7 @@
 mod bounded;
 mod fleet_metrics;
 mod metrics;
+mod wait_metrics;
 
 use std::sync::Arc;
 
@@ -13,6 +14,7 @@
 pub use bounded::{allow_request_log, init_bounded_logger};
 pub use fleet_metrics::{CoordinatorWork, FleetMetrics};
 pub use metrics::{Metrics, RequestClass, RequestOutcome};
+pub use wait_metrics::WaitMetrics;
 
 /// An error in setting up the log.
 #[derive(Debug, miette::Diagnostic, thiserror::Error)]
--- a/crates/skylarkgw/src/telemetry/metrics.rs
+++ b/crates/skylarkgw/src/telemetry/metrics.rs
@@ -7,6 +7,7 @@
 use crate::decision::invariant::Invariant;
 use crate::telemetry::bounded::dropped_lines;
 use crate::telemetry::fleet_metrics::FleetMetrics;
+use crate::telemetry::wait_metrics::WaitMetrics;
 
 /// Upper bounds of the buckets for the time to the first token and to the end of a
 /// response.
@@ -90,6 +91,8 @@
     pub members: IntGauge,
     /// Calls to the store, the coordinator and engines.
     pub fleet: FleetMetrics,
+    /// Requests that wait at this host.
+    pub waits: WaitMetrics,
 }
 
 impl Metrics {
@@ -179,6 +182,7 @@
             serving: gauge("skylark_serving", "Whether this host takes requests")?,
             members: gauge("skylark_members", "Other hosts that are heard from")?,
             fleet: FleetMetrics::new(&registry)?,
+            waits: WaitMetrics::new(&registry)?,
             registry,
         })
     }
--- a/crates/skylarkgw/tests/decisions/main.rs
+++ b/crates/skylarkgw/tests/decisions/main.rs
@@ -31,4 +31,6 @@
 mod stops;
 mod store_order;
 mod store_restores;
+mod urgency;
 mod vacancies;
+mod waiting;
