--- a/crates/skylarkgw/src/edge/forward/wait.rs
+++ b/crates/skylarkgw/src/edge/forward/wait.rs
@@ -11,7 +11,6 @@
 use crate::decision::dispatch::wait_queue::{
     EnterError, UrgentPressure, WaitOutcome, WaitRequest, WaitTicket,
 };
-use crate::decision::freshness::contact_timeout;
 use crate::edge::forward::admit::{AdmittedRequest, STOP_RETRY_AFTER};
 use crate::edge::forward::record::RequestRecord;
 use crate::edge::forward::refusal::{RefusalReason, RequestRefusal};
@@ -24,6 +23,10 @@
 /// Interval at which a waiting request looks for a place if nothing wakes it.
 const CHECK_INTERVAL: Duration = Duration::from_millis(40);
 
+/// Age of the counts of other hosts from which the places that become free are unknown. In
+/// a large fleet the counts come once a second.
+const MAX_COUNTS_AGE: Duration = Duration::from_secs(2);
+
 /// A request in the queue of this host, which it leaves when the guard is dropped.
 struct QueuedRequest<'a> {
     admitted: &'a AdmittedRequest,
@@ -223,7 +226,7 @@
     let urgencies = snapshot.route_table.urgencies();
     let precedents = urgencies.precedents(&admitted.service, &admitted.route.name);
     let counts_age = now.saturating_sub(snapshot.view.loads_at);
-    if precedents.is_empty() || counts_age > contact_timeout(snapshot.view.hosts) {
+    if precedents.is_empty() || counts_age > MAX_COUNTS_AGE {
         return UrgentPressure::default();
     }
     admitted.state.lock_wait_queue().find_pressure(now, &admitted.service, precedents)
--- a/crates/skylarkgw/tests/decisions/main.rs
+++ b/crates/skylarkgw/tests/decisions/main.rs
@@ -19,6 +19,7 @@
 mod prompt_storm;
 mod prompts;
 mod quota;
+mod quota_priority;
 mod replicas;
 mod retries;
 mod routes;
