Judge a waiting request by its patience alone, and let first kinds queue

Change: a request that waits is refused when its patience ends; waits for a free place and of kinds that go first at engines may take 0.8 of the objective.

--- a/crates/skylarkgw/src/decision/dispatch/engine_choice.rs
+++ b/crates/skylarkgw/src/decision/dispatch/engine_choice.rs
@@ -72,6 +72,9 @@
 /// Share of the latency objective, and of the time to the deadline, that a request
 /// may spend waiting for a slot.
 const WAIT_SHARE: f64 = 0.6;
+/// The same share for a request that no queue at an engine delays: it goes before the
+/// others there, or waits at its host until a place is free.
+const FIRST_WAIT_SHARE: f64 = 0.8;
 /// Shortest retry delay after a refusal; loading a new replica takes longer.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(500);
 /// Longest retry delay after a refusal.
@@ -89,6 +92,15 @@
     objective.min(time_left).mul_f64(WAIT_SHARE)
 }
 
+/// Returns the longest time that a request may wait for a slot if it goes before the others
+/// that wait at an engine, or waits at its host for a free place.
+///
+/// The arguments are those of [`compute_patience`]. Such a wait is more certain to end with
+/// the next free slot.
+pub fn compute_first_patience(objective: Duration, time_left: Duration) -> Duration {
+    objective.min(time_left).mul_f64(FIRST_WAIT_SHARE)
+}
+
 /// Returns whether a request should wait for a slot rather than be refused.
 ///
 /// `wait_ms` is the estimated wait, and `patience` the longest time that the request may
--- a/crates/skylarkgw/src/decision/dispatch/urgency.rs
+++ b/crates/skylarkgw/src/decision/dispatch/urgency.rs
@@ -129,6 +129,14 @@
         precedents.map_or(&[], Vec::as_slice)
     }
 
+    /// Returns whether another route of the service yields to `route`.
+    pub fn is_yielded_to(&self, service: &str, route: &str) -> bool {
+        self.services.get(service).is_some_and(|service| {
+            let mut precedents = service.precedents.values().flatten();
+            precedents.any(|first| first.is_yielded_to && &*first.route == route)
+        })
+    }
+
     /// Returns the position of a rank among those of the routes of a service, or `None` if
     /// no route of any service yields to another one.
     ///
--- a/crates/skylarkgw/src/edge/forward/select.rs
+++ b/crates/skylarkgw/src/edge/forward/select.rs
@@ -79,6 +79,8 @@
     pub waited: Duration,
     /// Whether it takes only a free place, and leaves some to more urgent requests.
     pub must_yield: bool,
+    /// Whether it waits here already, so that only its patience ends the wait.
+    pub is_queued: bool,
 }
 
 impl PlaceTerms {
@@ -86,7 +88,7 @@
     fn at_once(admitted: &AdmittedRequest) -> PlaceTerms {
         let time_left = admitted.deadline.saturating_duration_since(Instant::now());
         let patience = compute_patience(admitted.route.latency_objective, time_left);
-        PlaceTerms { patience, waited: Duration::ZERO, must_yield: false }
+        PlaceTerms { patience, waited: Duration::ZERO, must_yield: false, is_queued: false }
     }
 
     /// Returns the longest time that the request may wait from now on.
@@ -222,7 +224,7 @@
     if !usable.is_empty() || shortest_ms.is_infinite() {
         return Ok(());
     }
-    if should_queue(shortest_ms, terms.patience_left()) {
+    if terms.is_queued || should_queue(shortest_ms, terms.patience_left()) {
         return Err(SelectionError::NoPlace(shortest_ms));
     }
     Err(SelectionError::Refused(refuse_without_place(admitted, shortest_ms)))
--- a/crates/skylarkgw/src/edge/forward/wait.rs
+++ b/crates/skylarkgw/src/edge/forward/wait.rs
@@ -7,7 +7,7 @@
 use tokio::sync::Notify;
 use tokio::time::{Instant, timeout};
 
-use crate::decision::dispatch::engine_choice::compute_patience;
+use crate::decision::dispatch::engine_choice::{compute_first_patience, compute_patience};
 use crate::decision::dispatch::wait_queue::{
     EnterError, UrgentPressure, WaitOutcome, WaitRequest, WaitTicket,
 };
@@ -166,7 +166,7 @@
 /// Builds the entry of a request in the queue.
 fn build_wait_request(admitted: &AdmittedRequest, started: Instant) -> WaitRequest {
     let time_left = admitted.deadline.saturating_duration_since(started);
-    let patience = compute_patience(admitted.route.latency_objective, time_left);
+    let patience = compute_first_patience(admitted.route.latency_objective, time_left);
     let last_moment = (time_since_boot() + patience).saturating_sub(started.elapsed());
     let model = admitted.header.target.as_ref().map(|target| target.model.clone());
     let headers = admitted.parts.headers.iter();
@@ -202,18 +202,23 @@
 ) -> PlaceTerms {
     let pressure = find_pressure(admitted);
     let objective = admitted.route.latency_objective;
-    let patience =
-        compute_patience(objective, admitted.deadline.saturating_duration_since(started));
-    let age = started.elapsed();
-    if pressure.must_yield && (waited.is_some() || age < patience) {
-        return PlaceTerms { patience, waited: age, must_yield: true };
+    let time_limit = admitted.deadline.saturating_duration_since(started);
+    let (patience, age) = (compute_first_patience(objective, time_limit), started.elapsed());
+    let is_queued = waited.is_some();
+    if pressure.must_yield && (is_queued || age < patience) {
+        return PlaceTerms { patience, waited: age, must_yield: true, is_queued };
     }
     let objective = pressure.shortest_objective.map_or(objective, |other| objective.min(other));
     let time_left = admitted.deadline.saturating_duration_since(Instant::now());
+    let snapshot = admitted.state.snapshot.load();
+    let urgencies = snapshot.route_table.urgencies();
+    let goes_first = urgencies.is_yielded_to(&admitted.service, &admitted.route.name);
+    let compute = if goes_first { compute_first_patience } else { compute_patience };
     PlaceTerms {
-        patience: compute_patience(objective, time_left),
+        patience: compute(objective, time_left),
         waited: waited.unwrap_or_default(),
         must_yield: false,
+        is_queued,
     }
 }
 
