--- a/crates/skylarkgw/src/decision/dispatch.rs
+++ b/crates/skylarkgw/src/decision/dispatch.rs
@@ -7,3 +7,5 @@
 pub mod outcomes;
 pub mod retry_budget;
 pub mod traffic;
+pub mod urgency;
+pub mod wait_queue;
--- a/crates/skylarkgw/src/gateway/control/exchange.rs
+++ b/crates/skylarkgw/src/gateway/control/exchange.rs
@@ -88,6 +88,11 @@
                 .iter_mut()
                 .map(|(workspace, quota)| (workspace.clone(), quota.tokens_to_request(now)))
                 .collect(),
+            quota_demands: local_quotas
+                .iter_mut()
+                .map(|(workspace, quota)| (workspace.clone(), quota.classes.build_report(now)))
+                .filter(|(_, demand)| !demand.is_empty())
+                .collect(),
             capacity: self.capacity,
             deputy: (!self.state.is_draining()).then(|| DeputyHost {
                 host: self.state.settings.host.clone(),
@@ -139,6 +144,12 @@
                 let quota = local_quotas.entry(workspace).or_insert_with(|| LocalQuota::new(now));
                 quota.set_host_count(reply.hosts);
                 quota.add_grant(now, tokens, fallback_per_s as f64);
+                quota.classes.set_cut(now, None);
+            }
+            for (workspace, cut) in reply.quota_cuts {
+                if let Some(quota) = local_quotas.get_mut(&workspace) {
+                    quota.classes.set_cut(now, Some(cut));
+                }
             }
         }
         let view = &self.state.snapshot.load().view;
@@ -150,6 +161,7 @@
         if let Some(loads) = reply.loads {
             view.loads = loads;
             view.reported = sent.running.into_iter().collect();
+            view.loads_at = now;
         }
         let mut contact = lock(&self.contact);
         if contact.last_reply_at.is_none() {
@@ -169,6 +181,8 @@
         }
         self.state.metrics.members.set(i64::from(view.hosts));
         self.update_snapshot(|snapshot| snapshot.view = Arc::new(view));
+        drop(contact);
+        self.state.wake_waiting(|_| true);
     }
 
     /// Returns a connection to the coordinator, opening one if necessary.
