--- a/crates/skylarkgw/src/decision/coordinator.rs
+++ b/crates/skylarkgw/src/decision/coordinator.rs
@@ -12,6 +12,8 @@
 
 use crate::decision::deputies::{DeputyHost, choose_deputies};
 use crate::decision::dispatch::engine_loads::{EngineLoads, EngineNumber, LoadTable};
+use crate::decision::dispatch::engine_pace::{LoadLevel, PaceSum};
+use crate::decision::dispatch::pace_board::{LimitedEngine, PaceBoard, PacePage};
 use crate::decision::engine_statements::{
     EngineStatement, StatedFact, StatementBook, StatementReport,
 };
@@ -55,6 +57,9 @@
     /// Number of requests of the host that run at each engine, by the numbers of the
     /// registry with `registry_version`.
     pub running: Vec<(EngineNumber, u32)>,
+    /// Answers of each engine since the last report, by the same numbers and the load of
+    /// the engine.
+    pub paces: Vec<(EngineNumber, LoadLevel, PaceSum)>,
     /// Usage of each model since the last report.
     pub uses: Vec<(ServiceName, ModelName, ModelUse)>,
     /// Number of tokens that the host requests for each workspace.
@@ -122,6 +127,8 @@
     /// engines after the changes of the registry in this reply, if the last ones are old
     /// enough.
     pub loads: Option<EngineLoads>,
+    /// Estimated pace of some of the engines, by the same numbers.
+    pub paces: Option<PacePage>,
     /// For each workspace, the number of granted tokens and the rate, in tokens
     /// per second, at which the host may spend while it has no coordinator.
     pub grants: Vec<(WorkspaceId, Tokens, Tokens)>,
@@ -178,6 +185,7 @@
     obligations: ObligationBook,
     /// Number of requests that run at each engine, over all hosts that report.
     loads: LoadTable,
+    paces: PaceBoard,
     /// Moving average of the requests running at each engine, with the time
     /// constant [`RUNNING_TIME_CONSTANT_S`].
     running: HashMap<EndpointId, f64>,
@@ -214,6 +222,7 @@
             demand: DemandEstimate::default(),
             obligations: ObligationBook::new(now),
             loads: LoadTable::default(),
+            paces: PaceBoard::default(),
             running: HashMap::new(),
             averaged_at: now,
             quota_pool: QuotaPool::new(now, tolerance, start),
@@ -260,6 +269,7 @@
             engines.iter().map(|entry| (entry.id.clone(), entry.clone())).collect();
         for engine in self.registry.retain(|engine| listed.contains_key(engine)) {
             let Some(number) = self.loads.remove_engine(&engine) else { continue };
+            self.paces.remove_engine(number);
             for host in self.hosts.values_mut() {
                 host.running.retain(|(running, _)| *running != number);
             }
@@ -267,6 +277,7 @@
         for entry in engines {
             if self.listed.get(&entry.id) != Some(entry) {
                 let (id, number) = (&entry.id, self.loads.add_engine(&entry.id));
+                self.paces.set_engine(number, entry);
                 let entry = Arc::new(entry.without_inventory());
                 self.registry.set(id, RegisteredEngine { number, entry });
             }
@@ -444,9 +455,12 @@
         }
         // The numbers of a predecessor mean other engines.
         let is_numbered = version_token(report.registry_version) == self.token;
-        let running = if is_numbered { report.running } else { Vec::new() };
+        let (running, paces) =
+            if is_numbered { (report.running, report.paces) } else { Default::default() };
+        self.paces.record(now, &paces);
         let (host, capacity) = (&report.host, report.capacity);
         let loads = self.record_running(now, host, capacity, report.deputy, running);
+        let paces = self.paces.take_page(now, host);
         self.update_deputies(now);
         for observation in report.statements.observations {
             let at = now.saturating_sub(observation.age);
@@ -471,6 +485,7 @@
             hosts: self.hosts.len() as u32,
             largest_capacity: self.hosts.values().map(|host| host.capacity).fold(0.0, f64::max),
             loads,
+            paces,
             deputies: (report.deputy_version != self.deputy_version)
                 .then(|| (self.deputy_version, self.deputies.clone())),
             grants,
@@ -511,6 +526,11 @@
         self.obligations.take_events()
     }
 
+    /// Returns the engines that take less than others of their service.
+    pub fn find_limited_engines(&self) -> Vec<LimitedEngine> {
+        self.paces.find_limited()
+    }
+
     /// Returns the number of models and adapters that are requested and not served.
     pub fn count_unserved_targets(&self) -> usize {
         self.obligations.count_unserved()
--- a/crates/skylarkgw/src/decision/dispatch.rs
+++ b/crates/skylarkgw/src/decision/dispatch.rs
@@ -3,6 +3,9 @@
 
 pub mod engine_choice;
 pub mod engine_loads;
+pub mod engine_pace;
+pub mod host_pace;
 pub mod outcomes;
+pub mod pace_board;
 pub mod retry_budget;
 pub mod traffic;
--- a/crates/skylarkgw/src/decision/dispatch/engine_choice.rs
+++ b/crates/skylarkgw/src/decision/dispatch/engine_choice.rs
@@ -1,18 +1,19 @@
 //! Chooses the engine that runs a request.
 //!
 //! The cost of an engine is the estimated time until the request runs, plus costs
-//! for network distance and recent failures. Hosts that decide from the same counts
-//! would all choose the same engine, so each host counts its own requests
-//! immediately, and ties are broken by a random number for each request.
+//! for a slow engine, network distance and recent failures. Hosts that decide from the
+//! same counts would all choose the same engine, so each host counts its own requests
+//! immediately, draws what the counts cannot show yet, and breaks ties by a random
+//! number for each request.
 
 use std::time::Duration;
 
-/// Estimated time that a request holds a slot, in milliseconds.
-const SLOT_HOLD_MS: f64 = 1_500.0;
-/// Cost that is added if all slots of an engine are busy, in milliseconds of
-/// waiting. It is proportional to the share of busy slots, because the engine
-/// prefills the prompts of other requests between the tokens of a request.
-const BUSY_COST_MS: f64 = 60.0;
+use crate::decision::dispatch::engine_pace::EnginePace;
+
+/// Time that is added if all slots of an engine are busy, as a share of the time for
+/// which a request holds a slot. It is proportional to the share of busy slots, because
+/// the engine prefills the prompts of other requests between the tokens of a request.
+const BUSY_SHARE: f64 = 0.04;
 /// Cost that is added for an engine in another data centre, in milliseconds of
 /// waiting.
 const DISTANCE_COST_MS: f64 = 8.0;
@@ -38,23 +39,77 @@
     pub failure_share: f64,
     /// Whether the engine turns another host away.
     pub is_avoided: bool,
+    /// What the engine takes well.
+    pub pace: EnginePace,
+    /// Usual time to the first part of an answer without a queue, in milliseconds, if it
+    /// is known.
+    pub first_ms: Option<f64>,
+    /// Requests that may run in addition to `running`, or fewer if negative, since the
+    /// counts were made; drawn for each request, see [`ExpectedCount::draw`].
+    pub unseen: f64,
+}
+
+/// Number of requests of other hosts that run at an engine by now.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ExpectedCount {
+    /// Expected number.
+    pub mean: f64,
+    /// Standard deviation.
+    pub deviation: f64,
+}
+
+impl ExpectedCount {
+    /// Estimates the number from a count that is `age` old and from the mean of earlier
+    /// counts.
+    ///
+    /// Requests that were counted end, and others arrive, within the time `hold` for which
+    /// a place is held. An older count shows no more than the mean.
+    pub fn new(count: u32, mean: f64, age: Duration, hold: Duration) -> ExpectedCount {
+        let kept = (-age.as_secs_f64() / hold.as_secs_f64().max(1e-3)).exp();
+        let expected = mean + (f64::from(count) - mean) * kept;
+        // Arrivals are independent of each other.
+        ExpectedCount { mean: expected, deviation: (mean * (1.0 - kept)).sqrt() }
+    }
+
+    /// Returns how far the number may be from its mean; `random` is from 0 to 1.
+    ///
+    /// Hosts with the same counts draw different numbers, and so do not all choose the
+    /// engine with the lowest count.
+    pub fn draw(&self, random: f64) -> f64 {
+        // A uniform distribution has this range, as a multiple of its deviation.
+        (random * 2.0 - 1.0) * 3.0_f64.sqrt() * self.deviation
+    }
 }
 
 impl EngineCandidate {
     /// Returns the estimated time until a new request runs, in milliseconds.
     pub fn estimate_wait_ms(&self) -> f64 {
+        self.estimate_queue_ms(f64::from(self.running), self.slots)
+    }
+
+    /// Returns the estimated time until a request runs behind `running` others, if the
+    /// engine takes `places` of them at once.
+    fn estimate_queue_ms(&self, running: f64, places: u32) -> f64 {
         let slots = f64::from(self.slots.max(1));
-        let busy = f64::from(self.running) / slots;
-        let queued = f64::from((self.running + 1).saturating_sub(self.slots));
-        queued * SLOT_HOLD_MS / slots + busy * BUSY_COST_MS
+        let queued = (running + 1.0 - f64::from(places)).max(0.0);
+        self.pace.hold_ms * (queued / slots + running / slots * BUSY_SHARE)
     }
 
-    /// Returns the estimated wait plus the costs of distance and failures, in
-    /// milliseconds.
+    /// Returns the estimated wait plus the costs of a slow engine, distance and failures,
+    /// in milliseconds.
+    ///
+    /// A request beyond the useful places of an engine delays the others as if it queued.
+    /// It is not refused for that, so this is a matter of the choice alone, and so is the
+    /// time by which the engine takes longer than others for the request itself.
     fn compute_cost_ms(&self) -> f64 {
+        let running = (f64::from(self.running) + self.unseen).max(0.0);
+        let wait_ms = self.estimate_queue_ms(running, self.pace.useful_slots(self.slots));
+        let first_ms = self.first_ms.unwrap_or(self.pace.hold_ms * BUSY_SHARE);
+        let slowness_ms = first_ms * (self.pace.slowdown - 1.0);
         let distance = if self.is_local { 0.0 } else { DISTANCE_COST_MS };
         let avoidance = if self.is_avoided { AVOIDANCE_COST_MS } else { 0.0 };
-        self.estimate_wait_ms() + distance + avoidance + self.failure_share * FAILURE_COST_MS
+        let failures = self.failure_share * FAILURE_COST_MS;
+        wait_ms + slowness_ms + distance + avoidance + failures
     }
 }
 
--- a/crates/skylarkgw/src/decision/dispatch/traffic.rs
+++ b/crates/skylarkgw/src/decision/dispatch/traffic.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use crate::decision::dispatch::host_pace::HostPace;
 use crate::decision::dispatch::retry_budget::RetryBudget;
 use crate::decision::model_demand::ModelUse;
 use crate::gateway::declaration::ServiceName;
@@ -31,6 +32,8 @@
     /// Adapters used since the last report to the coordinator.
     adapter_uses: HashMap<(EndpointId, ModelName, Arc<str>), ()>,
     budgets: HashMap<ServiceName, RetryBudget>,
+    /// Pace of the engines.
+    pub pace: HostPace,
 }
 
 impl TrafficStats {
--- a/crates/skylarkgw/src/decision/event_sequence.rs
+++ b/crates/skylarkgw/src/decision/event_sequence.rs
@@ -74,6 +74,8 @@
     has_continued: bool,
     /// Whether the first engine left out numbers.
     skips_numbers: bool,
+    /// Number of events that were accepted.
+    accepted: u32,
 }
 
 impl EventSequence {
@@ -82,6 +84,11 @@
         &self.point
     }
 
+    /// Returns the number of events with content that are or will be relayed.
+    pub fn accepted(&self) -> u32 {
+        self.accepted
+    }
+
     /// Expects the events of another engine after the last relayed one.
     pub fn begin_rest(&mut self) {
         self.is_rest = self.point != ResumePoint::Start;
@@ -108,6 +115,7 @@
             EventContent::Numbered(id, number) => self.follow(id, number)?,
         };
         self.point = point;
+        self.accepted += 1;
         self.has_continued = true;
         Ok(())
     }
--- a/crates/skylarkgw/src/edge/forward.rs
+++ b/crates/skylarkgw/src/edge/forward.rs
@@ -7,6 +7,7 @@
 mod admit;
 mod connection;
 mod crash;
+mod pace;
 mod record;
 mod refusal;
 mod relay;
--- a/crates/skylarkgw/src/edge/forward/record.rs
+++ b/crates/skylarkgw/src/edge/forward/record.rs
@@ -62,6 +62,8 @@
     pub engine: EndpointId,
     /// Address of that engine.
     pub address: SocketAddr,
+    /// Time at which the attempt began.
+    pub sent_at: Instant,
     /// Number of requests known to run at the engine when it was selected.
     pub running: u32,
     /// Wait estimated when the engine was selected, in milliseconds.
--- a/crates/skylarkgw/src/edge/forward/relay.rs
+++ b/crates/skylarkgw/src/edge/forward/relay.rs
@@ -20,6 +20,7 @@
 use crate::decision::prompt_evidence::AnswerProgress;
 use crate::edge::forward::admit::AdmittedRequest;
 use crate::edge::forward::crash::examine_interruption;
+use crate::edge::forward::pace::record_answer_pace;
 use crate::edge::forward::record::{RequestEnd, RequestRecord};
 use crate::edge::forward::select::{SelectedEngine, select_engine};
 use crate::edge::forward::send::{
@@ -246,6 +247,14 @@
                 model_use.streams += 1;
                 model_use.generating += generating;
             });
+            if let (Some(source), Some(attempt)) =
+                (&self.source, self.record.attempts.get(self.source_attempt))
+            {
+                let first_at = self.record.started() + first;
+                let rest_parts = self.sequence.accepted().saturating_sub(1);
+                let entry = &source.engine.entry;
+                record_answer_pace(&self.admitted, entry, attempt, first_at, rest_parts);
+            }
         }
     }
 
--- a/crates/skylarkgw/src/edge/forward/select.rs
+++ b/crates/skylarkgw/src/edge/forward/select.rs
@@ -10,9 +10,10 @@
 
 use crate::decision::coordinator::QuotaAnswer;
 use crate::decision::dispatch::engine_choice::{
-    EngineCandidate, choose_engine, compute_retry_after, should_queue,
+    EngineCandidate, ExpectedCount, choose_engine, compute_retry_after, should_queue,
 };
 use crate::decision::engine_statements::{KnownStatement, find_willing_engines};
+use crate::decision::freshness::exchange_interval;
 use crate::edge::forward::admit::AdmittedRequest;
 use crate::edge::forward::refusal::{RefusalReason, RequestRefusal};
 use crate::gateway::clock::time_since_boot;
@@ -250,13 +251,33 @@
 ) -> EngineCandidate {
     let elsewhere = snapshot.view.running_elsewhere(&entry.id);
     let is_avoided = admitted.state.find_statement(entry).avoided_for.is_some();
+    let number = snapshot.view.numbers.get(&entry.id).copied();
+    let now = time_since_boot();
     let traffic = admitted.state.lock_traffic();
+    let pace = traffic.pace.estimate(now, &entry.id, number, &entry.service);
+    let (elsewhere, unseen) = match pace {
+        Some(pace) => {
+            let mean = number.map_or(0.0, |number| traffic.pace.mean_count(number));
+            // Each host has reported its requests at some time within the last interval.
+            let age =
+                traffic.pace.count_age(now) + exchange_interval(snapshot.view.hosts.max(1)) / 2;
+            let hold = Duration::from_secs_f64(pace.hold_ms / 1_000.0);
+            let count = ExpectedCount::new(elsewhere, mean, age, hold);
+            (count.mean.round() as u32, count.draw(rand::rng().random()))
+        }
+        None => (elsewhere, 0.0),
+    };
+    let model = admitted.header.target.as_ref().map(|target| &target.model);
+    let first = traffic.pace.usual_first(&entry.service, model);
     EngineCandidate {
         slots: entry.slots,
         running: traffic.running_requests(&entry.id) + elsewhere,
         is_local: entry.data_centre == admitted.state.settings.data_centre,
-        failure_share: traffic.failure_share(time_since_boot(), &entry.id),
+        failure_share: traffic.failure_share(now, &entry.id),
         is_avoided,
+        pace: pace.unwrap_or_default(),
+        first_ms: first.map(|first| first.as_secs_f64() * 1_000.0),
+        unseen,
     }
 }
 
--- a/crates/skylarkgw/src/edge/forward/send.rs
+++ b/crates/skylarkgw/src/edge/forward/send.rs
@@ -19,6 +19,7 @@
 use crate::decision::prompt_evidence::AnswerProgress;
 use crate::edge::forward::admit::AdmittedRequest;
 use crate::edge::forward::crash::examine_interruption;
+use crate::edge::forward::pace::record_answer_pace;
 use crate::edge::forward::record::{RequestEnd, RequestRecord};
 use crate::edge::forward::refusal::{RefusalReason, RequestRefusal};
 use crate::edge::forward::relay::{StreamRelay, relay_stream};
@@ -466,6 +467,9 @@
                 attempt.progress = AnswerProgress::Streaming;
             }
             if parts.status.is_success() {
+                if let Some(attempt) = record.attempts.get(attempt) {
+                    record_answer_pace(admitted, &engine.entry, attempt, Instant::now(), 0);
+                }
                 let now = time_since_boot();
                 state.lock_service_log().record_served_attempt(now, &engine.entry.id);
                 state.lock_prompt_guard().record_answer(time_since_boot(), &admitted.shared_parts);
--- a/crates/skylarkgw/src/edge/forward/send/attempts.rs
+++ b/crates/skylarkgw/src/edge/forward/send/attempts.rs
@@ -11,6 +11,7 @@
 use crate::decision::prompt_evidence::AnswerProgress;
 use crate::edge::forward::admit::AdmittedRequest;
 use crate::edge::forward::crash::examine_interruption;
+use crate::edge::forward::pace::{find_hedge_delay, record_answer_pace};
 use crate::edge::forward::record::{AttemptRecord, RequestRecord};
 use crate::edge::forward::select::{SelectedEngine, select_engine};
 use crate::edge::forward::send::{
@@ -67,6 +68,7 @@
         record.attempts.push(AttemptRecord {
             engine: selected.entry.id.clone(),
             address,
+            sent_at: attempt.started,
             running: selected.running,
             wait_ms: selected.wait_ms,
             outcome: "cancelled",
@@ -130,6 +132,9 @@
 /// Sends a repeatable request to an engine and, while no response arrives, also to others.
 /// Returns the first response without a server error, or the last outcome if there is none.
 ///
+/// It is hedged once: if the first engine takes clearly longer than usual, the request
+/// goes to another one where it need not queue.
+///
 /// An engine's silence does not end its attempt, since it may still answer when no other
 /// engine can. `tried` holds the engines to which the request was sent, and `runs` is the
 /// number of times that it may have been executed; both are updated.
@@ -142,6 +147,8 @@
 ) -> AttemptOutcome {
     let response_timeout =
         (admitted.route.latency_objective * RESPONSE_TIMEOUT_FACTOR).max(MIN_RESPONSE_TIMEOUT);
+    let mut hedge_delay =
+        if admitted.route.is_stream { None } else { find_hedge_delay(admitted, selected.wait_ms) };
     let mut open: Vec<OpenAttempt> = Vec::new();
     let mut outcomes = FuturesUnordered::new();
     let mut failure = None;
@@ -157,8 +164,14 @@
                 (attempt, outcome)
             });
         }
-        let Ok(closed) = timeout(response_timeout, outcomes.next()).await else {
-            next = select_further(admitted, tried, *runs + open.len() as u32, record).await;
+        let delay = hedge_delay.filter(|delay| *delay < response_timeout);
+        let Ok(closed) = timeout(delay.unwrap_or(response_timeout), outcomes.next()).await else {
+            let runs = *runs + open.len() as u32;
+            let wait_limit = hedge_delay.take().and(delay);
+            next = select_further(admitted, tried, runs, wait_limit, record).await;
+            if next.is_some() && wait_limit.is_some() {
+                admitted.state.metrics.fleet.count_hedge();
+            }
             continue;
         };
         let Some((attempt, outcome)) = closed else {
@@ -177,6 +190,11 @@
                     if attempt.started.elapsed() >= response_timeout {
                         let silence = AttemptOutcome::MayHaveRun("silent");
                         attempt.close(admitted, &silence, record).await;
+                    } else if let Some(outrun) = record.attempts.get_mut(attempt.index) {
+                        outrun.outcome = "outrun";
+                        // The engine would have taken longer still.
+                        let now = Instant::now();
+                        record_answer_pace(admitted, &attempt.entry, outrun, now, 0);
                     }
                 }
                 return outcome;
@@ -188,17 +206,22 @@
 }
 
 /// Selects another engine for a request that may have been executed `runs` times, and
-/// spends a retry on it.
+/// spends a retry on it. With `wait_limit`, the engine is expected to start it within that
+/// time.
 async fn select_further(
     admitted: &AdmittedRequest,
     tried: &HashSet<EndpointId>,
     runs: u32,
+    wait_limit: Option<Duration>,
     record: &RequestRecord,
 ) -> Option<SelectedEngine> {
     if record.attempts.len() >= MAX_ATTEMPTS || !may_run_again(admitted, runs) {
         return None;
     }
     let selected = select_engine(admitted, tried).await.ok()?;
+    if wait_limit.is_some_and(|limit| selected.wait_ms > limit.as_secs_f64() * 1_000.0) {
+        return None;
+    }
     let is_allowed =
         begin_attempt(admitted).is_none() && spend_retry_budget(admitted, record.attempts.len());
     is_allowed.then_some(selected)
--- a/crates/skylarkgw/src/gateway/control/exchange.rs
+++ b/crates/skylarkgw/src/gateway/control/exchange.rs
@@ -74,6 +74,7 @@
                 .running_by_engine()
                 .filter_map(|(engine, count)| Some((*view.numbers.get(engine)?, count)))
                 .collect(),
+            paces: traffic.pace.take_sums(&view.numbers),
             uses: traffic.take_model_uses(),
             adapter_uses: traffic.take_adapter_uses(),
             returned: local_quotas
@@ -136,12 +137,27 @@
                 quota.add_grant(now, tokens, fallback_per_s as f64);
             }
         }
+        let (is_renumbered, token) =
+            (numbers.is_some(), version_token(lock(&self.contact).registry_version));
         let view = &self.state.snapshot.load().view;
         let mut view = FleetView {
             hosts: reply.hosts,
             numbers: numbers.unwrap_or_else(|| view.numbers.clone()),
             ..FleetView::clone(view)
         };
+        {
+            let mut traffic = self.state.lock_traffic();
+            if is_renumbered {
+                traffic.pace.set_numbering(now, token);
+                traffic.pace.retain(|engine| view.numbers.contains_key(engine));
+            }
+            if let Some(page) = &reply.paces {
+                traffic.pace.apply_page(now, token, page);
+            }
+            if let Some(loads) = &reply.loads {
+                traffic.pace.record_counts(now, loads);
+            }
+        }
         if let Some(loads) = reply.loads {
             view.loads = loads;
             view.reported = sent.running.into_iter().collect();
@@ -225,6 +241,7 @@
                 let mut contact = lock(&self.contact);
                 contact.client = None;
                 if !has_contact && contact.last_reply_at.take().is_some() {
+                    self.state.lock_traffic().pace.clear_shared();
                     warn!("coordinator lost");
                 }
                 false
--- a/crates/skylarkgw/src/gateway/control/load.rs
+++ b/crates/skylarkgw/src/gateway/control/load.rs
@@ -8,12 +8,15 @@
 
 use crate::decision::coordinator::CoordinatorReply;
 use crate::decision::dispatch::engine_loads::EngineLoads;
+use crate::decision::dispatch::pace_board::{LimitedEngine, PacePage};
 use crate::gateway::clock::time_since_boot;
 use crate::gateway::control::{ControlContext, lock};
 use crate::telemetry::CoordinatorWork;
 
 /// Interval at which the coordinator logs its work.
 const LOAD_LOG_INTERVAL: Duration = Duration::from_secs(2);
+/// Maximum number of engines in one log line.
+const MAX_LOGGED_ENGINES: usize = 16;
 
 impl ControlContext {
     /// Runs a part of the coordinator's work and records the time that it takes.
@@ -28,6 +31,7 @@
     pub(super) fn count_reply(&self, reply: &CoordinatorReply) {
         let count = |part, items| self.state.metrics.fleet.count_reply_items(part, items);
         count("counts", reply.loads.as_ref().map_or(0, EngineLoads::len));
+        count("paces", reply.paces.as_ref().map_or(0, PacePage::len));
         count("grants", reply.grants.len());
         if let Some(delta) = &reply.notices {
             count("notices", delta.changed.len());
@@ -56,6 +60,7 @@
         let [exchange_ms, draw_ms, placement_ms, registry_ms] =
             std::array::from_fn(|index| (current[index] - before[index]) as u64);
         before = current;
+        log_limited_engines(&control);
         let Some(token) = lock(&control.lease).token(time_since_boot()) else { continue };
         let hosts = control.state.host_count();
         info!("coordinator load", kv: {
@@ -63,3 +68,23 @@
         });
     }
 }
+
+/// Logs and publishes which engines take less than others of their service, if this host
+/// is the coordinator.
+fn log_limited_engines(control: &ControlContext) {
+    let limited = control.with_coordinator(|_, coordinator| coordinator.find_limited_engines());
+    let limited = limited.unwrap_or_default();
+    control.state.metrics.fleet.set_limited_engines(&limited);
+    if limited.is_empty() {
+        return;
+    }
+    let format_engine = |limited: &LimitedEngine| {
+        let pace = &limited.pace;
+        let (useful, slots) = (pace.useful_slots(limited.slots), limited.slots);
+        format!("{} slowdown={:.2} useful={useful}/{slots}", limited.id, pace.slowdown)
+    };
+    let engines = limited.iter().take(MAX_LOGGED_ENGINES).map(format_engine);
+    let engines = engines.collect::<Vec<_>>().join("; ");
+    let count = limited.len();
+    info!("engines take less", kv: { count, engines });
+}
--- a/crates/skylarkgw/src/telemetry/fleet_metrics.rs
+++ b/crates/skylarkgw/src/telemetry/fleet_metrics.rs
@@ -3,8 +3,9 @@
 
 use std::time::Duration;
 
-use prometheus::{CounterVec, IntCounter, IntCounterVec, IntGauge, Opts, Registry};
+use prometheus::{CounterVec, GaugeVec, IntCounter, IntCounterVec, IntGauge, Opts, Registry};
 
+use crate::decision::dispatch::pace_board::LimitedEngine;
 use crate::decision::prompt_evidence::AnswerProgress;
 
 /// The part of a coordinator's work on which time is spent.
@@ -48,6 +49,8 @@
     registry_copies: IntCounterVec,
     target_events: IntCounterVec,
     unserved_targets: IntGauge,
+    hedges: IntCounter,
+    pace: GaugeVec,
 }
 
 impl FleetMetrics {
@@ -73,6 +76,19 @@
             "Requests sent to engines that had named a request rate",
         )?;
         registry.register(Box::new(limited_requests.clone()))?;
+        let hedges = IntCounter::new(
+            "skylark_hedged_requests_total",
+            "Requests that were also sent to a second engine because the first took long",
+        )?;
+        registry.register(Box::new(hedges.clone()))?;
+        let pace = GaugeVec::new(
+            Opts::new(
+                "skylark_engine_pace",
+                "Pace of the engines that take less than others of their service, on the coordinator",
+            ),
+            &["engine", "value"],
+        )?;
+        registry.register(Box::new(pace.clone()))?;
         let unserved_targets = IntGauge::new(
             "skylark_unserved_targets",
             "Models and adapters that are requested and not served, on the coordinator",
@@ -80,6 +96,8 @@
         registry.register(Box::new(unserved_targets.clone()))?;
         Ok(FleetMetrics {
             unserved_targets,
+            hedges,
+            pace,
             target_events: counter(
                 "skylark_target_events_total",
                 "Models and adapters that were not served for two seconds, for longer than the bound, or are served again",
@@ -211,6 +229,26 @@
         self.unserved_targets.set(targets as i64);
     }
 
+    /// Counts a request that was also sent to a second engine.
+    pub fn count_hedge(&self) {
+        self.hedges.inc();
+    }
+
+    /// Sets the engines that take less than others of their service.
+    pub fn set_limited_engines(&self, limited: &[LimitedEngine]) {
+        self.pace.reset();
+        for engine in limited {
+            let values = [
+                ("hold-ms", engine.pace.hold_ms),
+                ("slowdown", engine.pace.slowdown),
+                ("useful-slots", engine.pace.useful_slots(engine.slots).into()),
+            ];
+            for (name, value) in values {
+                self.pace.with_label_values(&[&engine.id, name]).set(value);
+            }
+        }
+    }
+
     /// Counts a copy of the engine registry that arrived.
     pub fn count_registry_copy(&self, source: &str, is_older: bool) {
         let age = if is_older { "older" } else { "current" };
--- a/crates/skylarkgw/tests/decisions/choice.rs
+++ b/crates/skylarkgw/tests/decisions/choice.rs
@@ -2,9 +2,19 @@
 //! failing engines.
 
 use skylarkgw::decision::dispatch::engine_choice::{EngineCandidate, choose_engine};
+use skylarkgw::decision::dispatch::engine_pace::EnginePace;
 
 fn candidate(running: u32) -> EngineCandidate {
-    EngineCandidate { slots: 24, running, is_local: true, failure_share: 0.0, is_avoided: false }
+    EngineCandidate {
+        slots: 24,
+        running,
+        is_local: true,
+        failure_share: 0.0,
+        is_avoided: false,
+        pace: EnginePace::default(),
+        first_ms: None,
+        unseen: 0.0,
+    }
 }
 
 #[test]
--- a/crates/skylarkgw/tests/decisions/main.rs
+++ b/crates/skylarkgw/tests/decisions/main.rs
@@ -8,6 +8,7 @@
 mod deputies;
 mod directory;
 mod directory_eras;
+mod engine_pace;
 mod event_buffer;
 mod event_sequence;
 mod fleet_model;
