--- a/crates/skylarkgw/src/decision/dispatch/engine_pace.rs
+++ b/crates/skylarkgw/src/decision/dispatch/engine_pace.rs
@@ -30,8 +30,9 @@
 const SERVICE_PRIOR_WEIGHT: f64 = 2.0;
 /// Number of answers below which a level of load shows nothing about useful places.
 const MIN_LEVEL_WEIGHT: f64 = 6.0;
-/// Factor between two neighbouring values of a slowdown. Engines whose slowdowns differ
-/// by less are equal, so that hosts do not all prefer the same one.
+/// Factor between two neighbouring values of a slowdown, which is rounded towards 1.
+/// Engines that differ by less are equal, so that hosts do not all prefer the same one,
+/// and a short disturbance changes nothing.
 const SLOWDOWN_STEP: f64 = 1.25;
 /// Largest number of steps of a slowdown, in either direction.
 const MAX_SLOWDOWN_STEPS: i8 = 16;
@@ -126,7 +127,8 @@
 
 /// Returns the number of steps of a slowdown, which is negative for a fast engine.
 fn count_slowdown_steps(slowdown: f64) -> i8 {
-    let steps = (slowdown.ln() / SLOWDOWN_STEP.ln()).round();
+    // Without the margin, a value that is a whole number of steps could lose one.
+    let steps = (slowdown.ln() / SLOWDOWN_STEP.ln() * (1.0 + 1e-9)).trunc();
     (steps as i8).clamp(-MAX_SLOWDOWN_STEPS, MAX_SLOWDOWN_STEPS)
 }
 
--- a/crates/skylarkgw/src/decision/dispatch/pace_board.rs
+++ b/crates/skylarkgw/src/decision/dispatch/pace_board.rs
@@ -95,9 +95,8 @@
             self.engines.resize_with(index + 1, || None);
             self.codes.resize(index + 1, PaceCode::default());
         }
-        let is_same = |listed: &ListedEngine| {
-            listed.id == entry.id && listed.started_ms == entry.started_ms
-        };
+        let is_same =
+            |listed: &ListedEngine| listed.id == entry.id && listed.started_ms == entry.started_ms;
         if !self.engines[index].as_ref().is_some_and(is_same) {
             self.remove_engine(number);
             let (id, service) = (entry.id.clone(), entry.service.clone());
@@ -148,9 +147,8 @@
         self.refresh(now);
         let count = self.codes.len();
         let cursor = self.cursors.get(host);
-        let time = cursor.map_or(Duration::from_secs(1), |cursor| {
-            now.saturating_sub(cursor.sent_at)
-        });
+        let time =
+            cursor.map_or(Duration::from_secs(1), |cursor| now.saturating_sub(cursor.sent_at));
         let length = (time.as_secs_f64() * CODES_PER_S) as usize;
         if length == 0 || count == 0 {
             return None;
