--- a/crates/skylarkgw/src/decision/coordinator.rs
+++ b/crates/skylarkgw/src/decision/coordinator.rs
@@ -11,7 +11,9 @@
 use serde::{Deserialize, Serialize};
 
 use crate::decision::deputies::{DeputyHost, choose_deputies};
-use crate::decision::dispatch::engine_loads::{EngineLoads, EngineNumber, LoadTable};
+use crate::decision::dispatch::engine_loads::{
+    EngineLoads, EngineNumber, LoadTable, RegisteredEngine,
+};
 use crate::decision::dispatch::engine_pace::{LoadLevel, PaceSum};
 use crate::decision::dispatch::pace_board::{LimitedEngine, PaceBoard, PacePage};
 use crate::decision::engine_statements::{
@@ -152,16 +154,6 @@
     pub lease: Option<(StorePosition, Duration)>,
 }
 
-/// Registry entry of an engine with the number by which its load is sent.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
-#[serde(rename_all = "kebab-case")]
-pub struct RegisteredEngine {
-    /// Number of the engine.
-    pub number: EngineNumber,
-    /// Entry without adapters and cached weights.
-    pub entry: Arc<EngineEntry>,
-}
-
 #[derive(Debug)]
 struct HostState {
     running: Vec<(EngineNumber, u32)>,
--- a/crates/skylarkgw/src/decision/dispatch/engine_loads.rs
+++ b/crates/skylarkgw/src/decision/dispatch/engine_loads.rs
@@ -5,15 +5,27 @@
 //! registry entry, and sends the counts in the order of the numbers.
 
 use std::collections::HashMap;
+use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
 
+use crate::gateway::registry::EngineEntry;
 use crate::ids::EndpointId;
 
 /// Number of an engine during one term of a coordinator. It is used again after the
 /// engine is gone.
 pub type EngineNumber = u32;
 
+/// Registry entry of an engine with the number by which its load is sent.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct RegisteredEngine {
+    /// Number of the engine.
+    pub number: EngineNumber,
+    /// Entry without adapters and cached weights.
+    pub entry: Arc<EngineEntry>,
+}
+
 /// Requests of all hosts that run at each engine, by the number of the engine.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(rename_all = "kebab-case")]
--- a/crates/skylarkgw/src/gateway/control/exchange.rs
+++ b/crates/skylarkgw/src/gateway/control/exchange.rs
@@ -7,10 +7,10 @@
 use spdlog::{info, warn};
 use tokio::time::sleep;
 
-use crate::decision::coordinator::{CoordinatorReply, HostReport, RegisteredEngine};
+use crate::decision::coordinator::{CoordinatorReply, HostReport};
 use crate::decision::coordinator_lease::takeover_delay;
 use crate::decision::deputies::DeputyHost;
-use crate::decision::dispatch::engine_loads::EngineNumber;
+use crate::decision::dispatch::engine_loads::{EngineNumber, RegisteredEngine};
 use crate::decision::fleet_planner::EngineNotice;
 use crate::decision::freshness::{EXCHANGE_INTERVAL, contact_timeout, exchange_interval};
 use crate::decision::quota_pool::LocalQuota;
--- a/crates/skylarkgw/src/gateway/control/knowledge.rs
+++ b/crates/skylarkgw/src/gateway/control/knowledge.rs
@@ -9,10 +9,10 @@
 use tokio::sync::{mpsc, watch};
 use tokio::time::sleep;
 
-use crate::decision::coordinator::{KnowledgeAge, RegisteredEngine};
+use crate::decision::coordinator::KnowledgeAge;
 use crate::decision::declaration_confirmation::is_confirmed_by;
 use crate::decision::deputies::StoreAccess;
-use crate::decision::dispatch::engine_loads::EngineNumber;
+use crate::decision::dispatch::engine_loads::{EngineNumber, RegisteredEngine};
 use crate::decision::freshness::{batch_delay, is_searching_coordinator, needs_store_read};
 use crate::decision::route_table::RouteTable;
 use crate::decision::shared_map::MapDelta;
--- a/crates/skylarkgw/tests/decisions/store_restores/host.rs
+++ b/crates/skylarkgw/tests/decisions/store_restores/host.rs
@@ -4,12 +4,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use skylarkgw::decision::coordinator::{
-    Coordinator, CoordinatorReply, HostReport, KnowledgeAge, RegisteredEngine,
-};
+use skylarkgw::decision::coordinator::{Coordinator, CoordinatorReply, HostReport, KnowledgeAge};
 use skylarkgw::decision::coordinator_lease::CoordinatorLease;
 use skylarkgw::decision::declaration_confirmation::{DeclarationConfirmation, is_confirmed_by};
 use skylarkgw::decision::directory::EngineDirectory;
+use skylarkgw::decision::dispatch::engine_loads::RegisteredEngine;
 use skylarkgw::decision::freshness::{
     can_check_keys, contact_timeout, is_searching_coordinator, needs_store_read,
 };
