Send estimates of engines in two bytes, each once a second

A round of replies at 133 hosts has to fit the coordinator's link while adapters change; three bytes at 600 a second did not (coordinator::replies_of_one_round_fit_the_link_while_adapters_change).

--- a/crates/skylarkgw/src/decision/dispatch/engine_pace.rs
+++ b/crates/skylarkgw/src/decision/dispatch/engine_pace.rs
@@ -21,7 +21,7 @@
 pub const PRIOR_HOLD_MS: f64 = 1_500.0;
 /// Time in which the weight of an answer halves. It covers several times the length of a
 /// short disturbance, and ends well within one that lasts.
-const HALF_LIFE: Duration = Duration::from_secs(3);
+const HALF_LIFE: Duration = Duration::from_millis(2_500);
 /// Time in which the weight of an answer halves in the estimates of a whole service.
 const SERVICE_HALF_LIFE: Duration = Duration::from_secs(10);
 /// Weight of the service's estimate in that of an engine, as a number of answers.
@@ -121,7 +121,8 @@
     /// Returns the estimate in the form in which it is sent.
     pub fn encode(&self) -> PaceCode {
         let hold = (self.hold_ms.max(1.0).ln() / HOLD_STEP.ln()).round() as u8;
-        PaceCode(hold.max(1), count_slowdown_steps(self.slowdown), self.useful_level)
+        let steps = (count_slowdown_steps(self.slowdown) + MAX_SLOWDOWN_STEPS) as u8;
+        PaceCode(hold.max(1), steps * LOAD_LEVELS as u8 + self.useful_level)
     }
 }
 
@@ -132,18 +133,20 @@
     (steps as i8).clamp(-MAX_SLOWDOWN_STEPS, MAX_SLOWDOWN_STEPS)
 }
 
-/// An [`EnginePace`] in three bytes: steps of the time for which a place is held, steps
-/// of the slowdown, and the useful level. The default stands for no estimate.
+/// An [`EnginePace`] in two bytes: steps of the time for which a place is held, and steps
+/// of the slowdown with the useful level. The default stands for no estimate.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
-pub struct PaceCode(u8, i8, LoadLevel);
+pub struct PaceCode(u8, u8);
 
 impl PaceCode {
     /// Returns the estimate, rounded to whole steps, if there is one.
     pub fn decode(self) -> Option<EnginePace> {
+        let levels = LOAD_LEVELS as u8;
+        let steps = i32::from(self.1 / levels) - i32::from(MAX_SLOWDOWN_STEPS);
         (self.0 > 0).then(|| EnginePace {
             hold_ms: HOLD_STEP.powi(self.0.into()),
-            slowdown: SLOWDOWN_STEP.powi(self.1.into()),
-            useful_level: self.2,
+            slowdown: SLOWDOWN_STEP.powi(steps),
+            useful_level: self.1 % levels,
         })
     }
 }
--- a/crates/skylarkgw/src/decision/dispatch/host_pace.rs
+++ b/crates/skylarkgw/src/decision/dispatch/host_pace.rs
@@ -19,7 +19,8 @@
 /// Time constant of the mean count of requests at an engine.
 const MEAN_COUNT_TIME: Duration = Duration::from_secs(2);
 /// Time after which an estimate of the coordinator gives way to what this host has seen.
-const SHARED_LIFETIME: Duration = Duration::from_secs(10);
+/// In a fleet of thousands of engines, the next one arrives after several seconds.
+const SHARED_LIFETIME: Duration = Duration::from_secs(15);
 
 /// Multiple of the usual time after which an answer is late enough for a second attempt
 /// elsewhere. Few answers of an engine that works as usual take so long.
--- a/crates/skylarkgw/src/decision/dispatch/pace_board.rs
+++ b/crates/skylarkgw/src/decision/dispatch/pace_board.rs
@@ -15,8 +15,10 @@
 use crate::gateway::registry::EngineEntry;
 use crate::ids::{EndpointId, HostId};
 
-/// Number of estimates that a host gets per second.
-const CODES_PER_S: f64 = 600.0;
+/// Number of times per second that a host of a smaller fleet gets each estimate.
+const ROUNDS_PER_S: f64 = 1.0;
+/// Maximum number of estimates that a host gets per second.
+const MAX_CODES_PER_S: f64 = 600.0;
 /// Shortest time between two computations of all estimates.
 const MIN_REFRESH_INTERVAL: Duration = Duration::from_millis(100);
 /// Time without a page after which the cursor of a host is dropped.
@@ -149,7 +151,8 @@
         let cursor = self.cursors.get(host);
         let time =
             cursor.map_or(Duration::from_secs(1), |cursor| now.saturating_sub(cursor.sent_at));
-        let length = (time.as_secs_f64() * CODES_PER_S) as usize;
+        let rate = MAX_CODES_PER_S.min(count as f64 * ROUNDS_PER_S);
+        let length = (time.as_secs_f64() * rate) as usize;
         if length == 0 || count == 0 {
             return None;
         }
