--- a/crates/skylarkgw/src/edge/forward.rs
+++ b/crates/skylarkgw/src/edge/forward.rs
@@ -8,6 +8,7 @@
 mod admit;
 mod connection;
 mod crash;
+mod pace;
 mod record;
 mod refusal;
 mod relay;
--- a/crates/skylarkgw/src/gateway/control/exchange.rs
+++ b/crates/skylarkgw/src/gateway/control/exchange.rs
@@ -7,10 +7,10 @@
 use spdlog::{info, warn};
 use tokio::time::sleep;
 
-use crate::decision::coordinator::{CoordinatorReply, HostReport, RegisteredEngine};
+use crate::decision::coordinator::{CoordinatorReply, HostReport};
 use crate::decision::coordinator_lease::takeover_delay;
 use crate::decision::deputies::DeputyHost;
-use crate::decision::dispatch::engine_loads::EngineNumber;
+use crate::decision::dispatch::engine_loads::{EngineNumber, RegisteredEngine};
 use crate::decision::evacuations::DeclaredEvacuation;
 use crate::decision::fleet_planner::EngineNotice;
 use crate::decision::freshness::{EXCHANGE_INTERVAL, contact_timeout, exchange_interval};
@@ -77,6 +77,7 @@
                 .running_by_engine()
                 .filter_map(|(engine, count)| Some((*view.numbers.get(engine)?, count)))
                 .collect(),
+            paces: traffic.pace.take_sums(&view.numbers),
             uses: traffic.take_model_uses(),
             adapter_uses: traffic.take_adapter_uses(),
             returned: local_quotas
@@ -152,12 +153,27 @@
                 }
             }
         }
+        let (is_renumbered, token) =
+            (numbers.is_some(), version_token(lock(&self.contact).registry_version));
         let view = &self.state.snapshot.load().view;
         let mut view = FleetView {
             hosts: reply.hosts,
             numbers: numbers.unwrap_or_else(|| view.numbers.clone()),
             ..FleetView::clone(view)
         };
+        {
+            let mut traffic = self.state.lock_traffic();
+            if is_renumbered {
+                traffic.pace.set_numbering(now, token);
+                traffic.pace.retain(|engine| view.numbers.contains_key(engine));
+            }
+            if let Some(page) = &reply.paces {
+                traffic.pace.apply_page(now, token, page);
+            }
+            if let Some(loads) = &reply.loads {
+                traffic.pace.record_counts(now, loads);
+            }
+        }
         if let Some(loads) = reply.loads {
             view.loads = loads;
             view.reported = sent.running.into_iter().collect();
@@ -244,6 +260,7 @@
                 let mut contact = lock(&self.contact);
                 contact.client = None;
                 if !has_contact && contact.last_reply_at.take().is_some() {
+                    self.state.lock_traffic().pace.clear_shared();
                     warn!("coordinator lost");
                 }
                 false
--- a/crates/skylarkgw/tests/decisions/main.rs
+++ b/crates/skylarkgw/tests/decisions/main.rs
@@ -10,6 +10,7 @@
 mod deputies;
 mod directory;
 mod directory_eras;
+mod engine_pace;
 mod evacuations;
 mod event_buffer;
 mod event_sequence;
