--- a/crates/skylarkgw/tests/decisions/main.rs
+++ b/crates/skylarkgw/tests/decisions/main.rs
@@ -3,6 +3,7 @@
 
 mod check;
 mod choice;
+mod client_memory;
 mod cold_engines;
 mod connection_clock;
 mod coordinator;
