--- a/crates/skylarkgw/src/decision/evacuations.rs
+++ b/crates/skylarkgw/src/decision/evacuations.rs
@@ -19,11 +19,13 @@
 /// delay of a watch.
 pub const EVACUATION_SETTLE_TIME: Duration = Duration::from_millis(2_400);
 
-/// Shares of the bound on an evacuation: the wait of a watch, the age of the coordinator's
-/// copy above which a host reads the store itself, and the age up to which a host is ready.
-/// A host that reads the store has the rest of the bound for the failure of one call.
+/// Share of the bound on an evacuation for which a watch waits for a change.
 const WATCH_SHARE: f64 = 0.2;
+/// Age of the coordinator's copy, as a share of the bound, above which a host reads the
+/// store itself. It exceeds the wait of a watch; the rest of the bound is left for the
+/// failure of calls.
 const STORE_READ_SHARE: f64 = 0.3;
+/// Age of its copy, as a share of the bound, up to which a host is ready.
 const READY_SHARE: f64 = 0.75;
 
 /// Returns the time for which a watch of the evacuations waits for a change, under a bound
