--- a/crates/skylarkgw/tests/decisions/cold_engines.rs
+++ b/crates/skylarkgw/tests/decisions/cold_engines.rs
@@ -301,7 +301,7 @@
     let entry = cold_entry("i-1", 1, Some(0));
     // After an outage of the store, engines are listed again that ran all the while.
     for (from, is_settling, expected) in [(0, false, Some(COLD_START)), (9_000, true, None)] {
-        apply(&mut known, from, &[entry.clone()]);
+        apply(&mut known, from, std::slice::from_ref(&entry));
         apply(&mut known, from + 4_000, &[]);
         known.update(ms(from + 6_000), [&entry], |_| COLD_START, is_settling);
         assert_eq!(known.find_cold(ms(from + 6_000), "i-1", 1), expected);
