--- a/crates/skylarkgw/src/decision/dispatch/wait_queue.rs
+++ b/crates/skylarkgw/src/decision/dispatch/wait_queue.rs
@@ -20,6 +20,8 @@
 const HEADROOM_SHARE: f64 = 1.0 / 3.0;
 /// Share of its patience after which a yielding request takes the last free place.
 const HEADROOM_TIME_SHARE: f64 = 0.5;
+/// Share of failed requests from which an engine counts as having no free place.
+const MAX_FAILURE_SHARE: f64 = 0.2;
 /// Time after the last request of a route for which others still yield to it.
 const PRESSURE_TIME: Duration = Duration::from_secs(2);
 /// Time for which no request begins to wait for a model after one has waited in vain, unless
@@ -49,8 +51,11 @@
 }
 
 /// Returns whether an engine has a free place besides `headroom` others.
+///
+/// An engine that is down looks free, because nothing runs there. One that fails does not
+/// count until its failures lie back.
 pub fn has_place(candidate: &EngineCandidate, headroom: u32) -> bool {
-    candidate.running + headroom < candidate.slots
+    candidate.failure_share < MAX_FAILURE_SHARE && candidate.running + headroom < candidate.slots
 }
 
 /// Bounds of a queue.
--- a/crates/skylarkgw/tests/decisions/waiting.rs
+++ b/crates/skylarkgw/tests/decisions/waiting.rs
@@ -75,6 +75,14 @@
     assert_eq!(compute_headroom(1, ms(0), patience), 0);
 }
 
+// Engines that have gone down beside full ones: their places look free.
+#[test]
+fn engine_that_fails_has_no_free_place() {
+    let failed = EngineCandidate { failure_share: 0.3, ..candidate(0) };
+    assert!(!has_place(&failed, 0));
+    assert!(has_place(&EngineCandidate { failure_share: 0.1, ..failed }, 0));
+}
+
 #[test]
 fn batch_yields_only_while_live_requests_arrive() {
     let table = UrgencyTable::new(&shared_service(&[None]));
