Choose an engine that starts in time before one that is quicker

Cause: a request was refused if the engine with the lowest cost had too long a queue, though a slow engine, or one with an unlucky draw, had a place. Change: sound engines that start in time go first, and a draw never makes an engine look full.

--- a/crates/skylarkgw/src/decision/dispatch/engine_choice.rs
+++ b/crates/skylarkgw/src/decision/dispatch/engine_choice.rs
@@ -102,8 +102,11 @@
     /// It is not refused for that, so this is a matter of the choice alone, and so is the
     /// time by which the engine takes longer than others for the request itself.
     fn compute_cost_ms(&self) -> f64 {
-        let running = (f64::from(self.running) + self.unseen).max(0.0);
-        let wait_ms = self.estimate_queue_ms(running, self.pace.useful_slots(self.slots));
+        let (expected, places) = (f64::from(self.running), self.pace.useful_slots(self.slots));
+        // A draw must not make an engine that is expected to have a place look full.
+        let free_limit = (f64::from(places) - 1.0).max(expected);
+        let running = (expected + self.unseen).clamp(0.0, free_limit);
+        let wait_ms = self.estimate_queue_ms(running, places);
         let first_ms = self.first_ms.unwrap_or(self.pace.hold_ms * BUSY_SHARE);
         let slowness_ms = first_ms * (self.pace.slowdown - 1.0);
         let distance = if self.is_local { 0.0 } else { DISTANCE_COST_MS };
@@ -124,6 +127,29 @@
     })
 }
 
+/// Returns the index of the candidate with the lowest cost, like [`choose_engine`], unless
+/// a request cannot start there in time and can at others.
+///
+/// Of those, engines that fail or turn requests away do not count. A slow engine does: an
+/// answer from there is better than a refusal.
+pub fn choose_engine_in_time(
+    candidates: &[EngineCandidate],
+    tie: u64,
+    starts_in_time: impl Fn(&EngineCandidate) -> bool,
+) -> Option<usize> {
+    let index = choose_engine(candidates, tie)?;
+    if starts_in_time(&candidates[index]) {
+        return Some(index);
+    }
+    let is_sound = |engine: &EngineCandidate| engine.failure_share == 0.0 && !engine.is_avoided;
+    let others = (0..candidates.len()).filter(|other| {
+        let engine = &candidates[*other];
+        is_sound(engine) && starts_in_time(engine)
+    });
+    let cost_ms = |index: usize| candidates[index].compute_cost_ms();
+    others.min_by(|a, b| cost_ms(*a).total_cmp(&cost_ms(*b))).or(Some(index))
+}
+
 /// Share of the latency objective, and of the time to the deadline, that a request
 /// may spend waiting for a slot.
 const WAIT_SHARE: f64 = 0.6;
--- a/crates/skylarkgw/src/edge/forward/select.rs
+++ b/crates/skylarkgw/src/edge/forward/select.rs
@@ -10,7 +10,7 @@
 
 use crate::decision::coordinator::QuotaAnswer;
 use crate::decision::dispatch::engine_choice::{
-    EngineCandidate, ExpectedCount, choose_engine, compute_retry_after, should_queue,
+    EngineCandidate, ExpectedCount, choose_engine_in_time, compute_retry_after, should_queue,
 };
 use crate::decision::engine_statements::{KnownStatement, find_willing_engines};
 use crate::decision::freshness::exchange_interval;
@@ -111,7 +111,12 @@
     loop {
         let candidates: Vec<EngineCandidate> =
             usable.iter().map(|entry| build_candidate(&snapshot, admitted, entry)).collect();
-        let Some(index) = choose_engine(&candidates, rand::rng().random()) else {
+        let starts_in_time = |engine: &EngineCandidate| {
+            let wait_ms = engine.estimate_wait_ms();
+            should_queue(wait_ms, admitted.route.latency_objective, time_left)
+        };
+        let tie = rand::rng().random();
+        let Some(index) = choose_engine_in_time(&candidates, tie, starts_in_time) else {
             let wait = waits.limit.into_iter().chain(waits.turned_away).min();
             let wait_ms = wait.map_or(LOAD_WAIT_MS, |wait| wait.as_secs_f64() * 1_000.0);
             return Err(refuse(RefusalReason::EngineLimited, wait_ms));
--- a/crates/skylarkgw/tests/decisions/engine_pace.rs
+++ b/crates/skylarkgw/tests/decisions/engine_pace.rs
@@ -4,7 +4,9 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 
-use skylarkgw::decision::dispatch::engine_choice::{EngineCandidate, ExpectedCount, choose_engine};
+use skylarkgw::decision::dispatch::engine_choice::{
+    EngineCandidate, ExpectedCount, choose_engine, choose_engine_in_time,
+};
 use skylarkgw::decision::dispatch::engine_pace::EnginePace;
 use skylarkgw::decision::dispatch::host_pace::{HostPace, PaceSample, hedge_delay};
 use skylarkgw::decision::dispatch::pace_board::PaceBoard;
@@ -316,6 +318,23 @@
     assert!(chosen.iter().all(|count| (60..=140).contains(count)), "{chosen:?}");
 }
 
+/// Load: an engine that is slow and has places beside one with a queue of a second, and
+/// engines whose free places are uncertain.
+#[test]
+fn no_request_is_refused_for_a_slow_engine_or_a_draw_while_a_place_is_free() {
+    let slow = EnginePace { slowdown: 5.0, ..EnginePace::default() };
+    let slow = EngineCandidate { pace: slow, first_ms: Some(400.0), ..candidate(2) };
+    let starts_in_time = |engine: &EngineCandidate| engine.estimate_wait_ms() <= 150.0;
+    let queueing = candidate(19);
+    let choose = |engines: &[EngineCandidate]| choose_engine_in_time(engines, 0, starts_in_time);
+    assert_eq!(choose_engine(&[slow.clone(), queueing.clone()], 0), Some(1));
+    assert_eq!(choose(&[slow.clone(), queueing.clone()]), Some(0));
+    let failing = EngineCandidate { failure_share: 0.6, ..slow };
+    assert_eq!(choose(&[failing, queueing]), Some(1));
+    let uncertain = EngineCandidate { unseen: 9.0, ..candidate(11) };
+    assert_eq!(choose(&[uncertain, EngineCandidate { unseen: -9.0, ..candidate(14) }]), Some(0));
+}
+
 /// Load: requests of a second and counts that are 100 ms old.
 #[test]
 fn recent_counts_of_long_requests_decide() {
