--- a/crates/skylarkgw/src/edge/forward/select.rs
+++ b/crates/skylarkgw/src/edge/forward/select.rs
@@ -11,7 +11,8 @@
 use crate::decision::cold_engines::{ColdRate, choose_warm_first};
 use crate::decision::coordinator::{EngineLimits, QuotaAnswer};
 use crate::decision::dispatch::engine_choice::{
-    EngineCandidate, ExpectedCount, compute_patience, compute_retry_after, should_queue,
+    EngineCandidate, ExpectedCount, choose_engine_in_time, compute_patience, compute_retry_after,
+    should_queue,
 };
 use crate::decision::dispatch::homes::{find_allowed_centres, is_allowed};
 use crate::decision::dispatch::wait_queue::{compute_headroom, has_place};
@@ -220,7 +221,14 @@
         let candidates: Vec<EngineCandidate> =
             usable.iter().map(|entry| build_candidate(&snapshot, admitted, entry)).collect();
         let is_cold: Vec<bool> = usable.iter().map(|entry| admitted.state.is_cold(entry)).collect();
-        let Some(index) = choose_warm_first(&candidates, &is_cold, rand::rng().random()) else {
+        let starts_in_time = |engine: &EngineCandidate| {
+            should_queue(engine.estimate_wait_ms(), terms.patience_left())
+        };
+        let tie = rand::rng().random();
+        let chosen = choose_warm_first(&candidates, &is_cold, tie)
+            .filter(|index| starts_in_time(&candidates[*index]))
+            .or_else(|| choose_engine_in_time(&candidates, tie, starts_in_time));
+        let Some(index) = chosen else {
             let wait = waits.limit.into_iter().chain(waits.turned_away).min();
             let wait_ms = wait.map_or(LOAD_WAIT_MS, |wait| wait.as_secs_f64() * 1_000.0);
             return Err(refuse(RefusalReason::EngineLimited, wait_ms).into());
