--- a/crates/skylarkgw/src/edge/forward/select.rs
+++ b/crates/skylarkgw/src/edge/forward/select.rs
@@ -259,7 +259,11 @@
     let number = snapshot.view.numbers.get(&entry.id).copied();
     let now = time_since_boot();
     let traffic = admitted.state.lock_traffic();
+    // A stream shares the steps of its engine with others, so its place is not held for a
+    // time of its own; the estimate applies to whole answers.
+    let is_whole = !admitted.route.is_stream;
     let pace = traffic.pace.estimate(now, &entry.id, number, &entry.service);
+    let pace = pace.filter(|_| is_whole);
     let (elsewhere, unseen) = match pace {
         Some(pace) => {
             let mean = number.map_or(0.0, |number| traffic.pace.mean_count(number));
