Count what a process holds for clients in one budget

Cause: each request body was collected whole, up to max_body_bytes, before any common count; each of its pieces kept a buffer of its own, and all were copied into one while they were still there. Only answers had a common limit. Client connections were not counted against descriptors, and a client that did not read could keep a stream open.

Change: decision/memory_budget decides who gives way to whom; endpoint/byte_budget keeps it behind a lock and tells holders to give way. A client connection counts with its request and body, answers and partial events as before. Bodies are copied into segments of 4 to 64 KiB, which the requests to engines share; the first part is not copied. What gives way is refused with 503 memory-full or closed. A new connection without room is closed unread. Answers use the same rule and the same segments. The state of a request is allocated with the request, not with its connection. An answer that its client does not take for the idle limit is closed. Metrics and a log line tell who gave way.

--- a/crates/skylarkgw/src/decision.rs
+++ b/crates/skylarkgw/src/decision.rs
@@ -26,6 +26,7 @@
 pub mod invariant;
 pub mod keys;
 pub mod membership;
+pub mod memory_budget;
 pub mod message;
 pub mod model_demand;
 pub mod model_plan;
--- a/crates/skylarkgw/src/decision/connection_clock.rs
+++ b/crates/skylarkgw/src/decision/connection_clock.rs
@@ -52,6 +52,8 @@
     has_served: bool,
     /// Idle limit at the last answer, which the client may still go by.
     promised_idle: Duration,
+    /// Since when the client takes no bytes of an answer.
+    blocked_since: Option<Duration>,
 }
 
 impl ConnectionClock {
@@ -61,15 +63,28 @@
             phase: ConnectionPhase::Idle { since: now },
             has_served: false,
             promised_idle: Duration::ZERO,
+            blocked_since: None,
         }
     }
 
-    /// Records that bytes of the client have arrived.
-    pub fn record_bytes(&mut self, now: Duration) {
+    /// Records that bytes of the client have arrived, and returns whether a request head
+    /// begins with them.
+    pub fn record_bytes(&mut self, now: Duration) -> bool {
         let (ConnectionPhase::Idle { .. } | ConnectionPhase::Transfer { .. }) = self.phase else {
-            return;
+            return false;
         };
         self.phase = ConnectionPhase::Head { since: now };
+        true
+    }
+
+    /// Records that the client takes no bytes for now.
+    pub fn record_blocked(&mut self, now: Duration) {
+        self.blocked_since.get_or_insert(now);
+    }
+
+    /// Returns whether a request is under way.
+    pub fn has_request(&self) -> bool {
+        self.phase == ConnectionPhase::Answer
     }
 
     /// Records that a request head is complete.
@@ -91,6 +106,7 @@
 
     /// Records that bytes of an answer were sent.
     pub fn record_sent_bytes(&mut self, now: Duration) {
+        self.blocked_since = None;
         if let ConnectionPhase::Transfer { since } = &mut self.phase {
             *since = now;
         }
@@ -109,7 +125,7 @@
     }
 
     /// Returns when and why the connection is to be closed unless something happens
-    /// before, or `None` while an answer is under way.
+    /// before, or `None` while an answer is under way that its client takes.
     pub fn due(&self, limits: &ClientLimits, is_stopping: bool) -> Option<(Duration, DueReason)> {
         match self.phase {
             ConnectionPhase::Idle { since } if is_stopping => {
@@ -122,7 +138,10 @@
             ConnectionPhase::Head { since } => {
                 Some((since + limits.header_timeout, DueReason::HeadTimeout))
             }
-            ConnectionPhase::Answer => None,
+            ConnectionPhase::Answer => {
+                let idle_timeout = limits.idle_timeout.max(self.promised_idle);
+                self.blocked_since.map(|since| (since + idle_timeout, DueReason::Idle))
+            }
         }
     }
 }
--- a/crates/skylarkgw/src/edge/forward.rs
+++ b/crates/skylarkgw/src/edge/forward.rs
@@ -5,6 +5,8 @@
 //! `send` sends it and evaluates the response; `relay` relays an event stream.
 
 mod admit;
+mod body;
+mod client_memory;
 mod connection;
 mod crash;
 mod record;
@@ -30,8 +32,11 @@
 
 use crate::decision::connection_clock::announced_reuse_s;
 use crate::edge::forward::admit::admit_request;
-use crate::edge::forward::connection::{current_limits, serve_connection};
+use crate::edge::forward::body::refuse_for_memory;
+use crate::edge::forward::client_memory::ClientMemory;
+use crate::edge::forward::connection::{buffer_bytes, current_limits, serve_connection};
 use crate::edge::forward::record::RequestRecord;
+use crate::edge::forward::refusal::RefusalReason;
 use crate::edge::forward::send::{closes_connection, serve_admitted};
 use crate::gateway::state::GatewayState;
 use crate::gateway::wire::ClientHeaders;
@@ -81,6 +86,13 @@
             biased;
             accepted = listener.accept() => match accepted {
                 Ok((stream, _)) => {
+                    let buffer_bytes = buffer_bytes(&state);
+                    let memory = ClientMemory::open(&state.held_bodies, buffer_bytes);
+                    let Some(memory) = memory else {
+                        // The client learns at once that its request was not read.
+                        state.metrics.fleet.count_closed_connection("no-room");
+                        continue;
+                    };
                     // Without TCP_NODELAY the connection works, but with a
                     // higher latency.
                     let _ = stream.set_nodelay(true);
@@ -88,7 +100,7 @@
                     let guard = ConnectionGuard::new(state.clone());
                     tokio::spawn(async move {
                         let _guard = guard;
-                        serve_connection(stream, state, signal).await;
+                        serve_connection(stream, memory, state, signal).await;
                     });
                 }
                 Err(_) => sleep(RETRY_DELAY).await,
@@ -130,14 +142,22 @@
     state: Arc<GatewayState>,
     request: Request<Incoming>,
     header: ClientHeaders,
+    memory: Arc<ClientMemory>,
 ) -> Result<Response<ResponseBody>, ResponseAborted> {
     let mut record = RequestRecord::new(state.clone(), header.request_id.clone());
     let closes = closes_connection(request.headers()) || request.version() < Version::HTTP_11;
     let (parts, mut body) = request.into_parts();
-    let result = match admit_request(&state, parts, &mut body, header, &mut record).await {
+    let admitted = if memory.begin_request() {
+        admit_request(&state, parts, &mut body, header, &memory, &mut record).await
+    } else {
+        Err(refuse_for_memory())
+    };
+    let result = match admitted {
         Ok(admitted) => serve_admitted(admitted, record).await,
         Err(refusal) => {
-            let is_read = discard_body(&state, &mut body).await;
+            // A connection whose request gave way is closed, and its body is not read on.
+            let is_kept = refusal.reason != RefusalReason::MemoryFull;
+            let is_read = is_kept && discard_body(&state, &mut body).await;
             let mut response = refusal.into_response(record);
             if !is_read {
                 response.extensions_mut().insert(UnreadBody);
--- a/crates/skylarkgw/src/edge/forward/admit.rs
+++ b/crates/skylarkgw/src/edge/forward/admit.rs
@@ -4,23 +4,23 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
-use http::HeaderMap;
 use http::header::HOST;
 use http::request::Parts;
-use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use rand::Rng;
 use tokio::sync::oneshot;
-use tokio::time::{Instant, timeout, timeout_at};
+use tokio::time::{Instant, timeout};
 
 use crate::decision::coordinator::QuotaAnswer;
 use crate::decision::freshness::{ABSENCE_MAX_AGE, can_check_keys};
 use crate::decision::obligations::ServiceTarget;
 use crate::decision::prompt_evidence::hash_shared_parts;
 use crate::decision::quota_pool::LocalQuota;
+use crate::edge::forward::body::read_body;
+use crate::edge::forward::client_memory::ClientMemory;
 use crate::edge::forward::record::RequestRecord;
 use crate::edge::forward::refusal::{RefusalReason, RequestRefusal};
+use crate::endpoint::SegmentedBytes;
 use crate::gateway::clock::time_since_boot;
 use crate::gateway::declaration::{RouteRule, ServiceName, WorkspaceRule};
 use crate::gateway::state::{CoordinatorRequest, FleetSnapshot, GatewayState};
@@ -52,7 +52,7 @@
     /// Method, URI and headers of the request.
     pub parts: Parts,
     /// Complete request body.
-    pub body: Bytes,
+    pub body: SegmentedBytes,
     /// Route that the request matched.
     pub route: Arc<RouteRule>,
     /// Service selected among the targets of the route.
@@ -103,6 +103,7 @@
     parts: Parts,
     body: &mut Incoming,
     header: ClientHeaders,
+    memory: &ClientMemory,
     record: &mut RequestRecord,
 ) -> Result<AdmittedRequest, RequestRefusal> {
     let snapshot = state.snapshot.load_full();
@@ -131,7 +132,8 @@
     }
     let time_limit = header.time_left.map_or(route.timeout, |left| left.min(route.timeout));
     let deadline = record.started() + time_limit.saturating_sub(RESPONSE_MARGIN);
-    let body = read_body(&parts.headers, body, declaration.limits.body_bytes, deadline).await?;
+    let limit = declaration.limits.body_bytes;
+    let body = read_body(memory, &parts.headers, body, limit, deadline).await?;
     check_stop(state, deadline)?;
     let service = choose_service(&route)?;
     if let Some(target) = &header.target {
@@ -222,27 +224,6 @@
     Err(RequestRefusal::with_retry_after(RefusalReason::Stopping, STOP_RETRY_AFTER))
 }
 
-/// Reads the complete request body, of at most `limit` bytes.
-async fn read_body(
-    headers: &HeaderMap,
-    body: &mut Incoming,
-    limit: usize,
-    deadline: Instant,
-) -> Result<Bytes, RequestRefusal> {
-    let declared = headers.get(http::header::CONTENT_LENGTH);
-    let declared = declared.and_then(|length| length.to_str().ok()?.parse::<usize>().ok());
-    if declared.is_some_and(|length| length > limit) {
-        return Err(RequestRefusal::new(RefusalReason::BodyTooLarge));
-    }
-    match timeout_at(deadline, Limited::new(body, limit).collect()).await {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
-            Err(RequestRefusal::new(RefusalReason::BodyTooLarge))
-        }
-        Ok(Err(_)) | Err(_) => Err(RequestRefusal::new(RefusalReason::BodyIncomplete)),
-    }
-}
-
 /// Selects one of the route's services at random, in proportion to their weights.
 fn choose_service(route: &RouteRule) -> Result<ServiceName, RequestRefusal> {
     let total: u32 = route.targets.iter().map(|target| target.weight).sum();
--- a/crates/skylarkgw/src/edge/forward/connection.rs
+++ b/crates/skylarkgw/src/edge/forward/connection.rs
@@ -22,6 +22,7 @@
 use tokio::time::{Instant, sleep_until, timeout};
 
 use crate::decision::connection_clock::{ConnectionClock, DueReason};
+use crate::edge::forward::client_memory::ClientMemory;
 use crate::edge::forward::{ResponseAborted, ResponseBody, UnreadBody, handle_request};
 use crate::gateway::clock::time_since_boot;
 use crate::gateway::declaration::ClientLimits;
@@ -40,6 +41,8 @@
 const MIN_BUFFER_BYTES: usize = 8 * 1024;
 /// Longest time for which a closed connection discards what its client still sends.
 const LINGER_TIME: Duration = Duration::from_secs(1);
+/// The same for a connection that gave way to others, which wait for its memory.
+const REFUSED_LINGER_TIME: Duration = Duration::from_millis(100);
 /// Size of the buffer for discarded bytes.
 const LINGER_BUFFER_BYTES: usize = 4 * 1024;
 /// Answer to a request head that does not arrive completely in time.
@@ -57,6 +60,8 @@
     HeadTimeout,
     /// The host stops.
     Stop,
+    /// It gave way to others, which needed its memory or descriptor.
+    Evicted,
     /// Either side announced the close with the last answer.
     Answered,
     /// A request was refused before its body had arrived.
@@ -86,6 +91,7 @@
             CloseReason::Idle => "idle",
             CloseReason::HeadTimeout => "head-timeout",
             CloseReason::Stop => "stop",
+            CloseReason::Evicted => "evicted",
             CloseReason::Answered => "answered",
             CloseReason::UnreadBody => "unread-body",
             CloseReason::ResponseAborted => "response-aborted",
@@ -109,17 +115,22 @@
     has_unread_body: bool,
     /// Whether the client has closed its side or reset the connection.
     is_closed_by_client: bool,
+    /// Whether the client does not take what was last written.
+    is_blocked: bool,
+    /// Length of the answer that is sent, in bytes, if it is held completely.
+    answer_bytes: usize,
 }
 
 /// A client connection and its record.
 struct ClientConnection {
     stream: TcpStream,
     accepted_at: Instant,
+    memory: Arc<ClientMemory>,
     record: Mutex<ConnectionRecord>,
 }
 
 impl ClientConnection {
-    fn new(stream: TcpStream) -> ClientConnection {
+    fn new(stream: TcpStream, memory: ClientMemory) -> ClientConnection {
         let record = ConnectionRecord {
             requests: 0,
             last_request: None,
@@ -127,8 +138,11 @@
             clock: ConnectionClock::new(Duration::ZERO),
             has_unread_body: false,
             is_closed_by_client: false,
+            is_blocked: false,
+            answer_bytes: 0,
         };
-        ClientConnection { stream, accepted_at: Instant::now(), record: Mutex::new(record) }
+        let (memory, record) = (Arc::new(memory), Mutex::new(record));
+        ClientConnection { stream, accepted_at: Instant::now(), memory, record }
     }
 
     /// Returns the time since the connection was accepted.
@@ -153,13 +167,26 @@
     fn record_answer(&self, response: &Response<ResponseBody>, limits: &ClientLimits) {
         let mut record = self.lock_record();
         record.clock.record_announcement(limits);
+        record.answer_bytes = response.body().size_hint().exact().unwrap_or(0) as usize;
         record.has_unread_body = response.extensions().get::<UnreadBody>().is_some();
     }
 
     /// Records that the answer to the last request has ended.
     fn end_answer(&self) {
         let now = self.age();
-        self.lock_record().clock.end_answer(now);
+        let mut record = self.lock_record();
+        record.clock.end_answer(now);
+        self.memory.end_request(record.is_blocked);
+    }
+
+    /// Records that the client takes no bytes for now.
+    fn record_blocked(&self) {
+        let now = self.age();
+        let mut record = self.lock_record();
+        record.clock.record_blocked(now);
+        if !std::mem::replace(&mut record.is_blocked, true) {
+            self.memory.begin_blocked(record.answer_bytes);
+        }
     }
 
     /// Returns whether bytes of the client have arrived and not been read.
@@ -238,11 +265,17 @@
         let mut record = self.connection.lock_record();
         match result {
             Ok(_) if is_end => record.is_closed_by_client = true,
+            Ok(_) if is_read => {
+                record.last_byte_at = now;
+                if record.clock.record_bytes(now) {
+                    self.connection.memory.begin_head();
+                }
+            }
             Ok(_) => {
                 record.last_byte_at = now;
-                match is_read {
-                    true => record.clock.record_bytes(now),
-                    false => record.clock.record_sent_bytes(now),
+                record.clock.record_sent_bytes(now);
+                if record.is_blocked {
+                    self.connection.memory.begin_blocked(record.answer_bytes);
                 }
             }
             Err(_) => record.is_closed_by_client = true,
@@ -257,7 +290,10 @@
     ) -> Poll<Result<usize>> {
         let stream = &self.connection.stream;
         loop {
-            ready!(stream.poll_write_ready(context))?;
+            if stream.poll_write_ready(context)?.is_pending() {
+                self.connection.record_blocked();
+                return Poll::Pending;
+            }
             match write(stream) {
                 Err(error) if error.kind() == std::io::ErrorKind::WouldBlock => {}
                 result => {
@@ -315,7 +351,11 @@
     /// hyper flushes the stream once it has written all that it holds.
     fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<Result<()>> {
         let now = self.connection.age();
-        self.connection.lock_record().clock.record_flush(now);
+        let mut record = self.connection.lock_record();
+        record.clock.record_flush(now);
+        if std::mem::take(&mut record.is_blocked) {
+            self.connection.memory.end_blocked(record.clock.has_request());
+        }
         Poll::Ready(Ok(()))
     }
 
@@ -330,6 +370,8 @@
 enum ConnectionStep {
     /// The connection has ended.
     Ended(std::result::Result<(), hyper::Error>),
+    /// The connection has given way to others.
+    Evicted,
     /// The connection is due to be closed since the given age.
     Due(Duration, DueReason),
 }
@@ -337,38 +379,64 @@
 /// Serves the requests of a client connection until either side closes it.
 pub async fn serve_connection(
     stream: TcpStream,
+    memory: ClientMemory,
     state: Arc<GatewayState>,
-    mut shutdown: watch::Receiver<bool>,
+    shutdown: watch::Receiver<bool>,
 ) {
-    let buffer_bytes = current_limits(&state).header_bytes.max(MIN_BUFFER_BYTES);
-    let client = Arc::new(ClientConnection::new(stream));
+    let client = Arc::new(ClientConnection::new(stream, memory));
+    let reason = serve_requests(&client, &state, shutdown).await;
+    client.log_close(&state, reason);
+    match reason {
+        CloseReason::HeadTimeout => {
+            // The connection is closed without an answer if it takes no bytes.
+            let _ = client.stream.try_write(HEAD_TIMEOUT_ANSWER);
+            linger(&client).await;
+        }
+        CloseReason::UnreadBody | CloseReason::Malformed => linger(&client).await,
+        _ => {}
+    }
+}
+
+/// Serves requests and returns why the connection is to be closed. What the requests held
+/// is free then.
+async fn serve_requests(
+    client: &Arc<ClientConnection>,
+    state: &Arc<GatewayState>,
+    mut shutdown: watch::Receiver<bool>,
+) -> CloseReason {
     let service = service_fn(|request: Request<Incoming>| {
         let header = (state.codec.decode_client_headers)(request.headers());
         client.begin_request(header.request_id.clone());
         let guard = AnswerGuard { connection: client.clone() };
-        let answer = handle_request(state.clone(), request, header);
         let state = state.clone();
-        async move {
-            let response = answer.await?;
+        // An idle connection does not hold the memory of a request's state.
+        Box::pin(async move {
+            let memory = guard.connection.memory.clone();
+            let response = handle_request(state.clone(), request, header, memory).await?;
             guard.connection.record_answer(&response, &current_limits(&state));
             Ok::<_, ResponseAborted>(response.map(|body| GuardedBody { body, _guard: guard }))
-        }
+        })
     });
     let stream = TokioIo::new(RecordedStream { connection: client.clone() });
     // The connection clock limits these times, since hyper counts idle time as part of
     // the time for reading a head.
     let mut builder = http1::Builder::new();
-    builder.header_read_timeout(None).max_buf_size(buffer_bytes);
+    builder.header_read_timeout(None).max_buf_size(buffer_bytes(state));
     let mut connection = std::pin::pin!(builder.serve_connection(stream, service));
     let mut timer = std::pin::pin!(sleep_until(client.accepted_at));
+    let mut eviction = std::pin::pin!(client.memory.eviction());
     let mut is_stopping = false;
     let mut confirmed_due = None;
-    let reason = loop {
+    loop {
         let step = poll_fn(|context| {
             if let Poll::Ready(result) = connection.as_mut().poll(context) {
                 return Poll::Ready(ConnectionStep::Ended(result));
             }
-            let limits = current_limits(&state);
+            // A request whose body gave way is answered.
+            if !client.memory.is_refusing() && eviction.as_mut().poll(context).is_ready() {
+                return Poll::Ready(ConnectionStep::Evicted);
+            }
+            let limits = current_limits(state);
             let Some((due, reason)) = client.lock_record().clock.due(&limits, is_stopping) else {
                 return Poll::Pending;
             };
@@ -388,11 +456,10 @@
             }
         };
         match step {
-            ConnectionStep::Ended(result) => {
-                break classify_end(&result, &client.lock_record());
-            }
+            ConnectionStep::Ended(result) => return classify_end(&result, &client.lock_record()),
+            ConnectionStep::Evicted => return CloseReason::Evicted,
             ConnectionStep::Due(due, reason) if confirmed_due == Some(due) => {
-                break CloseReason::from(reason);
+                return CloseReason::from(reason);
             }
             // Bytes that are due together with the timer are read first.
             ConnectionStep::Due(due, _) => {
@@ -400,19 +467,14 @@
                 yield_now().await;
             }
         }
-    };
-    client.log_close(&state, reason);
-    match reason {
-        CloseReason::HeadTimeout => {
-            // The connection is closed without an answer if it takes no bytes.
-            let _ = client.stream.try_write(HEAD_TIMEOUT_ANSWER);
-            linger(&client.stream).await;
-        }
-        CloseReason::UnreadBody | CloseReason::Malformed => linger(&client.stream).await,
-        _ => {}
     }
 }
 
+/// Returns the size of the buffer for the bytes of a connection.
+pub fn buffer_bytes(state: &GatewayState) -> usize {
+    current_limits(state).header_bytes.max(MIN_BUFFER_BYTES)
+}
+
 /// Returns the limits in force, or the default ones until the first declaration.
 pub fn current_limits(state: &GatewayState) -> ClientLimits {
     let snapshot = state.snapshot.load();
@@ -425,7 +487,8 @@
 ///
 /// A connection that is closed with unread bytes is reset, which can take back an answer
 /// that the client has not read.
-async fn linger(stream: &TcpStream) {
+async fn linger(client: &ClientConnection) {
+    let stream = &client.stream;
     // It fails if the client has reset the connection, which the next read shows.
     let _ = rustix::net::shutdown(stream, Shutdown::Write);
     let mut buffer = vec![0; LINGER_BUFFER_BYTES];
@@ -439,8 +502,18 @@
             }
         }
     };
+    let limit = match client.memory.is_refusing() {
+        true => REFUSED_LINGER_TIME,
+        false => LINGER_TIME,
+    };
     // The client has had the time to read the answer.
-    let _ = timeout(LINGER_TIME, discard).await;
+    let _ = timeout(limit, async {
+        tokio::select! {
+            () = discard => {}
+            () = client.memory.eviction(), if !client.memory.is_refusing() => {}
+        }
+    })
+    .await;
 }
 
 /// Returns who closed a connection that has ended, and why.
--- a/crates/skylarkgw/src/edge/forward/refusal.rs
+++ b/crates/skylarkgw/src/edge/forward/refusal.rs
@@ -27,6 +27,8 @@
     BadRequest,
     /// The body exceeds the size limit.
     BodyTooLarge,
+    /// The request gave way to others, or there is no memory for it.
+    MemoryFull,
     /// The body was cut off or did not arrive before the deadline.
     BodyIncomplete,
     /// This host stops and may end before the request does.
@@ -69,6 +71,7 @@
             RefusalReason::StaleKeys => "stale-keys",
             RefusalReason::BadRequest => "bad-request",
             RefusalReason::BodyTooLarge => "body-too-long",
+            RefusalReason::MemoryFull => "memory-full",
             RefusalReason::BodyIncomplete => "body-broken",
             RefusalReason::Stopping => "stopping",
             RefusalReason::OverQuota => "over-quota",
@@ -89,6 +92,7 @@
         match self {
             RefusalReason::NoDeclaration
             | RefusalReason::StaleKeys
+            | RefusalReason::MemoryFull
             | RefusalReason::Stopping
             | RefusalReason::PromptRefused
             | RefusalReason::NoEngine
--- a/crates/skylarkgw/src/edge/forward/send.rs
+++ b/crates/skylarkgw/src/edge/forward/send.rs
@@ -6,11 +6,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use http::header::{self, HeaderName};
 use http::response::Parts;
 use http::{HeaderMap, Request, Response, StatusCode};
-use http_body_util::{BodyExt, Full};
+use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use tokio::time::Instant;
 
@@ -25,7 +24,7 @@
 use crate::edge::forward::select::{SelectedEngine, select_engine};
 use crate::edge::forward::send::attempts::{OpenAttempt, send_repeatable};
 use crate::edge::forward::{ResponseAborted, ResponseBody};
-use crate::endpoint::HttpConnection;
+use crate::endpoint::{HttpConnection, SegmentBody, SegmentedBytes};
 use crate::gateway::clock::time_since_boot;
 use crate::gateway::declaration::RetryPolicy;
 use crate::gateway::registry::EngineEntry;
@@ -157,7 +156,7 @@
 ) -> Result<Response<ResponseBody>, ResponseAborted> {
     let mut tried = HashSet::new();
     let mut runs = 0;
-    let mut last_failure: Option<(Parts, Bytes)> = None;
+    let mut last_failure: Option<(Parts, SegmentedBytes)> = None;
     let mut refusal = RequestRefusal::with_retry_after(RefusalReason::NotRun, NOT_RUN_RETRY_AFTER);
     while record.attempts.len() < MAX_ATTEMPTS {
         if Instant::now() >= admitted.deadline {
@@ -362,7 +361,7 @@
     admitted: &AdmittedRequest,
     entry: &EngineEntry,
     resume_after: Option<&str>,
-) -> Request<Full<Bytes>> {
+) -> Request<SegmentBody> {
     let mut headers = admitted.parts.headers.clone();
     remove_hop_by_hop_headers(&mut headers);
     headers.remove(header::EXPECT);
@@ -380,7 +379,7 @@
         headers.insert(header::CONTENT_LENGTH, admitted.body.len().into());
     }
     let path = admitted.parts.uri.path_and_query().map_or("/", |path| path.as_str());
-    let mut request = Request::new(Full::new(admitted.body.clone()));
+    let mut request = Request::new(SegmentBody::from(admitted.body.clone()));
     *request.method_mut() = admitted.parts.method.clone();
     *request.headers_mut() = headers;
     // This cannot fail, as the path is taken from a parsed URI.
@@ -423,7 +422,7 @@
 
 /// Outcome of reading a response body.
 enum BodyOutcome {
-    Complete(Parts, Bytes),
+    Complete(Parts, SegmentedBytes),
     Incomplete {
         /// Whether the request must not be sent to another engine, because it may have
         /// ended this one.
@@ -449,6 +448,7 @@
             if !is_held {
                 return Err("body-too-long");
             }
+            state.held_bodies.settle().await;
         }
         Ok(())
     };
@@ -492,7 +492,7 @@
 /// Builds the response to the client from a complete response of an engine.
 fn build_whole_response(
     mut parts: Parts,
-    body: Bytes,
+    body: SegmentedBytes,
     mut record: RequestRecord,
 ) -> Response<ResponseBody> {
     remove_hop_by_hop_headers(&mut parts.headers);
@@ -502,5 +502,6 @@
     if parts.status != StatusCode::NO_CONTENT {
         parts.headers.insert(header::CONTENT_LENGTH, body.len().into());
     }
-    Response::from_parts(parts, Full::new(body).map_err(|never| match never {}).boxed_unsync())
+    let body = SegmentBody::from(body).map_err(|never| match never {}).boxed_unsync();
+    Response::from_parts(parts, body)
 }
--- a/crates/skylarkgw/src/endpoint/byte_budget.rs
+++ b/crates/skylarkgw/src/endpoint/byte_budget.rs
@@ -1,30 +1,41 @@
-//! Limits the memory of responses, and parts of them, that are held until they are
-//! complete.
-//!
-//! When the budget is used up, the largest incomplete response gives way. An endpoint that
-//! sends without end therefore loses its response before any shorter one is lost.
+//! Counts what a process holds for its clients, and tells holders to give way.
 
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Instant;
 
-use bytes::Bytes;
 use tokio::sync::watch;
+use tokio::task::yield_now;
 
-/// Smallest capacity of a body that is not empty, in bytes.
-const MIN_CAPACITY: usize = 4 * 1024;
+use crate::decision::memory_budget::{
+    BudgetLimits, HolderAmount, HolderClass, HolderNumber, HolderPhase, MemoryBudget,
+};
+use crate::endpoint::segments::{SegmentBuffer, SegmentedBytes};
 
-/// Number of bytes that all holders of a process may have together.
+/// Maximum number of times that a holder lets those that give way run first.
+const MAX_SETTLE_PASSES: usize = 8;
+
+/// Memory and descriptors that all holders of a process may have together.
 #[derive(Clone, Debug)]
 pub struct ByteBudget {
     usage: Arc<Mutex<BudgetUsage>>,
-    limit: usize,
+    started: Instant,
+}
+
+/// What a [`ByteBudget`] has counted.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct BudgetCounts {
+    /// What all holders use.
+    pub used: HolderAmount,
+    /// Holders that gave way since the last call, by their phase.
+    pub evictions: HashMap<&'static str, u64>,
 }
 
 /// Memory that counts against a [`ByteBudget`] until it is dropped.
 #[derive(Debug)]
 pub struct HeldMemory {
     budget: ByteBudget,
-    number: u64,
+    number: HolderNumber,
     eviction: watch::Receiver<bool>,
 }
 
@@ -32,98 +43,118 @@
 #[derive(Debug)]
 pub struct HeldBody {
     memory: HeldMemory,
-    bytes: Vec<u8>,
-}
-
-#[derive(Debug, Default)]
-struct BudgetUsage {
-    used: usize,
-    holders: HashMap<u64, MemoryHolder>,
-    next_number: u64,
+    buffer: SegmentBuffer,
 }
 
 #[derive(Debug)]
-struct MemoryHolder {
-    bytes: usize,
-    /// Tells the holder that it has given way, or `None` if it cannot.
-    eviction: Option<watch::Sender<bool>>,
+struct BudgetUsage {
+    budget: MemoryBudget,
+    /// Tell holders to give way.
+    signals: HashMap<HolderNumber, watch::Sender<bool>>,
+    evictions: HashMap<&'static str, u64>,
 }
 
 impl ByteBudget {
-    /// Creates a budget of `limit` bytes.
+    /// Creates a budget of `limit` bytes without a limit of descriptors.
     pub fn new(limit: usize) -> ByteBudget {
-        ByteBudget { usage: Arc::default(), limit }
+        let unlimited = usize::MAX;
+        ByteBudget::with_limits(BudgetLimits {
+            bytes: limit,
+            descriptors: unlimited,
+            all_descriptors: unlimited,
+        })
     }
 
-    /// Returns an empty body.
+    /// Creates a budget with limits.
+    pub fn with_limits(limits: BudgetLimits) -> ByteBudget {
+        let usage = BudgetUsage {
+            budget: MemoryBudget::new(limits),
+            signals: HashMap::new(),
+            evictions: HashMap::new(),
+        };
+        ByteBudget { usage: Arc::new(Mutex::new(usage)), started: Instant::now() }
+    }
+
+    /// Returns an empty body of an answer.
     pub fn hold_body(&self) -> HeldBody {
-        HeldBody { memory: self.hold_memory(), bytes: Vec::new() }
+        HeldBody { memory: self.hold_memory(), buffer: SegmentBuffer::default() }
     }
 
-    /// Returns a holder of no memory.
+    /// Returns a holder of no memory for an answer that is arriving.
     pub fn hold_memory(&self) -> HeldMemory {
+        self.hold(HolderClass::Answer, HolderPhase::Arriving)
+    }
+
+    /// Returns a holder of no memory.
+    pub fn hold(&self, class: HolderClass, phase: HolderPhase) -> HeldMemory {
         let (sender, eviction) = watch::channel(false);
         let mut usage = self.lock_usage();
-        let number = usage.next_number;
-        usage.next_number += 1;
-        usage.holders.insert(number, MemoryHolder { bytes: 0, eviction: Some(sender) });
+        let number = usage.budget.add(self.started.elapsed(), class, phase);
+        usage.signals.insert(number, sender);
         drop(usage);
         HeldMemory { budget: self.clone(), number, eviction }
     }
 
-    fn lock_usage(&self) -> MutexGuard<'_, BudgetUsage> {
-        // A panic leaves the counts as they were before or after a change.
-        self.usage.lock().unwrap_or_else(PoisonError::into_inner)
+    /// Returns what is in use, and the evictions since the last call.
+    pub fn take_counts(&self) -> BudgetCounts {
+        let mut usage = self.lock_usage();
+        let evictions = std::mem::take(&mut usage.evictions);
+        BudgetCounts { used: usage.budget.used(), evictions }
     }
-}
 
-impl BudgetUsage {
-    /// Removes the largest holder of more than `bytes` that can give way, and returns
-    /// whether there is one.
-    fn evict_larger(&mut self, bytes: usize, except: u64) -> bool {
-        let larger = self.holders.iter().filter(|(number, holder)| {
-            **number != except && holder.bytes > bytes && holder.eviction.is_some()
-        });
-        let largest = larger.max_by_key(|(_, holder)| holder.bytes).map(|(number, _)| *number);
-        let Some(holder) = largest.and_then(|number| self.holders.remove(&number)) else {
-            return false;
-        };
-        self.used -= holder.bytes;
-        if let Some(eviction) = holder.eviction {
-            eviction.send_replace(true);
+    /// Lets holders that give way run before more memory is allocated.
+    pub async fn settle(&self) {
+        for _ in 0..MAX_SETTLE_PASSES {
+            if !self.lock_usage().budget.is_exceeded() {
+                return;
+            }
+            yield_now().await;
         }
-        true
+    }
+
+    fn lock_usage(&self) -> MutexGuard<'_, BudgetUsage> {
+        // A panic leaves the counts as they were before or after a change.
+        self.usage.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
 impl HeldMemory {
     /// Changes the number of held bytes, and returns whether the budget permits it.
     ///
-    /// Larger holders give way to this one. It returns `false` once this one has given way.
+    /// Others give way to this holder. It returns `false` once this one has given way.
     pub fn try_resize(&mut self, bytes: usize) -> bool {
-        let limit = self.budget.limit;
+        self.resize(HolderAmount { bytes, descriptors: 0 })
+    }
+
+    /// Changes what is held, and returns whether the budget permits it.
+    pub fn resize(&self, amount: HolderAmount) -> bool {
+        let now = self.budget.started.elapsed();
         let mut usage = self.budget.lock_usage();
-        let Some(held) = usage.holders.get(&self.number).map(|holder| holder.bytes) else {
-            return false;
-        };
-        while usage.used - held + bytes > limit {
-            if bytes <= held || !usage.evict_larger(bytes, self.number) {
-                return false;
+        let decision = usage.budget.resize(now, self.number, amount);
+        for (number, phase) in decision.evicted {
+            *usage.evictions.entry(phase.label()).or_default() += 1;
+            if let Some(signal) = usage.signals.get(&number) {
+                signal.send_replace(true);
             }
         }
-        usage.used = usage.used - held + bytes;
-        if let Some(holder) = usage.holders.get_mut(&self.number) {
-            holder.bytes = bytes;
-        }
-        true
+        decision.is_granted
     }
 
-    /// Excludes this holder from those that give way, and returns whether it is still
-    /// one.
-    fn keep(&self) -> bool {
-        let mut usage = self.budget.lock_usage();
-        let holder = usage.holders.get_mut(&self.number);
-        holder.map(|holder| holder.eviction = None).is_some()
+    /// Records what the holder waits for from now on, and returns whether it need not give
+    /// way.
+    pub fn set_phase(&self, phase: HolderPhase) -> bool {
+        let now = self.budget.started.elapsed();
+        self.budget.lock_usage().budget.set_phase(now, self.number, phase)
+    }
+
+    /// Returns whether this holder must be dropped.
+    pub fn is_evicted(&self) -> bool {
+        *self.eviction.borrow()
+    }
+
+    /// Returns the budget.
+    pub fn budget(&self) -> &ByteBudget {
+        &self.budget
     }
 
     /// Waits until this holder has given way and must be dropped.
@@ -131,7 +162,7 @@
         let mut eviction = self.eviction.clone();
         async move {
             if eviction.wait_for(|is_evicted| *is_evicted).await.is_err() {
-                // A holder that is kept is never evicted.
+                // The holder was dropped.
                 std::future::pending::<()>().await;
             }
         }
@@ -141,45 +172,35 @@
 impl Drop for HeldMemory {
     fn drop(&mut self) {
         let mut usage = self.budget.lock_usage();
-        if let Some(holder) = usage.holders.remove(&self.number) {
-            usage.used -= holder.bytes;
-        }
+        usage.budget.remove(self.number);
+        usage.signals.remove(&self.number);
     }
 }
 
 impl HeldBody {
     /// Appends a part and returns whether the budget and `max_bytes` permit it.
     pub fn try_extend(&mut self, part: &[u8], max_bytes: usize) -> bool {
-        let length = self.bytes.len() + part.len();
-        if length > max_bytes {
+        if self.buffer.len() + part.len() > max_bytes {
             return false;
         }
-        if length > self.bytes.capacity() {
-            let grown = self.bytes.capacity() + self.bytes.capacity() / 2;
-            let capacity = length.max(grown).max(MIN_CAPACITY);
-            if !self.memory.try_resize(capacity) {
-                return false;
-            }
-            self.bytes.reserve_exact(capacity - self.bytes.len());
+        let capacity = self.buffer.capacity_with(part.len());
+        let has_grown = capacity > self.buffer.capacity();
+        if has_grown && !self.memory.try_resize(capacity) {
+            return false;
         }
-        self.bytes.extend_from_slice(part);
-        true
+        self.buffer.push(part);
+        !self.memory.is_evicted()
     }
 
-    /// Waits until this body has given way to a shorter one.
+    /// Waits until this body has given way.
     pub fn eviction(&self) -> impl Future<Output = ()> + use<> {
         self.memory.eviction()
     }
 
     /// Returns the body, which counts against the budget until its last copy is
-    /// dropped, or `None` if it has given way to a shorter one.
-    pub fn into_bytes(self) -> Option<Bytes> {
-        self.memory.keep().then(|| Bytes::from_owner(self))
-    }
-}
-
-impl AsRef<[u8]> for HeldBody {
-    fn as_ref(&self) -> &[u8] {
-        &self.bytes
+    /// dropped, or `None` if it has given way.
+    pub fn into_bytes(self) -> Option<SegmentedBytes> {
+        let is_kept = self.memory.set_phase(HolderPhase::Kept);
+        is_kept.then(|| self.buffer.finish().with_memory(self.memory))
     }
 }
--- a/crates/skylarkgw/src/endpoint/connection.rs
+++ b/crates/skylarkgw/src/endpoint/connection.rs
@@ -14,6 +14,7 @@
 use tokio::time::{Instant, timeout};
 
 use crate::endpoint::head_limit::{HeadLimit, LimitedStream};
+use crate::endpoint::segments::SegmentBody;
 
 /// Maximum size of the buffer of a connection; bounds the memory that an unread
 /// response uses.
@@ -82,7 +83,7 @@
 /// An open connection to an endpoint.
 #[derive(Debug)]
 pub struct HttpConnection {
-    sender: SendRequest<Full<Bytes>>,
+    sender: SendRequest<SegmentBody>,
     head_limit: HeadLimit,
     last_used: Instant,
 }
@@ -141,7 +142,7 @@
     /// [`ConnectionError::Broken`] otherwise.
     pub async fn send(
         &mut self,
-        request: Request<Full<Bytes>>,
+        request: Request<SegmentBody>,
     ) -> Result<Response<Incoming>, ConnectionError> {
         self.head_limit.start();
         let response = self.sender.try_send_request(request).await.map_err(|mut failure| {
@@ -167,6 +168,7 @@
         max_body_bytes: usize,
     ) -> Result<(http::response::Parts, Bytes), ConnectionError> {
         let response = async {
+            let request = request.map(SegmentBody::from);
             let (parts, body) = self.send(request).await?.into_parts();
             let body = Limited::new(body, max_body_bytes)
                 .collect()
--- a/crates/skylarkgw/src/endpoint/service.rs
+++ b/crates/skylarkgw/src/endpoint/service.rs
@@ -18,6 +18,7 @@
 
 use crate::endpoint::connection::{ConnectionError, HttpConnection};
 use crate::endpoint::pool::ConnectionPool;
+use crate::endpoint::segments::SegmentBody;
 use crate::ids::RequestId;
 
 /// Header that names the request, in calls and in answers.
@@ -245,7 +246,7 @@
     deadline: Instant,
 ) -> Result<Response<Incoming>, ServiceError> {
     let request = build_request(address, call).ok_or(ServiceError::NotExecuted)?;
-    match timeout_at(deadline, connection.send(request)).await {
+    match timeout_at(deadline, connection.send(request.map(SegmentBody::from))).await {
         Ok(Ok(response)) => Ok(response),
         Ok(Err(error)) if error.is_unsent() => Err(ServiceError::Unreachable(error)),
         Ok(Err(error)) => Err(ServiceError::ResponseLost(error)),
--- a/crates/skylarkgw/src/gateway.rs
+++ b/crates/skylarkgw/src/gateway.rs
@@ -193,6 +193,18 @@
     loop {
         sleep(POOL_SWEEP_INTERVAL).await;
         state.pool.close_expired();
+        report_client_memory(&state);
+    }
+}
+
+/// Publishes what is held for clients, and logs who gave way since the last call.
+fn report_client_memory(state: &GatewayState) {
+    let counts = state.held_bodies.take_counts();
+    let (bytes, descriptors) = (counts.used.bytes, counts.used.descriptors);
+    state.metrics.fleet.set_client_use(bytes, descriptors);
+    for (phase, evictions) in counts.evictions {
+        state.metrics.fleet.count_evictions(phase, evictions);
+        info!("clients gave way", kv: { phase, evictions, bytes, descriptors });
     }
 }
 
--- a/crates/skylarkgw/src/gateway/settings.rs
+++ b/crates/skylarkgw/src/gateway/settings.rs
@@ -82,6 +82,9 @@
     pub link_mbps: f64,
     /// Memory that the process may use, in megabytes.
     pub memory_mb: u64,
+    /// Descriptors that the process may use, with those for files. `None` if the settings
+    /// name no number.
+    pub max_fds: Option<usize>,
     /// Interval at which engines renew their entries in the registry.
     pub renewal_interval: Duration,
     /// Limits that the deployment guarantees.
--- a/crates/skylarkgw/src/gateway/state.rs
+++ b/crates/skylarkgw/src/gateway/state.rs
@@ -15,6 +15,7 @@
 use crate::decision::dispatch::traffic::TrafficStats;
 use crate::decision::engine_statements::{EngineStatements, KnownStatement};
 use crate::decision::fleet_planner::EngineNotice;
+use crate::decision::memory_budget::BudgetLimits;
 use crate::decision::obligations::ServiceLog;
 use crate::decision::prompt_guard::PromptGuard;
 use crate::decision::quota_pool::LocalQuota;
@@ -31,8 +32,13 @@
 use crate::ids::{EndpointId, ModelName, Tokens, WorkspaceId};
 use crate::telemetry::Metrics;
 
-/// Part of the memory of the process that held response bodies may use.
-const HELD_BODIES_DIVISOR: usize = 4;
+/// Part of the memory of the process that is used for clients.
+const CLIENT_MEMORY_DIVISOR: usize = 2;
+/// Descriptors that are reserved for files.
+const FILE_DESCRIPTORS: usize = 200;
+/// Part of the other descriptors that is left to idle connections to engines, to other
+/// hosts and to the store.
+const OTHER_DESCRIPTORS_DIVISOR: usize = 8;
 
 /// An immutable view of the fleet from which requests are routed.
 ///
@@ -153,7 +159,7 @@
     pub snapshot: ArcSwap<FleetSnapshot>,
     /// Idle connections to engines, kept for reuse.
     pub pool: ConnectionPool,
-    /// Memory for response bodies that are held until they are complete.
+    /// Memory and descriptors for clients: connections, requests and held answers.
     pub held_bodies: ByteBudget,
     /// Metrics of this process.
     pub metrics: Arc<Metrics>,
@@ -184,14 +190,14 @@
         metrics: Arc<Metrics>,
         coordinator_requests: mpsc::Sender<CoordinatorRequest>,
     ) -> GatewayState {
-        let held_bytes = settings.memory_mb as usize * 1024 * 1024 / HELD_BODIES_DIVISOR;
+        let limits = client_limits(&settings);
         GatewayState {
             settings,
             codec,
             incarnation,
             snapshot: ArcSwap::from_pointee(FleetSnapshot::default()),
             pool: ConnectionPool::default(),
-            held_bodies: ByteBudget::new(held_bytes),
+            held_bodies: ByteBudget::with_limits(limits),
             metrics,
             coordinator_requests,
             stop_plan: OnceLock::new(),
@@ -307,3 +313,16 @@
         self.snapshot.load().view.hosts.max(1)
     }
 }
+
+/// Returns what a process may hold for its clients.
+fn client_limits(settings: &GatewaySettings) -> BudgetLimits {
+    let bytes = settings.memory_mb as usize * 1024 * 1024 / CLIENT_MEMORY_DIVISOR;
+    let Some(max_fds) = settings.max_fds else {
+        let unlimited = usize::MAX;
+        return BudgetLimits { bytes, descriptors: unlimited, all_descriptors: unlimited };
+    };
+    let sockets = max_fds.saturating_sub(FILE_DESCRIPTORS);
+    let others = sockets / OTHER_DESCRIPTORS_DIVISOR;
+    let descriptors = sockets - others;
+    BudgetLimits { bytes, descriptors, all_descriptors: descriptors + others / 2 }
+}
--- a/crates/skylarkgw/src/telemetry/fleet_metrics.rs
+++ b/crates/skylarkgw/src/telemetry/fleet_metrics.rs
@@ -48,6 +48,9 @@
     registry_copies: IntCounterVec,
     target_events: IntCounterVec,
     unserved_targets: IntGauge,
+    client_bytes: IntGauge,
+    client_descriptors: IntGauge,
+    evictions: IntCounterVec,
 }
 
 impl FleetMetrics {
@@ -73,6 +76,11 @@
             "Requests sent to engines that had named a request rate",
         )?;
         registry.register(Box::new(limited_requests.clone()))?;
+        let gauge = |name: &str, help: &str| {
+            let gauge = IntGauge::new(name, help)?;
+            registry.register(Box::new(gauge.clone()))?;
+            Ok::<_, prometheus::Error>(gauge)
+        };
         let unserved_targets = IntGauge::new(
             "skylark_unserved_targets",
             "Models and adapters that are requested and not served, on the coordinator",
@@ -80,6 +88,16 @@
         registry.register(Box::new(unserved_targets.clone()))?;
         Ok(FleetMetrics {
             unserved_targets,
+            client_bytes: gauge("skylark_client_bytes", "Memory that is held for clients")?,
+            client_descriptors: gauge(
+                "skylark_client_descriptors",
+                "Descriptors of client connections and of their requests",
+            )?,
+            evictions: counter(
+                "skylark_client_evictions_total",
+                "Connections and answers that gave way to others by what they waited for",
+                &["phase"],
+            )?,
             target_events: counter(
                 "skylark_target_events_total",
                 "Models and adapters that were not served for two seconds, for longer than the bound, or are served again",
@@ -211,6 +229,17 @@
         self.unserved_targets.set(targets as i64);
     }
 
+    /// Sets what is held for clients.
+    pub fn set_client_use(&self, bytes: usize, descriptors: usize) {
+        self.client_bytes.set(bytes as i64);
+        self.client_descriptors.set(descriptors as i64);
+    }
+
+    /// Counts connections and answers that gave way to others.
+    pub fn count_evictions(&self, phase: &str, evictions: u64) {
+        self.evictions.with_label_values(&[phase]).inc_by(evictions);
+    }
+
     /// Counts a copy of the engine registry that arrived.
     pub fn count_registry_copy(&self, source: &str, is_older: bool) {
         let age = if is_older { "older" } else { "current" };
--- a/crates/skylarkgw/tests/gateway/standin.rs
+++ b/crates/skylarkgw/tests/gateway/standin.rs
@@ -46,6 +46,7 @@
         cores: 1.0,
         link_mbps: 1_000.0,
         memory_mb: 112,
+        max_fds: None,
         renewal_interval: DEFAULT_RENEWAL_INTERVAL,
         bounds: GatewayBounds {
             revocation: Duration::from_secs(5),
