Test who gives way, and bodies in segments

Change: decision tests by load (stalled bodies, a burst, complete requests, unread answers, descriptors, one large request), and a test that segments keep their bytes and announce their memory.

--- a/crates/skylarkgw/tests/decisions/main.rs
+++ b/crates/skylarkgw/tests/decisions/main.rs
@@ -2,6 +2,7 @@
 //! to handle, without a network or a clock.
 
 mod choice;
+mod client_memory;
 mod connection_clock;
 mod coordinator;
 mod declaration_confirmation;
--- a/crates/skylarkgw/tests/endpoint/main.rs
+++ b/crates/skylarkgw/tests/endpoint/main.rs
@@ -4,6 +4,7 @@
 mod answers;
 mod budgets;
 mod replays;
+mod segments;
 
 use std::net::SocketAddr;
 use std::sync::Arc;
