--- a/crates/skylarkgw/src/decision/memory_budget.rs
+++ b/crates/skylarkgw/src/decision/memory_budget.rs
@@ -211,13 +211,15 @@
     }
 
     /// Returns the memory that a holder of an amount may find in use, with its own.
+    ///
+    /// A request that exceeds the share of large ones alone is served while there is room.
     fn byte_limit(&self, class: HolderClass, amount: HolderAmount) -> usize {
+        let eighth = self.limits.bytes / 8;
+        let large_limit = eighth * LARGE_REQUEST_EIGHTHS;
         match class {
-            HolderClass::Answer => self.limits.bytes,
-            HolderClass::Request if amount.bytes <= SMALL_BYTES => {
-                self.limits.bytes / 8 * REQUEST_EIGHTHS
-            }
-            HolderClass::Request => self.limits.bytes / 8 * LARGE_REQUEST_EIGHTHS,
+            HolderClass::Request if amount.bytes <= SMALL_BYTES => eighth * REQUEST_EIGHTHS,
+            HolderClass::Request if amount.bytes <= large_limit => large_limit,
+            HolderClass::Request | HolderClass::Answer => self.limits.bytes,
         }
     }
 
--- a/crates/skylarkgw/tests/decisions/client_memory.rs
+++ b/crates/skylarkgw/tests/decisions/client_memory.rs
@@ -111,6 +111,15 @@
     assert!(open(&mut budget, 32).1.is_granted);
 }
 
+/// Load: none but one request that is larger than the share of large ones.
+#[test]
+fn single_request_may_use_all_memory_in_calm() {
+    let mut budget = MemoryBudget::new(LIMITS);
+    let body = add_body(&mut budget, 0, LARGE_REQUESTS);
+    assert!(budget.resize(ms(1), body, bytes(LIMIT)).is_granted);
+    assert_eq!(evict_for(&mut budget, 2, 50_000), Some(vec![body]));
+}
+
 /// Load: none. A budget must not lose or invent memory over time.
 #[test]
 fn all_memory_is_returned() {
