--- a/crates/skylarkgw/src/decision/coordinator.rs
+++ b/crates/skylarkgw/src/decision/coordinator.rs
@@ -468,8 +468,8 @@
         let wanted = report.wanted.into_iter();
         let mut quota_cuts = Vec::new();
         let grants = wanted.filter_map(|(workspace, wanted)| {
-            let (refill_per_s, burst, level) = self.quota_pool.supply(now, &workspace)?;
-            let cut = self.quota_demands.find_cut(&workspace, refill_per_s, burst, level);
+            let (refill_per_s, level) = self.quota_pool.supply(now, &workspace)?;
+            let cut = self.quota_demands.find_cut(&workspace, refill_per_s, level);
             quota_cuts.extend(cut.map(|cut| (workspace.clone(), cut)));
             let grant = self.quota_pool.draw(now, &report.host, &workspace, wanted, 0)?;
             Some((workspace, grant.tokens, grant.fallback_per_s as Tokens))
--- a/crates/skylarkgw/src/decision/quota_pool.rs
+++ b/crates/skylarkgw/src/decision/quota_pool.rs
@@ -349,13 +349,13 @@
         }
     }
 
-    /// Returns the tokens per second by which a workspace's bucket refills over a window, its
-    /// capacity and its level.
-    pub fn supply(&mut self, now: Duration, workspace: &str) -> Option<(f64, f64, f64)> {
+    /// Returns the tokens per second by which a workspace's bucket refills over a window, and
+    /// its level.
+    pub fn supply(&mut self, now: Duration, workspace: &str) -> Option<(f64, f64)> {
         self.advance(now);
         let bucket = self.buckets.get(workspace)?;
         let burst_per_s = bucket.burst * BURST_REFILL_SHARE / self.tolerance.window.as_secs_f64();
-        Some((bucket.rate + burst_per_s, bucket.burst, bucket.level))
+        Some((bucket.rate + burst_per_s, bucket.level))
     }
 
     /// Returns the level of a workspace's bucket, in tokens.
--- a/crates/skylarkgw/src/decision/quota_priority.rs
+++ b/crates/skylarkgw/src/decision/quota_priority.rs
@@ -33,11 +33,8 @@
 /// Time after which a report or a cut counts no more. A host that has lost the coordinator
 /// spends at its last rate and refuses nothing by class.
 const MAX_AGE: Duration = Duration::from_millis(1_500);
-/// Time in which the level of a bucket is to reach its target, in seconds.
+/// Time in which the tokens in a bucket may be spent beyond its rate, in seconds.
 const LEVEL_TIME_S: f64 = 1.0;
-/// Target level of a bucket, in seconds of its refill. The first classes find tokens there
-/// whenever they arrive.
-const TARGET_LEVEL_S: f64 = 0.5;
 /// Shortest and longest retry delay of a request that is refused by its class, in seconds.
 const RETRY_AFTER_S: [f64; 2] = [0.5, 3.0];
 
@@ -195,21 +192,11 @@
     }
 
     /// Returns the cut of a workspace whose bucket refills by `refill_per_s` and holds
-    /// `level` of at most `burst` tokens, or `None` if they suffice for all its requests.
-    pub fn find_cut(
-        &self,
-        workspace: &str,
-        refill_per_s: f64,
-        burst: f64,
-        level: f64,
-    ) -> Option<QuotaCut> {
+    /// `level` tokens, or `None` if they suffice for all its requests.
+    pub fn find_cut(&self, workspace: &str, refill_per_s: f64, level: f64) -> Option<QuotaCut> {
         let totals = &self.workspaces.get(workspace)?.totals;
-        let demand = totals.values().sum::<Tokens>() as f64;
-        if demand <= refill_per_s {
-            return None;
-        }
-        let target = (refill_per_s * TARGET_LEVEL_S).min(burst / 2.0);
-        let available = (refill_per_s + (level - target) / LEVEL_TIME_S).max(0.0);
+        let available = refill_per_s + level.max(0.0) / LEVEL_TIME_S;
+        let demand: Tokens = totals.values().sum();
         let mut left = available;
         let (class, per_s) =
             totals.iter().map(|(class, total)| (*class, *total as f64)).find(|(_, per_s)| {
@@ -217,6 +204,6 @@
                 left < 0.0
             })?;
         let share = ((left + per_s) / per_s).clamp(0.0, 1.0);
-        Some(QuotaCut { class, share, excess: demand / available.max(1.0) })
+        Some(QuotaCut { class, share, excess: demand as f64 / available.max(1.0) })
     }
 }
--- a/crates/skylarkgw/tests/decisions/quota_priority.rs
+++ b/crates/skylarkgw/tests/decisions/quota_priority.rs
@@ -73,8 +73,8 @@
             let demand = quota.classes.build_report(ms(now));
             let demands = (!demand.is_empty()).then(|| (SHOP.into(), demand));
             self.book.record_report(ms(now), host, demands.into_iter().collect());
-            let (refill, burst, level) = self.pool.supply(ms(now), SHOP).expect("a bucket");
-            quota.classes.set_cut(ms(now), self.book.find_cut(SHOP, refill, burst, level));
+            let (refill, level) = self.pool.supply(ms(now), SHOP).expect("a bucket");
+            quota.classes.set_cut(ms(now), self.book.find_cut(SHOP, refill, level));
             let wanted = quota.tokens_to_request(ms(now));
             let grant = self.pool.draw(ms(now), host, SHOP, wanted, 0).expect("a grant");
             quota.add_grant(ms(now), grant.tokens, grant.fallback_per_s);
