--- a/crates/skylarkgw/src/decision.rs
+++ b/crates/skylarkgw/src/decision.rs
@@ -35,7 +35,6 @@
 pub mod prompt_guard;
 pub mod prompt_quarantine;
 pub mod quota_pool;
-pub mod quota_priority;
 pub mod retired_engines;
 pub mod route_table;
 pub mod routing;
--- a/crates/skylarkgw/src/decision/coordinator.rs
+++ b/crates/skylarkgw/src/decision/coordinator.rs
@@ -22,7 +22,6 @@
 use crate::decision::prompt_guard::PromptReport;
 use crate::decision::prompt_quarantine::{PromptQuarantine, QuarantineEvent, QuarantineState};
 use crate::decision::quota_pool::{PoolStart, QuotaPool, QuotaTolerance};
-use crate::decision::quota_priority::{DemandBook, QuotaClass, QuotaCut};
 use crate::decision::shared_map::{MapDelta, SharedMap, first_version, version_token};
 use crate::decision::store_order::{StorePosition, StoreStamp};
 use crate::gateway::declaration::{FleetDeclaration, ServiceName};
@@ -62,8 +61,6 @@
     pub wanted: Vec<(WorkspaceId, Tokens)>,
     /// Number of tokens of each workspace that the host has drawn and returns.
     pub returned: Vec<(WorkspaceId, Tokens)>,
-    /// Demand by class on workspaces whose allowance is short, in tokens per second.
-    pub quota_demands: Vec<(WorkspaceId, Vec<(QuotaClass, Tokens)>)>,
     /// Adapters used since the last report.
     pub adapter_uses: Vec<(EndpointId, ModelName, Arc<str>)>,
     /// Capacity of the host to coordinate the fleet, from 0 to 1.
@@ -128,8 +125,6 @@
     /// For each workspace, the number of granted tokens and the rate, in tokens
     /// per second, at which the host may spend while it has no coordinator.
     pub grants: Vec<(WorkspaceId, Tokens, Tokens)>,
-    /// Workspaces whose tokens do not suffice for all classes of their requests.
-    pub quota_cuts: Vec<(WorkspaceId, QuotaCut)>,
     /// Changes of the placement notices, if the host has a different version.
     pub notices: Option<MapDelta<Arc<EngineNotice>>>,
     /// Changes of the registry, if the host has a different version.
@@ -188,7 +183,6 @@
     running: HashMap<EndpointId, f64>,
     averaged_at: Duration,
     quota_pool: QuotaPool,
-    quota_demands: DemandBook,
     planner: FleetPlanner,
     notices: SharedMap<Arc<EngineNotice>>,
     registry: SharedMap<RegisteredEngine>,
@@ -223,7 +217,6 @@
             running: HashMap::new(),
             averaged_at: now,
             quota_pool: QuotaPool::new(now, tolerance, start),
-            quota_demands: DemandBook::default(),
             planner: FleetPlanner::default(),
             notices: SharedMap::new(token),
             registry: SharedMap::new(token),
@@ -464,13 +457,8 @@
         for (workspace, tokens) in &report.returned {
             self.quota_pool.return_tokens(now, workspace, *tokens);
         }
-        self.quota_demands.record_report(now, &report.host, report.quota_demands);
         let wanted = report.wanted.into_iter();
-        let mut quota_cuts = Vec::new();
         let grants = wanted.filter_map(|(workspace, wanted)| {
-            let (refill_per_s, level) = self.quota_pool.supply(now, &workspace)?;
-            let cut = self.quota_demands.find_cut(&workspace, refill_per_s, level);
-            quota_cuts.extend(cut.map(|cut| (workspace.clone(), cut)));
             let grant = self.quota_pool.draw(now, &report.host, &workspace, wanted, 0)?;
             Some((workspace, grant.tokens, grant.fallback_per_s as Tokens))
         });
@@ -486,7 +474,6 @@
             deputies: (report.deputy_version != self.deputy_version)
                 .then(|| (self.deputy_version, self.deputies.clone())),
             grants,
-            quota_cuts,
             notices: self.notices.delta_since(report.notice_version),
             registry: self.registry.delta_since(report.registry_version),
             prompts: self.quarantine.state_since(quarantine_version),
--- a/crates/skylarkgw/src/decision/dispatch/urgency.rs
+++ b/crates/skylarkgw/src/decision/dispatch/urgency.rs
@@ -77,8 +77,6 @@
 struct ServiceUrgency {
     /// Urgencies in ascending order, with their levels.
     levels: Vec<(RequestUrgency, UrgencyLevel)>,
-    /// Distinct ranks of the routes in ascending order.
-    ranks: Vec<u8>,
     /// For each route, the routes that go before it. Empty unless one route of the service
     /// yields to another one.
     precedents: HashMap<Arc<str>, Vec<RoutePrecedent>>,
@@ -105,9 +103,7 @@
             let urgencies = list_urgencies(&routes, &ranks);
             let levels = assign_levels(&urgencies);
             let levels = urgencies.into_iter().zip(levels).collect();
-            let ranks: BTreeSet<u8> = routes.iter().map(|route| route.rank).collect();
-            let ranks = ranks.into_iter().collect();
-            (service, ServiceUrgency { levels, ranks, precedents: find_precedents(&routes) })
+            (service, ServiceUrgency { levels, precedents: find_precedents(&routes) })
         });
         UrgencyTable { services: services.collect() }
     }
@@ -137,16 +133,6 @@
         })
     }
 
-    /// Returns the position of a rank among those of the routes of a service, or `None` if
-    /// no route of any service yields to another one.
-    ///
-    /// Ranks of different services do not say which of them goes first.
-    pub fn position(&self, service: &str, rank: u8) -> Option<u8> {
-        let has_yielding = self.services.values().any(|service| !service.precedents.is_empty());
-        let ranks = &self.services.get(service).filter(|_| has_yielding)?.ranks;
-        Some(ranks.partition_point(|other| *other < rank) as u8)
-    }
-
     /// Returns whether a route of the service yields to another one.
     pub fn has_yielding_route(&self, service: &str) -> bool {
         self.services.get(service).is_some_and(|service| !service.precedents.is_empty())
--- a/crates/skylarkgw/src/decision/quota_pool.rs
+++ b/crates/skylarkgw/src/decision/quota_pool.rs
@@ -22,7 +22,6 @@
 use serde::{Deserialize, Serialize};
 
 use crate::decision::freshness::silence_timeout;
-use crate::decision::quota_priority::ClassDemand;
 use crate::gateway::declaration::WorkspaceRule;
 use crate::ids::{EndpointId, HostId, Tokens, WorkspaceId};
 
@@ -349,15 +348,6 @@
         }
     }
 
-    /// Returns the tokens per second by which a workspace's bucket refills over a window, and
-    /// its level.
-    pub fn supply(&mut self, now: Duration, workspace: &str) -> Option<(f64, f64)> {
-        self.advance(now);
-        let bucket = self.buckets.get(workspace)?;
-        let burst_per_s = bucket.burst * BURST_REFILL_SHARE / self.tolerance.window.as_secs_f64();
-        Some((bucket.rate + burst_per_s, bucket.level))
-    }
-
     /// Returns the level of a workspace's bucket, in tokens.
     pub fn level(&mut self, now: Duration, workspace: &str) -> Option<f64> {
         self.advance(now);
@@ -427,8 +417,6 @@
     /// Time after that answer from which the host spends at its last rate.
     fallback_delay: Duration,
     advanced_at: Duration,
-    /// Demand by class.
-    pub classes: ClassDemand,
 }
 
 impl LocalQuota {
@@ -441,7 +429,6 @@
             granted_at: now,
             fallback_delay: silence_timeout(1),
             advanced_at: now,
-            classes: ClassDemand::default(),
         }
     }
 
--- a/crates/skylarkgw/src/edge/forward/admit.rs
+++ b/crates/skylarkgw/src/edge/forward/admit.rs
@@ -20,7 +20,6 @@
 use crate::decision::obligations::ServiceTarget;
 use crate::decision::prompt_evidence::hash_shared_parts;
 use crate::decision::quota_pool::LocalQuota;
-use crate::decision::quota_priority::{QuotaClass, classify};
 use crate::edge::forward::record::RequestRecord;
 use crate::edge::forward::refusal::{RefusalReason, RequestRefusal};
 use crate::gateway::clock::time_since_boot;
@@ -152,9 +151,7 @@
     if let Some(target) = &header.target {
         state.lock_traffic().model_use(&service, &target.model).arrivals += 1;
     }
-    let urgencies = snapshot.route_table.urgencies();
-    let position = urgencies.position(&service, route.rank);
-    let quota = reserve_quota(state, workspace.as_ref(), &header, position).await?;
+    let quota = reserve_quota(state, workspace.as_ref(), &header).await?;
     record.tokens = quota.tokens;
     // A request that the quota refuses says nothing about its model.
     let generation = declaration.services.get(&service).and_then(|rule| rule.generation.as_ref());
@@ -273,25 +270,7 @@
     Ok(chosen.service.clone())
 }
 
-/// Checks that the tokens of a workspace suffice for the class of a request.
-fn check_class(
-    quota: &mut LocalQuota,
-    now: Duration,
-    class: Option<QuotaClass>,
-    tokens: Tokens,
-) -> Result<(), RequestRefusal> {
-    let Some(class) = class else { return Ok(()) };
-    let (draw, jitter) = (rand::rng().random(), rand::rng().random());
-    match quota.classes.record_request(now, class, tokens, draw) {
-        None => Ok(()),
-        Some(cut) => {
-            Err(RequestRefusal::with_retry_after(RefusalReason::OverQuota, cut.retry_after(jitter)))
-        }
-    }
-}
-
-/// Reserves the quota tokens of a request, which has `position` among the kinds of its
-/// service if an exhausted allowance serves the most urgent first.
+/// Reserves the quota tokens of a request.
 ///
 /// A request takes one token if the workspace counts requests. Otherwise, it takes
 /// its prompt tokens plus its maximum number of generated tokens, or the default of
@@ -307,7 +286,6 @@
     state: &Arc<GatewayState>,
     workspace: Option<&Arc<WorkspaceRule>>,
     header: &ClientHeaders,
-    position: Option<u8>,
 ) -> Result<QuotaReservation, RequestRefusal> {
     let no_reservation = QuotaReservation { state: state.clone(), workspace: None, tokens: 0 };
     let Some(workspace) = workspace.filter(|workspace| workspace.tokens_per_s > 0) else {
@@ -319,16 +297,9 @@
     let reservation =
         QuotaReservation { state: state.clone(), workspace: Some(workspace.clone()), tokens };
     let now = time_since_boot();
-    let class = position.map(|position| classify(position, tokens));
     let partial = {
         let mut quotas = state.lock_local_quotas();
         let quota = quotas.entry(workspace.name.clone()).or_insert_with(|| LocalQuota::new(now));
-        if let Err(refusal) = check_class(quota, now, class, tokens) {
-            // Nothing was taken that a drop could refund.
-            let mut reservation = reservation;
-            reservation.commit();
-            return Err(refusal);
-        }
         quota.record_demand(now, tokens);
         if quota.try_spend(now, tokens) {
             return Ok(reservation);
@@ -362,9 +333,6 @@
         Some(QuotaAnswer::Refused { retry_after }) => retry_after,
         None => QUOTA_RETRY_AFTER.mul_f64(rand::rng().random_range(1.0..3.0)),
     };
-    if let Some(quota) = state.lock_local_quotas().get_mut(&workspace.name) {
-        quota.classes.record_shortage(time_since_boot());
-    }
     // Only the tokens of `partial` were taken, which are refunded when it is dropped.
     let mut reservation = reservation;
     reservation.commit();
--- a/crates/skylarkgw/src/gateway/control/exchange.rs
+++ b/crates/skylarkgw/src/gateway/control/exchange.rs
@@ -85,11 +85,6 @@
                 .iter_mut()
                 .map(|(workspace, quota)| (workspace.clone(), quota.tokens_to_request(now)))
                 .collect(),
-            quota_demands: local_quotas
-                .iter_mut()
-                .map(|(workspace, quota)| (workspace.clone(), quota.classes.build_report(now)))
-                .filter(|(_, demand)| !demand.is_empty())
-                .collect(),
             capacity: self.capacity,
             deputy: (!self.state.is_draining()).then(|| DeputyHost {
                 host: self.state.settings.host.clone(),
@@ -139,12 +134,6 @@
                 let quota = local_quotas.entry(workspace).or_insert_with(|| LocalQuota::new(now));
                 quota.set_host_count(reply.hosts);
                 quota.add_grant(now, tokens, fallback_per_s as f64);
-                quota.classes.set_cut(now, None);
-            }
-            for (workspace, cut) in reply.quota_cuts {
-                if let Some(quota) = local_quotas.get_mut(&workspace) {
-                    quota.classes.set_cut(now, Some(cut));
-                }
             }
         }
         let view = &self.state.snapshot.load().view;
--- a/crates/skylarkgw/tests/decisions/main.rs
+++ b/crates/skylarkgw/tests/decisions/main.rs
@@ -19,7 +19,6 @@
 mod prompt_storm;
 mod prompts;
 mod quota;
-mod quota_priority;
 mod replicas;
 mod retries;
 mod routes;
