--- a/crates/skylarkgw/tests/decisions/choice.rs
+++ b/crates/skylarkgw/tests/decisions/choice.rs
@@ -2,19 +2,11 @@
 //! failing engines.
 
 use skylarkgw::decision::dispatch::engine_choice::{EngineCandidate, choose_engine};
-use skylarkgw::decision::dispatch::engine_pace::EnginePace;
+
+use crate::samples;
 
 fn candidate(running: u32) -> EngineCandidate {
-    EngineCandidate {
-        slots: 24,
-        running,
-        is_local: true,
-        failure_share: 0.0,
-        is_avoided: false,
-        pace: EnginePace::default(),
-        first_ms: None,
-        unseen: 0.0,
-    }
+    samples::candidate(24, running)
 }
 
 #[test]
--- a/crates/skylarkgw/tests/decisions/cold_engines.rs
+++ b/crates/skylarkgw/tests/decisions/cold_engines.rs
@@ -13,7 +13,7 @@
 use skylarkgw::gateway::registry::EngineEntry;
 use skylarkgw::gateway::settings::ColdTolerance;
 
-use crate::samples::{engine, ms};
+use crate::samples::{self, engine, ms};
 
 /// Requests per second that a cold engine takes.
 const RATE: f64 = 8.0;
@@ -215,7 +215,7 @@
 }
 
 fn candidate(running: u32) -> EngineCandidate {
-    EngineCandidate { slots: 12, running, is_local: true, failure_share: 0.0, is_avoided: false }
+    samples::candidate(12, running)
 }
 
 // Guards against a cold engine that draws all requests because it is empty, and against
--- a/crates/skylarkgw/tests/decisions/samples.rs
+++ b/crates/skylarkgw/tests/decisions/samples.rs
@@ -4,6 +4,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use skylarkgw::decision::dispatch::engine_choice::EngineCandidate;
+use skylarkgw::decision::dispatch::engine_pace::EnginePace;
 use skylarkgw::gateway::declaration::{
     ClientLimits, FleetDeclaration, GenerationRule, ModelRule, RetryPolicy, RouteRule, RouteTarget,
     ServiceRule, WorkspaceRule,
@@ -107,3 +109,18 @@
         is_awaited: false,
     })
 }
+
+/// Returns a candidate for a request, about which nothing is known but its places and the
+/// requests that run there.
+pub fn candidate(slots: u32, running: u32) -> EngineCandidate {
+    EngineCandidate {
+        slots,
+        running,
+        is_local: true,
+        failure_share: 0.0,
+        is_avoided: false,
+        pace: EnginePace::default(),
+        first_ms: None,
+        unseen: 0.0,
+    }
+}
--- a/crates/skylarkgw/tests/decisions/waiting.rs
+++ b/crates/skylarkgw/tests/decisions/waiting.rs
@@ -10,7 +10,7 @@
     WaitTicket, compute_headroom, has_place,
 };
 
-use crate::samples::{MODEL_SERVICE, ms};
+use crate::samples::{self, MODEL_SERVICE, ms};
 use crate::urgency::{kind, shared_service};
 
 /// Places of one engine.
@@ -19,7 +19,7 @@
 const PATIENCE: Duration = Duration::from_millis(2_000);
 
 fn candidate(running: u32) -> EngineCandidate {
-    EngineCandidate { slots: SLOTS, running, is_local: true, failure_share: 0.0, is_avoided: false }
+    samples::candidate(SLOTS, running)
 }
 
 fn target(model: &str) -> WaitTarget {
