--- a/crates/skylarkgw/src/edge/forward/select.rs
+++ b/crates/skylarkgw/src/edge/forward/select.rs
@@ -476,8 +476,8 @@
     let number = snapshot.view.numbers.get(&entry.id).copied();
     let now = time_since_boot();
     let traffic = admitted.state.lock_traffic();
-    // A stream shares the steps of its engine with others, so its place is not held for a
-    // time of its own; the estimate applies to whole answers.
+    // Streams are counted in the estimates but not chosen by them: with them, more urgent
+    // streams were refused.
     let is_whole = !admitted.route.is_stream;
     let pace = traffic.pace.estimate(now, &entry.id, number, &entry.service);
     let pace = pace.filter(|_| is_whole);
