--- a/crates/skylarkgw/tests/decisions/fleet_model.rs
+++ b/crates/skylarkgw/tests/decisions/fleet_model.rs
@@ -12,9 +12,7 @@
 use rand_chacha::ChaCha8Rng;
 use rand_chacha::rand_core::SeedableRng;
 use skylarkgw::decision::coordinator::{Coordinator, HostReport};
-use skylarkgw::decision::fleet_planner::{
-    AdapterDecision, AdapterRequest, EngineNotice, PlannerCall,
-};
+use skylarkgw::decision::fleet_planner::{AdapterDecision, EngineNotice, PlannerCall};
 use skylarkgw::decision::model_demand::ModelUse;
 use skylarkgw::decision::obligations::{ServiceLog, ServiceTarget, UnservedCause};
 use skylarkgw::decision::quota_pool::{PoolStart, QuotaTolerance};
@@ -25,7 +23,7 @@
 use skylarkgw::ids::{EndpointId, MapVersion, ModelName};
 
 use crate::fleet_model::engines::{ADAPTER_MB, ADAPTER_SLOTS, SimulatedEngine, place_initially};
-use crate::samples::{MODEL_SERVICE, declaration, engine, ms};
+use crate::samples::{MODEL_SERVICE, adapter_request, declaration, engine, ms};
 
 const STEP: Duration = Duration::from_millis(50);
 const PLAN_STEPS: u64 = 2;
@@ -570,13 +568,7 @@
         rule: &GenerationRule,
     ) -> Option<EndpointId> {
         let now = self.now();
-        let request = AdapterRequest {
-            service: MODEL_SERVICE.into(),
-            model: model.clone(),
-            adapter: adapter.clone(),
-            allowed: None,
-            resting: Vec::new(),
-        };
+        let request = adapter_request(model, adapter);
         for _ in 0..MAX_PLACEMENT_STEPS {
             let coordinator = self.coordinator.as_mut()?;
             let token = self.gives_orders.then_some(self.token);
--- a/crates/skylarkgw/tests/decisions/samples.rs
+++ b/crates/skylarkgw/tests/decisions/samples.rs
@@ -6,6 +6,7 @@
 
 use skylarkgw::decision::dispatch::engine_choice::EngineCandidate;
 use skylarkgw::decision::dispatch::engine_pace::EnginePace;
+use skylarkgw::decision::fleet_planner::AdapterRequest;
 use skylarkgw::gateway::declaration::{
     ClientLimits, FleetDeclaration, GenerationRule, ModelRule, RetryPolicy, RouteRule, RouteTarget,
     ServiceRule, WorkspaceRule,
@@ -124,3 +125,14 @@
         unseen: 0.0,
     }
 }
+
+/// Returns a request for an adapter that any engine may serve.
+pub fn adapter_request(model: &Arc<str>, adapter: &Arc<str>) -> AdapterRequest {
+    AdapterRequest {
+        service: MODEL_SERVICE.into(),
+        model: model.clone(),
+        adapter: adapter.clone(),
+        allowed: None,
+        resting: Vec::new(),
+    }
+}
