--- a/crates/skylarkgw/tests/decisions/engine_pace.rs
+++ b/crates/skylarkgw/tests/decisions/engine_pace.rs
@@ -13,7 +13,7 @@
 use skylarkgw::gateway::registry::EngineEntry;
 use skylarkgw::ids::EndpointId;
 
-use crate::samples::{MODEL_SERVICE, engine, ms};
+use crate::samples::{self, MODEL_SERVICE, engine, ms};
 
 const SLOTS: u32 = 12;
 const TOKEN: u64 = 1;
@@ -99,16 +99,7 @@
 }
 
 fn candidate(running: u32) -> EngineCandidate {
-    EngineCandidate {
-        slots: SLOTS,
-        running,
-        is_local: true,
-        failure_share: 0.0,
-        is_avoided: false,
-        pace: EnginePace::default(),
-        first_ms: None,
-        unseen: 0.0,
-    }
+    samples::candidate(SLOTS, running)
 }
 
 /// Load: the first requests after a start.
