--- a/review/harness-2/src/main.rs
+++ b/review/harness-2/src/main.rs
@@ -9,11 +9,11 @@
 mod http;
 mod json;
 mod keys;
-mod rank;
 mod record;
 mod service;
 mod stage;
 mod store;
+mod weights;
 
 use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::path::{Path, PathBuf};
@@ -32,7 +32,7 @@
         "cap" => cap::run,
         "growth" => growth::run,
         "keys" => keys::run,
-        "rank" => rank::run,
+        "weights" => weights::run,
         _ => {
             eprintln!("unknown case {case}");
             return ExitCode::from(2);
