--- a/review/harness-2/src/main.rs
+++ b/review/harness-2/src/main.rs
@@ -9,6 +9,7 @@
 mod http;
 mod json;
 mod keys;
+mod leader;
 mod record;
 mod service;
 mod stage;
@@ -32,6 +33,7 @@
         "cap" => cap::run,
         "growth" => growth::run,
         "keys" => keys::run,
+        "leader" => leader::run,
         "weights" => weights::run,
         _ => {
             eprintln!("unknown case {case}");
--- a/review/harness-2/src/service.rs
+++ b/review/harness-2/src/service.rs
@@ -92,3 +92,12 @@
         self.runs.lock().expect("the runs").clone()
     }
 }
+
+/// Returns the first run of each request of some engines whose identifier begins with a text.
+pub fn first_runs(services: &[Service], prefix: &str) -> Vec<Run> {
+    let mut runs: Vec<Run> = services.iter().flat_map(Service::runs).collect();
+    runs.retain(|run| run.request.starts_with(prefix));
+    runs.sort_by(|a, b| (&a.request, a.at).cmp(&(&b.request, b.at)));
+    runs.dedup_by(|later, first| later.request == first.request);
+    runs
+}
--- a/review/harness-2/src/store.rs
+++ b/review/harness-2/src/store.rs
@@ -90,6 +90,13 @@
         Instant::now()
     }
 
+    /// Returns the host that the gateways' lease object names.
+    pub fn last_holder(&self) -> Option<String> {
+        let content = self.content.0.lock().expect("the content");
+        let lease = content.objects.iter().find(|((kind, _), _)| kind.contains("lease"));
+        Some(lease?.1.spec.get("holder")?.text()?.to_owned())
+    }
+
     fn answer(&self, connection: &mut Connection, request: &Message) -> std::io::Result<()> {
         let (status, body) = self.handle(request);
         connection.answer(status, &[("content-type", "application/json")], body.as_bytes())
