Require keys whenever a declaration contains workspaces

Cause: RouteTable::has_workspaces decided from the index of valid keys whether a request needs one. That index is empty if no workspace is declared, and also if no workspace has a key. The bound on the age of keys was skipped with it. Decoding took an empty list of workspaces for a declaration without one.

The host had logged `declaration in force` with "workspaces":1,"keys":0, and `request ended` named the new revision and no workspace, so neither an old declaration nor decoding was the cause.

Change: FleetDeclaration::workspaces is None if the declaration contains no list of workspaces, and requires_keys depends on nothing else. Requests, the log and skylark-check share it, so a list that becomes empty, by whatever change, no longer means that there is none.

--- a/crates/skylarkgw/src/decision/coordinator.rs
+++ b/crates/skylarkgw/src/decision/coordinator.rs
@@ -136,7 +136,7 @@
 
     /// Updates the quotas from the declared workspaces.
     pub fn apply_declaration(&mut self, now: Duration, declaration: &FleetDeclaration) {
-        self.quota_pool.set_workspaces(now, &declaration.workspaces);
+        self.quota_pool.set_workspaces(now, declaration.iter_workspaces());
     }
 
     /// Returns up to when the registry in replies contains all changes.
--- a/crates/skylarkgw/src/decision/dispatch/urgency.rs
+++ b/crates/skylarkgw/src/decision/dispatch/urgency.rs
@@ -92,7 +92,7 @@
     /// Builds the table from a declaration.
     pub fn new(declaration: &FleetDeclaration) -> UrgencyTable {
         let ranks: BTreeSet<Option<u8>> =
-            declaration.workspaces.iter().map(|workspace| workspace.rank).collect();
+            declaration.iter_workspaces().map(|workspace| workspace.rank).collect();
         let mut routes: HashMap<ServiceName, Vec<&RouteRule>> = HashMap::new();
         for route in &declaration.routes {
             for target in &route.targets {
--- a/crates/skylarkgw/src/decision/quota_pool.rs
+++ b/crates/skylarkgw/src/decision/quota_pool.rs
@@ -255,9 +255,13 @@
 
     /// Sets the declared workspaces. Buckets that exist already keep their
     /// levels, up to the new burst. A workspace with a rate of zero has no quota.
-    pub fn set_workspaces(&mut self, now: Duration, workspaces: &[WorkspaceRule]) {
+    pub fn set_workspaces<'a>(
+        &mut self,
+        now: Duration,
+        workspaces: impl IntoIterator<Item = &'a WorkspaceRule>,
+    ) {
         self.advance(now);
-        let limited = workspaces.iter().filter(|workspace| workspace.tokens_per_s > 0);
+        let limited = workspaces.into_iter().filter(|workspace| workspace.tokens_per_s > 0);
         let mut buckets = HashMap::new();
         for workspace in limited {
             let (rate, burst) = (workspace.tokens_per_s as f64, workspace.burst_tokens as f64);
--- a/crates/skylarkgw/src/decision/route_table.rs
+++ b/crates/skylarkgw/src/decision/route_table.rs
@@ -11,6 +11,7 @@
 #[derive(Debug, Default)]
 pub struct RouteTable {
     routes: HashMap<Arc<str>, Vec<Arc<RouteRule>>>,
+    /// Workspaces by key; empty also if keys are needed and none is valid.
     workspaces: HashMap<Arc<str>, Arc<WorkspaceRule>>,
     urgencies: UrgencyTable,
 }
@@ -27,8 +28,7 @@
             routes.sort_by_key(|route| std::cmp::Reverse(route.path_prefix.len()));
         }
         let workspaces = declaration
-            .workspaces
-            .iter()
+            .iter_workspaces()
             .map(|workspace| Arc::new(workspace.clone()))
             .flat_map(|workspace| {
                 let keys = workspace.keys.clone();
@@ -54,11 +54,6 @@
         self.workspaces.get(key)
     }
 
-    /// Returns whether any workspace is declared.
-    pub fn has_workspaces(&self) -> bool {
-        !self.workspaces.is_empty()
-    }
-
     /// Returns the urgencies of the requests of all services.
     pub fn urgencies(&self) -> &UrgencyTable {
         &self.urgencies
--- a/crates/skylarkgw/src/edge/forward/admit.rs
+++ b/crates/skylarkgw/src/edge/forward/admit.rs
@@ -17,6 +17,7 @@
 use crate::decision::obligations::ServiceTarget;
 use crate::decision::prompt_evidence::hash_shared_parts;
 use crate::decision::quota_pool::LocalQuota;
+use crate::decision::route_table::RouteTable;
 use crate::edge::forward::body::read_body;
 use crate::edge::forward::client_memory::ClientMemory;
 use crate::edge::forward::record::RequestRecord;
@@ -58,8 +59,7 @@
     pub route: Arc<RouteRule>,
     /// Service selected among the targets of the route.
     pub service: ServiceName,
-    /// Workspace of the client; `None` if the route needs no key or no workspace is
-    /// declared.
+    /// Workspace of the client; `None` if the request needs no key.
     pub workspace: Option<Arc<WorkspaceRule>>,
     /// Earlier one of the deadlines of the client and of the route, less
     /// [`RESPONSE_MARGIN`].
@@ -131,7 +131,12 @@
     record.is_stream = route.is_stream;
     record.model = header.target.as_ref().map(|target| target.model.clone());
     record.adapter = header.target.as_ref().and_then(|target| target.adapter.clone());
-    let workspace = find_workspace(state, &snapshot, &route, &header, age)?;
+    let is_key_needed = declaration.requires_keys() && !route.is_public;
+    let workspace = if is_key_needed {
+        Some(find_workspace(state, &snapshot.route_table, &header, age)?)
+    } else {
+        None
+    };
     record.workspace = workspace.as_ref().map(|workspace| workspace.name.clone());
     let shared_parts = hash_shared_parts(header.prompt.iter().map(|part| &*part.id));
     record.shared_parts.clone_from(&shared_parts);
@@ -198,28 +203,23 @@
     })
 }
 
-/// Finds the workspace of the client's key; `None` if the route needs no key or no
-/// workspace is declared.
+/// Finds the workspace of the client's key.
 ///
 /// A declaration older than [`ABSENCE_MAX_AGE`] does not prove that a key is
 /// unknown, because it may have been added since. The client is then told to retry.
 fn find_workspace(
     state: &GatewayState,
-    snapshot: &FleetSnapshot,
-    route: &RouteRule,
+    route_table: &RouteTable,
     header: &ClientHeaders,
     age: Duration,
-) -> Result<Option<Arc<WorkspaceRule>>, RequestRefusal> {
-    if route.is_public || !snapshot.route_table.has_workspaces() {
-        return Ok(None);
-    }
+) -> Result<Arc<WorkspaceRule>, RequestRefusal> {
     let bounds = &state.settings.bounds;
     if !can_check_keys(bounds.revocation, age) {
         return Err(RequestRefusal::with_retry_after(RefusalReason::StaleKeys, STORE_RETRY_AFTER));
     }
     let key = header.key.as_deref().ok_or(RequestRefusal::new(RefusalReason::UnknownKey))?;
-    match snapshot.route_table.find_workspace(key) {
-        Some(workspace) => Ok(Some(workspace.clone())),
+    match route_table.find_workspace(key) {
+        Some(workspace) => Ok(workspace.clone()),
         None if age > ABSENCE_MAX_AGE => {
             Err(RequestRefusal::with_retry_after(RefusalReason::StaleKeys, STORE_RETRY_AFTER))
         }
--- a/crates/skylarkgw/src/gateway/check.rs
+++ b/crates/skylarkgw/src/gateway/check.rs
@@ -334,7 +334,7 @@
     fn check_workspaces(&mut self) {
         let mut names = HashSet::new();
         let mut owners: HashMap<&Arc<str>, &WorkspaceId> = HashMap::new();
-        for workspace in &self.declaration.workspaces {
+        for workspace in self.declaration.iter_workspaces() {
             let entry = DeclarationEntry::Workspace(workspace.name.clone());
             if !names.insert(&workspace.name) {
                 self.report(&entry, DeclarationProblem::DuplicateName);
@@ -352,8 +352,7 @@
             self.check_regions(&entry, &workspace.allowed_regions);
             self.check_common_regions(&entry, workspace);
         }
-        let has_public = self.declaration.routes.iter().any(|route| route.is_public);
-        if !names.is_empty() && owners.is_empty() && !has_public {
+        if !self.declaration.has_callers() {
             self.report(&DeclarationEntry::Declaration, DeclarationProblem::NoCallers);
         }
     }
--- a/crates/skylarkgw/src/gateway/check/difference.rs
+++ b/crates/skylarkgw/src/gateway/check/difference.rs
@@ -31,6 +31,8 @@
     if latter.revision <= former.revision {
         log.push(&whole, "the version does not rise, so it will not come into force".to_owned());
     }
+    let (required, latter_required) = (former.requires_keys(), latter.requires_keys());
+    log.compare(&whole, "keys required", &required, &latter_required);
     let routes = |declaration: &FleetDeclaration| {
         index(declaration.routes.iter().cloned().map(|route| (route.name.clone(), route)))
     };
@@ -42,7 +44,7 @@
     let entry = |name: &Arc<str>| DeclarationEntry::Service(name.clone());
     log.compare_maps(&services(former), &services(latter), entry, compare_services);
     let workspaces = |declaration: &FleetDeclaration| {
-        index(declaration.workspaces.iter().cloned().map(|rule| (rule.name.clone(), rule)))
+        index(declaration.iter_workspaces().cloned().map(|rule| (rule.name.clone(), rule)))
     };
     let entry = |name: &Arc<str>| DeclarationEntry::Workspace(name.clone());
     log.compare_maps(&workspaces(former), &workspaces(latter), entry, compare_workspaces);
--- a/crates/skylarkgw/src/gateway/control/knowledge.rs
+++ b/crates/skylarkgw/src/gateway/control/knowledge.rs
@@ -40,12 +40,13 @@
         let route_table = Arc::new(RouteTable::new(&declaration));
         let (revision, routes) = (declaration.revision, declaration.routes.len());
         let services = declaration.services.len();
-        let workspaces = declaration.workspaces.len();
-        let keys =
-            declaration.workspaces.iter().map(|workspace| workspace.keys.len()).sum::<usize>();
+        let workspaces = declaration.iter_workspaces().count();
+        let keys = declaration.iter_workspaces().map(|workspace| workspace.keys.len());
+        let keys = keys.sum::<usize>();
+        let requires_keys = declaration.requires_keys();
         let idle_timeout_ms = declaration.limits.idle_timeout.as_millis() as u64;
         info!("declaration in force", kv: {
-            revision, routes, services, workspaces, keys, idle_timeout_ms
+            revision, routes, services, workspaces, keys, requires_keys, idle_timeout_ms
         });
         // As for the registry, a lapse of the lease must not lose the update.
         if let Some(coordinator) = lock(&self.coordinator).as_mut() {
--- a/crates/skylarkgw/src/gateway/declaration.rs
+++ b/crates/skylarkgw/src/gateway/declaration.rs
@@ -158,7 +158,32 @@
     /// Services by name.
     pub services: HashMap<ServiceName, ServiceRule>,
     /// Workspaces that may use the fleet.
-    pub workspaces: Vec<WorkspaceRule>,
+    ///
+    /// `None` means that requests need no key. With an empty list they need one, and
+    /// none is valid.
+    pub workspaces: Option<Vec<WorkspaceRule>>,
     /// Limits for client requests.
     pub limits: ClientLimits,
 }
+
+impl FleetDeclaration {
+    /// Returns an iterator over the declared workspaces.
+    pub fn iter_workspaces(&self) -> impl Iterator<Item = &WorkspaceRule> {
+        self.workspaces.iter().flatten()
+    }
+
+    /// Returns whether a request needs a key, unless its route is public.
+    ///
+    /// This does not depend on whether any key is valid.
+    pub fn requires_keys(&self) -> bool {
+        self.workspaces.is_some()
+    }
+
+    /// Returns whether any request can be accepted: a route is public, or a key is valid or
+    /// not needed.
+    pub fn has_callers(&self) -> bool {
+        !self.requires_keys()
+            || self.routes.iter().any(|route| route.is_public)
+            || self.iter_workspaces().any(|workspace| !workspace.keys.is_empty())
+    }
+}
--- a/crates/skylarkgw/tests/decisions/check.rs
+++ b/crates/skylarkgw/tests/decisions/check.rs
@@ -9,12 +9,12 @@
 use skylarkgw::gateway::declaration::{FleetDeclaration, RetryPolicy, RouteTarget};
 use skylarkgw::ids::RegionName;
 
-use crate::samples::{declaration, route, workspace};
+use crate::samples::{declaration, only_workspace, route, workspace};
 
 type Mistake = (&'static str, fn(&mut FleetDeclaration));
 
 /// Mistakes of operators, each with the words by which the report names it.
-const MISTAKES: [Mistake; 16] = [
+const MISTAKES: [Mistake; 18] = [
     ("route again: never matches: route chat", |declaration| {
         declaration.routes.push(route("again", "A.example", "/chat/"));
     }),
@@ -58,14 +58,21 @@
         service.cold_start = Duration::from_secs(3);
     }),
     ("workspace yard: one of its keys belongs to workspace shop", |declaration| {
-        declaration.workspaces.push(workspace("yard", "key-1", 1_000));
+        let workspaces = declaration.workspaces.as_mut().expect("workspaces");
+        workspaces.push(workspace("yard", "key-1", 1_000));
+    }),
+    ("every request is refused: no route is public and no workspace has a key", |declaration| {
+        only_workspace(declaration).keys.clear();
+    }),
+    ("every request is refused: no route is public and no workspace has a key", |declaration| {
+        declaration.workspaces = Some(Vec::new());
     }),
     ("costs 200 tokens, the burst is 100", |declaration| {
-        declaration.workspaces[0].burst_tokens = 100;
+        only_workspace(declaration).burst_tokens = 100;
     }),
     ("workspace shop: its requests on route chat are refused: the allowed", |declaration| {
         declaration.routes[0].allowed_regions = vec!["north".into()];
-        declaration.workspaces[0].allowed_regions = vec!["south".into()];
+        only_workspace(declaration).allowed_regions = vec!["south".into()];
     }),
 ];
 
@@ -79,6 +86,17 @@
     assert_eq!(describe(&declaration(&["sage", "thyme"])), Vec::<String>::new());
 }
 
+// Guards against a report that calls a declaration closed to all which needs no keys.
+#[test]
+fn declaration_without_workspaces_refuses_no_request_for_its_key() {
+    let open = FleetDeclaration { workspaces: None, ..declaration(&["sage"]) };
+    assert_eq!(describe(&open), Vec::<String>::new());
+    let changes = compare_declarations(&declaration(&["sage"]), &open);
+    let is_told =
+        changes.iter().any(|change| &*change.text == "keys required changes from true to false");
+    assert!(is_told, "{changes:?}");
+}
+
 #[test]
 fn each_mistake_is_found() {
     for (words, make) in MISTAKES {
@@ -107,7 +125,7 @@
     latter.revision = 2;
     latter.routes[0].timeout = Duration::from_secs(5);
     latter.routes.push(route("deep", "a.example", "/deep/"));
-    latter.workspaces[0].keys = vec!["key-2".into()];
+    only_workspace(&mut latter).keys = vec!["key-2".into()];
     latter.limits.body_bytes = 1;
     let changes = compare_declarations(&former, &latter);
     let text: Vec<String> =
--- a/crates/skylarkgw/tests/decisions/coordinator.rs
+++ b/crates/skylarkgw/tests/decisions/coordinator.rs
@@ -67,7 +67,8 @@
         let workspaces = (0..WORKSPACES)
             .map(|number| workspace(&format!("workspace-{number}"), "key", 10_000))
             .collect();
-        let declaration = FleetDeclaration { workspaces, ..declaration(&["sage"]) };
+        let declaration =
+            FleetDeclaration { workspaces: Some(workspaces), ..declaration(&["sage"]) };
         coordinator.apply_declaration(ms(0), &declaration);
         let engines: Vec<_> = (0..ENGINES).map(|number| full_engine(number, 0)).collect();
         coordinator.update_registry(StoreStamp::default(), &engines);
@@ -75,8 +76,7 @@
             host: format!("edge-muscat-a-{number}").into(),
             running: (0..ENGINES).map(|engine| (engine as u32, 3)).collect(),
             wanted: declaration
-                .workspaces
-                .iter()
+                .iter_workspaces()
                 .map(|workspace| (workspace.name.clone(), 100))
                 .collect(),
             ..HostReport::default()
@@ -159,7 +159,7 @@
 fn work_of_one_exchange_does_not_grow_with_the_number_of_hosts() {
     let measure_exchange = |hosts: usize| {
         let mut fleet = LargeFleet::new(hosts);
-        assert_eq!(fleet.declaration.workspaces.len(), WORKSPACES);
+        assert_eq!(fleet.declaration.iter_workspaces().count(), WORKSPACES);
         fleet.exchange_round();
         // The median excludes exchanges during which the thread did not run.
         let mut times = Vec::new();
--- a/crates/skylarkgw/tests/decisions/routes.rs
+++ b/crates/skylarkgw/tests/decisions/routes.rs
@@ -2,7 +2,7 @@
 
 use skylarkgw::decision::route_table::RouteTable;
 
-use crate::samples::{declaration, route};
+use crate::samples::{declaration, only_workspace, route};
 
 #[test]
 fn longest_matching_path_prefix_of_the_host_is_chosen() {
@@ -23,7 +23,7 @@
     let mut declaration = declaration(&["sage"]);
     let table = RouteTable::new(&declaration);
     assert_eq!(&*table.find_workspace("key-1").expect("a workspace").name, "shop");
-    declaration.workspaces[0].keys.clear();
+    only_workspace(&mut declaration).keys.clear();
     let table = RouteTable::new(&declaration);
     assert!(table.find_workspace("key-1").is_none());
 }
--- a/crates/skylarkgw/tests/decisions/samples.rs
+++ b/crates/skylarkgw/tests/decisions/samples.rs
@@ -80,7 +80,7 @@
         revision: 1,
         routes: vec![route("chat", "a.example", "/chat/")],
         services: HashMap::from([(MODEL_SERVICE.into(), service)]),
-        workspaces: vec![workspace("shop", "key-1", 10_000)],
+        workspaces: Some(vec![workspace("shop", "key-1", 10_000)]),
         limits: ClientLimits {
             header_bytes: 16_384,
             body_bytes: 1 << 20,
@@ -111,6 +111,12 @@
     })
 }
 
+/// Returns the only workspace of a sample declaration.
+pub fn only_workspace(declaration: &mut FleetDeclaration) -> &mut WorkspaceRule {
+    let workspaces = declaration.workspaces.as_mut().expect("workspaces");
+    workspaces.first_mut().expect("a workspace")
+}
+
 /// Returns a candidate for a request, about which nothing is known but its places and the
 /// requests that run there.
 pub fn candidate(slots: u32, running: u32) -> EngineCandidate {
--- a/crates/skylarkgw/tests/decisions/urgency.rs
+++ b/crates/skylarkgw/tests/decisions/urgency.rs
@@ -29,7 +29,7 @@
             kind("live", 0, ms(250)),
             kind("sorting", 1, ms(400)),
         ],
-        workspaces: workspaces.collect(),
+        workspaces: Some(workspaces.collect()),
         ..declaration(&["sage"])
     }
 }
@@ -40,11 +40,11 @@
     let level = |name: &str, index: usize| {
         let route = declaration.routes.iter().find(|route| &*route.name == name);
         let urgency =
-            RequestUrgency::new(route.expect("a route"), Some(&declaration.workspaces[index]));
+            RequestUrgency::new(route.expect("a route"), declaration.iter_workspaces().nth(index));
         table.level(MODEL_SERVICE, &urgency)
     };
     let kinds = ["live", "sorting", "batch"];
-    let workspaces = 0..declaration.workspaces.len();
+    let workspaces = 0..declaration.iter_workspaces().count();
     workspaces.map(|index| kinds.iter().map(|name| level(name, index)).collect()).collect()
 }
 
--- a/crates/skylarkgw/tests/gateway/declaration.rs
+++ b/crates/skylarkgw/tests/gateway/declaration.rs
@@ -27,7 +27,7 @@
         revision,
         routes: Vec::new(),
         services: HashMap::new(),
-        workspaces: Vec::new(),
+        workspaces: None,
         limits: ClientLimits {
             header_bytes: 16_384,
             body_bytes: 1 << 20,
