--- a/crates/skylarkgw/src/gateway/control.rs
+++ b/crates/skylarkgw/src/gateway/control.rs
@@ -6,6 +6,7 @@
 
 mod cold;
 mod deputy;
+mod draws;
 mod evacuation;
 mod exchange;
 mod knowledge;
@@ -19,11 +20,9 @@
 
 use spdlog::{info, warn};
 use tokio::sync::{mpsc, oneshot, watch};
-use tokio::time::{Instant, sleep, timeout};
+use tokio::time::{Instant, sleep};
 
-use crate::decision::coordinator::{
-    Coordinator, CoordinatorReply, EngineLimits, HostReport, KnowledgeAge, QuotaAnswer,
-};
+use crate::decision::coordinator::{Coordinator, CoordinatorReply, HostReport, KnowledgeAge};
 use crate::decision::coordinator_lease::{
     CoordinatorLease, LeaseAction, compute_capacity, takeover_delay,
 };
@@ -41,8 +40,8 @@
 use crate::gateway::ports::{
     EngineCall, EngineOrder, LeaseAnswer, LeaseCall, OrderAnswer, WatchMode,
 };
-use crate::gateway::state::{CoordinatorRequest, FleetSnapshot, GatewayState};
-use crate::ids::{EndpointId, HostId, Tokens, WorkspaceId};
+use crate::gateway::state::{FleetSnapshot, GatewayState};
+use crate::ids::EndpointId;
 use crate::telemetry::CoordinatorWork;
 
 /// Interval at which the lease state is checked.
@@ -56,16 +55,12 @@
 /// The directory stops listing missing entries some time after a store outage,
 /// without an update.
 const DIRECTORY_REFRESH_INTERVAL: Duration = Duration::from_millis(300);
-/// Longest time that a client request waits for quota tokens, including retries
-/// while no coordinator is reachable.
-const QUOTA_TIMEOUT: Duration = Duration::from_millis(450);
-/// Delay between two attempts to draw tokens from a coordinator.
-const QUOTA_RETRY_DELAY: Duration = Duration::from_millis(40);
 /// Delay between two attempts to place an adapter.
 const ADAPTER_RETRY_DELAY: Duration = Duration::from_millis(5);
 /// Longest time that placing an adapter may take.
 const ADAPTER_TIMEOUT: Duration = Duration::from_millis(150);
 
+pub use draws::serve_coordinator_requests;
 pub use evacuation::follow_evacuations;
 pub use exchange::run_exchange;
 pub use knowledge::{follow_declarations, follow_engines};
@@ -181,36 +176,6 @@
         Some(CoordinatorReply { age, evacuations, lease, ..reply })
     }
 
-    /// Draws quota tokens for one client request, or returns `None` if this host
-    /// is not the coordinator.
-    pub fn draw_tokens(
-        &self,
-        host: &HostId,
-        workspace: &str,
-        tokens: Tokens,
-    ) -> Option<QuotaAnswer> {
-        self.with_coordinator(|now, coordinator| {
-            self.measure_work(CoordinatorWork::Draw, || {
-                coordinator.draw(now, host, workspace, tokens)
-            })
-        })
-    }
-
-    /// Draws one request to an engine from its limits, or returns `None` if this host is
-    /// not the coordinator.
-    pub fn draw_request(
-        &self,
-        host: &HostId,
-        engine: &EndpointId,
-        limits: EngineLimits,
-    ) -> Option<QuotaAnswer> {
-        self.with_coordinator(|now, coordinator| {
-            self.measure_work(CoordinatorWork::Draw, || {
-                coordinator.draw_engine(now, host, engine, limits)
-            })
-        })
-    }
-
     /// Returns an engine that holds an adapter, after ordering an engine to load
     /// it where necessary.
     ///
@@ -460,100 +425,6 @@
             }
         }
     }
-
-    /// Draws tokens from the current coordinator, retrying until one answers.
-    ///
-    /// It never returns while there is no coordinator, so the caller must set a
-    /// timeout. After a release of the lease another host takes it within a few
-    /// hundred milliseconds; after a failure of the coordinator the lease must
-    /// expire first.
-    async fn draw_tokens_with_retry(
-        &self,
-        host: HostId,
-        workspace: WorkspaceId,
-        tokens: Tokens,
-    ) -> QuotaAnswer {
-        loop {
-            if let Some(answer) = self.draw_tokens(&host, &workspace, tokens) {
-                return answer;
-            }
-            if let Some(client) = self.connect_coordinator().await
-                && let Some(answer) =
-                    client.draw_tokens(host.clone(), workspace.clone(), tokens).await
-            {
-                return answer;
-            }
-            sleep(QUOTA_RETRY_DELAY).await;
-        }
-    }
-
-    /// Answers one request of the traffic thread.
-    async fn handle_request(self: &Arc<Self>, request: CoordinatorRequest) {
-        match request {
-            CoordinatorRequest::Quota { workspace, tokens, reply } => {
-                let host = self.state.settings.host.clone();
-                let answer =
-                    timeout(QUOTA_TIMEOUT, self.draw_tokens_with_retry(host, workspace, tokens));
-                let answer = answer.await;
-                self.state.metrics.fleet.count_quota_draw(match &answer {
-                    Ok(QuotaAnswer::Granted) => "granted",
-                    Ok(QuotaAnswer::Refused { .. }) => "refused",
-                    Err(_) => "no-reply",
-                });
-                if let Ok(answer) = answer {
-                    // If the client request has been abandoned, the tokens are not
-                    // returned to the bucket.
-                    let _ = reply.send(answer);
-                }
-            }
-            CoordinatorRequest::EngineRequest { engine, limits, reply } => {
-                let host = self.state.settings.host.clone();
-                let answer = match self.draw_request(&host, &engine, limits) {
-                    Some(answer) => Some(answer),
-                    None => match self.connect_coordinator().await {
-                        Some(client) => client.draw_request(host, engine, limits).await,
-                        None => None,
-                    },
-                };
-                let outcome = match &answer {
-                    Some(QuotaAnswer::Granted) => "granted",
-                    Some(QuotaAnswer::Refused { .. }) => "refused",
-                    None => "no-reply",
-                };
-                self.state.metrics.fleet.count_engine_draw(limits.cold.is_some(), outcome);
-                if let Some(answer) = answer {
-                    // If the client request has been abandoned, its token is lost.
-                    let _ = reply.send(answer);
-                }
-            }
-            CoordinatorRequest::Adapter { request, reply } => {
-                let is_coordinator = lock(&self.lease).token(time_since_boot()).is_some();
-                let engine = if is_coordinator {
-                    self.place_adapter(&request).await
-                } else {
-                    match self.connect_coordinator().await {
-                        Some(client) => client.place_adapter(request).await,
-                        None => None,
-                    }
-                };
-                if let Some(engine) = engine {
-                    let _ = reply.send(engine);
-                }
-            }
-        }
-    }
-}
-
-/// Answers requests of the traffic thread, each in a task of its own, until the
-/// sending half of the channel is dropped.
-pub async fn serve_coordinator_requests(
-    control: Arc<ControlContext>,
-    mut requests: mpsc::Receiver<CoordinatorRequest>,
-) {
-    while let Some(request) = requests.recv().await {
-        let control = control.clone();
-        tokio::spawn(async move { control.handle_request(request).await });
-    }
 }
 
 /// Plans the placement of models while this host holds the lease, until the task
