Log what a coordinator has read when its term begins

A host that is started again may take its lease before it has read the declaration or the registry. `coordinator lease taken` did not tell that from a term whose quotas start too high after the loss of a predecessor. It now has `start`, `revision` and `engines`.

--- a/crates/skylarkgw/src/decision/quota_pool.rs
+++ b/crates/skylarkgw/src/decision/quota_pool.rs
@@ -232,6 +232,17 @@
     AfterLoss,
 }
 
+impl PoolStart {
+    /// Returns the short name of the start in logs.
+    pub fn label(self) -> &'static str {
+        match self {
+            PoolStart::First => "first",
+            PoolStart::AfterRelease => "after-release",
+            PoolStart::AfterLoss => "after-loss",
+        }
+    }
+}
+
 /// The coordinator's answer to a request for tokens.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct QuotaGrant {
--- a/crates/skylarkgw/src/gateway/control.rs
+++ b/crates/skylarkgw/src/gateway/control.rs
@@ -416,7 +416,11 @@
                 let engines: Vec<_> = lock(&self.directory).engines(now).cloned().collect();
                 coordinator.update_registry(lock(&self.directory).stamp(), &engines);
                 *lock(&self.coordinator) = Some(coordinator);
-                info!("coordinator lease taken", kv: { token });
+                let snapshot = self.state.snapshot.load();
+                let declaration = snapshot.declaration.as_ref();
+                let revision = declaration.map_or(0, |declaration| declaration.revision);
+                let (start, engines) = (start.label(), engines.len());
+                info!("coordinator lease taken", kv: { token, start, revision, engines });
             }
             None => {
                 *lock(&self.coordinator) = None;
