Let draws of quota tokens state the quota that the host knows

Cause: a coordinator granted every draw for which it had no bucket. That is the case for a workspace without a limit, but also if the coordinator has read no declaration, or an older one than the host that draws. An older, higher quota applied in the same way. Draws in advance followed the same copy, and hosts that got no answer to them spent their last rate beside the tokens of single draws.

Change: a draw carries the quota and the revision of the host's declaration. The newest one that any host has stated applies until the coordinator has read a declaration as new. A workspace without a bucket has no limit only if the declaration of the coordinator says so and is as new as that of the host; if a newer one no longer contains it, the draw is refused. Nobody waits for this, and it holds for as long as the coordinator cannot read the store.

--- a/crates/skylarkgw/src/decision/coordinator.rs
+++ b/crates/skylarkgw/src/decision/coordinator.rs
@@ -24,7 +24,7 @@
 use crate::decision::model_demand::DemandEstimate;
 use crate::decision::obligations::{ObligationBook, ObligationEvent};
 use crate::decision::prompt_quarantine::{PromptQuarantine, QuarantineEvent, QuarantineState};
-use crate::decision::quota_pool::{PoolStart, QuotaPool, QuotaTolerance};
+use crate::decision::quota_pool::{PoolStart, QuotaDraw, QuotaPool, QuotaTolerance};
 use crate::decision::shared_map::{SharedMap, first_version, version_token};
 use crate::decision::store_order::StoreStamp;
 use crate::gateway::declaration::{FleetDeclaration, ServiceName};
@@ -136,7 +136,8 @@
 
     /// Updates the quotas from the declared workspaces.
     pub fn apply_declaration(&mut self, now: Duration, declaration: &FleetDeclaration) {
-        self.quota_pool.set_workspaces(now, declaration.iter_workspaces());
+        let workspaces = declaration.iter_workspaces();
+        self.quota_pool.set_workspaces(now, declaration.revision, workspaces);
     }
 
     /// Returns up to when the registry in replies contains all changes.
@@ -362,8 +363,9 @@
             self.quota_pool.return_tokens(now, workspace, *tokens);
         }
         let wanted = report.wanted.into_iter();
+        let (host, revision) = (&report.host, report.revision);
         let grants = wanted.filter_map(|(workspace, wanted)| {
-            let grant = self.quota_pool.draw(now, &report.host, &workspace, wanted, 0)?;
+            let grant = self.quota_pool.draw_in_advance(now, host, &workspace, wanted, revision)?;
             Some((workspace, grant.tokens, grant.fallback_per_s as Tokens))
         });
         let grants = grants.collect();
@@ -480,18 +482,11 @@
     }
 
     /// Draws tokens from a workspace's quota for one request.
-    pub fn draw(
-        &mut self,
-        now: Duration,
-        host: &HostId,
-        workspace: &str,
-        tokens: Tokens,
-    ) -> QuotaAnswer {
-        match self.quota_pool.draw(now, host, workspace, tokens, tokens) {
-            Some(grant) if grant.tokens < tokens => {
+    pub fn draw(&mut self, now: Duration, host: &HostId, draw: &QuotaDraw) -> QuotaAnswer {
+        match self.quota_pool.draw_for_request(now, host, draw) {
+            Some(grant) if grant.tokens < draw.tokens => {
                 QuotaAnswer::Refused { retry_after: grant.retry_after }
             }
-            // A workspace without a token bucket has no quota.
             _ => QuotaAnswer::Granted,
         }
     }
--- a/crates/skylarkgw/src/decision/coordinator/messages.rs
+++ b/crates/skylarkgw/src/decision/coordinator/messages.rs
@@ -37,6 +37,8 @@
     pub paces: Vec<(EngineNumber, LoadLevel, PaceSum)>,
     /// Usage of each model since the last report.
     pub uses: Vec<(ServiceName, ModelName, ModelUse)>,
+    /// Revision of the declaration of the host; zero for none.
+    pub revision: Revision,
     /// Number of tokens that the host requests for each workspace.
     pub wanted: Vec<(WorkspaceId, Tokens)>,
     /// Number of tokens of each workspace that the host has drawn and returns.
--- a/crates/skylarkgw/src/decision/quota_pool.rs
+++ b/crates/skylarkgw/src/decision/quota_pool.rs
@@ -16,14 +16,14 @@
 //! bucket grants its burst only once, so the bucket also refills by a part of
 //! the burst, and a log of the grants in the window enforces the bound.
 
-use std::collections::{HashMap, VecDeque};
+use std::collections::{HashMap, HashSet, VecDeque};
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 
 use crate::decision::freshness::silence_timeout;
 use crate::gateway::declaration::WorkspaceRule;
-use crate::ids::{EndpointId, HostId, Tokens, WorkspaceId};
+use crate::ids::{EndpointId, HostId, Revision, Tokens, WorkspaceId};
 
 /// Time since the coordinator's last answer up to which a host may spend at its
 /// last rate, and since a host's last report up to which the coordinator
@@ -202,10 +202,49 @@
     }
 }
 
+/// Quota of a workspace, as a declaration states it.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct WorkspaceQuota {
+    /// Tokens per second; zero means no limit.
+    pub tokens_per_s: Tokens,
+    /// Number of tokens that may be used at once in excess of the rate.
+    pub burst_tokens: Tokens,
+}
+
+impl From<&WorkspaceRule> for WorkspaceQuota {
+    fn from(rule: &WorkspaceRule) -> WorkspaceQuota {
+        WorkspaceQuota { tokens_per_s: rule.tokens_per_s, burst_tokens: rule.burst_tokens }
+    }
+}
+
+/// Request of a host for the tokens of one client request.
+///
+/// It carries the quota that the host knows, because the coordinator may have read an older
+/// declaration than the host, or none.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct QuotaDraw {
+    /// Workspace whose quota is charged.
+    pub workspace: WorkspaceId,
+    /// Number of tokens.
+    pub tokens: Tokens,
+    /// Quota of the workspace in the declaration of the host.
+    pub quota: WorkspaceQuota,
+    /// Revision of that declaration.
+    pub revision: Revision,
+}
+
 /// The token buckets of all workspaces, held by the coordinator.
 #[derive(Debug, Default)]
 pub struct QuotaPool {
     buckets: HashMap<WorkspaceId, RateBucket>,
+    /// Revision of the declaration that the coordinator has read; zero before the first.
+    revision: Revision,
+    /// Workspaces without a limit in that declaration.
+    unlimited: HashSet<WorkspaceId>,
+    /// Revisions of the quotas that hosts know from newer declarations.
+    drawn_revisions: HashMap<WorkspaceId, Revision>,
     /// Buckets of engines that have named a request rate.
     engine_buckets: HashMap<EndpointId, RateBucket>,
     advanced_at: Duration,
@@ -264,37 +303,53 @@
         QuotaPool { advanced_at: now, started_at: now, tolerance, start, ..QuotaPool::default() }
     }
 
-    /// Sets the declared workspaces. Buckets that exist already keep their
-    /// levels, up to the new burst. A workspace with a rate of zero has no quota.
+    /// Sets the workspaces of the declaration with the given revision. Buckets that exist
+    /// already keep their levels, up to the new burst. A workspace with a rate of zero has no
+    /// quota.
+    ///
+    /// Quotas that hosts know from newer declarations stay in force.
     pub fn set_workspaces<'a>(
         &mut self,
         now: Duration,
+        revision: Revision,
         workspaces: impl IntoIterator<Item = &'a WorkspaceRule>,
     ) {
         self.advance(now);
-        let limited = workspaces.into_iter().filter(|workspace| workspace.tokens_per_s > 0);
-        let mut buckets = HashMap::new();
+        self.revision = revision;
+        self.drawn_revisions.retain(|_, drawn| *drawn > revision);
+        let (limited, unlimited): (Vec<_>, Vec<_>) =
+            workspaces.into_iter().partition(|workspace| workspace.tokens_per_s > 0);
+        self.unlimited = unlimited.into_iter().map(|workspace| workspace.name.clone()).collect();
+        let names: HashSet<&WorkspaceId> =
+            limited.iter().map(|workspace| &workspace.name).collect();
+        let drawn = &self.drawn_revisions;
+        self.buckets.retain(|name, _| names.contains(name) || drawn.contains_key(name));
         for workspace in limited {
-            let (rate, burst) = (workspace.tokens_per_s as f64, workspace.burst_tokens as f64);
-            let start = match self.start {
-                PoolStart::First => burst,
-                PoolStart::AfterRelease => 0.0,
-                PoolStart::AfterLoss => {
-                    let max_excess = self.tolerance.max_excess(rate, burst);
-                    // Hosts may have held tokens when the window began.
-                    let unheld = (max_excess - rate * HELD_TIME_S).max(0.0);
-                    unheld.min(max_excess * INITIAL_LEVEL_SHARE)
-                }
-            };
-            let bucket = self.buckets.remove(&workspace.name);
-            let mut bucket =
-                bucket.unwrap_or_else(|| RateBucket::new(rate, burst, start.min(burst)));
-            bucket.rate = rate;
-            bucket.burst = burst;
-            bucket.level = bucket.level.min(burst);
-            buckets.insert(workspace.name.clone(), bucket);
+            if !self.drawn_revisions.contains_key(&workspace.name) {
+                self.set_quota(&workspace.name, workspace.into());
+            }
         }
-        self.buckets = buckets;
+    }
+
+    /// Sets the quota of a workspace. A bucket that exists already keeps its level, up to
+    /// the new burst.
+    fn set_quota(&mut self, workspace: &WorkspaceId, quota: WorkspaceQuota) {
+        let (rate, burst) = (quota.tokens_per_s as f64, quota.burst_tokens as f64);
+        let start = match self.start {
+            PoolStart::First => burst,
+            PoolStart::AfterRelease => 0.0,
+            PoolStart::AfterLoss => {
+                let max_excess = self.tolerance.max_excess(rate, burst);
+                // Hosts may have held tokens when the window began.
+                let unheld = (max_excess - rate * HELD_TIME_S).max(0.0);
+                unheld.min(max_excess * INITIAL_LEVEL_SHARE)
+            }
+        };
+        let bucket = self.buckets.entry(workspace.clone());
+        let bucket = bucket.or_insert_with(|| RateBucket::new(rate, burst, start.min(burst)));
+        bucket.rate = rate;
+        bucket.burst = burst;
+        bucket.level = bucket.level.min(burst);
     }
 
     /// Records that a host has reported to the coordinator.
@@ -305,7 +360,7 @@
     /// Grants up to `wanted` tokens, or none if fewer than `min_tokens` are
     /// available.
     ///
-    /// Returns `None` if the workspace has no quota. A single request may be
+    /// Returns `None` if there is no bucket for the workspace. A single request may be
     /// larger than the burst. It then requires a full bucket and leaves a
     /// negative level.
     pub fn draw(
@@ -321,6 +376,53 @@
         Some(bucket.draw(now, self.tolerance.window, host, wanted, min_tokens))
     }
 
+    /// Returns the revision of the newest declaration by which the quota of a workspace is
+    /// known.
+    fn known_revision(&self, workspace: &str) -> Revision {
+        self.drawn_revisions.get(workspace).copied().unwrap_or(self.revision)
+    }
+
+    /// Grants up to `wanted` tokens to a host that draws them ahead of its demand.
+    ///
+    /// `revision` is that of the host's declaration. If the quota is not known by that one
+    /// yet, nothing is granted, so that the host draws for its next request, which states
+    /// the quota. Returns `None` if there is no bucket for the workspace.
+    pub fn draw_in_advance(
+        &mut self,
+        now: Duration,
+        host: &HostId,
+        workspace: &str,
+        wanted: Tokens,
+        revision: Revision,
+    ) -> Option<QuotaGrant> {
+        if revision > self.known_revision(workspace) {
+            return Some(QuotaGrant::default());
+        }
+        self.draw(now, host, workspace, wanted, 0)
+    }
+
+    /// Grants the tokens of one client request, or none.
+    ///
+    /// Returns `None` if the workspace has no limit. That a workspace has no bucket does not
+    /// show this: the quota of the host's declaration applies if that is newer, and a
+    /// workspace that a newer declaration no longer contains gets no tokens.
+    pub fn draw_for_request(
+        &mut self,
+        now: Duration,
+        host: &HostId,
+        draw: &QuotaDraw,
+    ) -> Option<QuotaGrant> {
+        if draw.revision > self.known_revision(&draw.workspace) {
+            self.drawn_revisions.insert(draw.workspace.clone(), draw.revision);
+            self.set_quota(&draw.workspace, draw.quota);
+        }
+        let grant = self.draw(now, host, &draw.workspace, draw.tokens, draw.tokens);
+        if grant.is_none() && !self.unlimited.contains(&draw.workspace) {
+            return Some(QuotaGrant { retry_after: MIN_RETRY_AFTER, ..QuotaGrant::default() });
+        }
+        grant
+    }
+
     /// Grants one request to an engine, or none.
     ///
     /// Returns `None` if the engine has no limit.
--- a/crates/skylarkgw/src/edge/forward/admit.rs
+++ b/crates/skylarkgw/src/edge/forward/admit.rs
@@ -16,7 +16,7 @@
 use crate::decision::freshness::{ABSENCE_MAX_AGE, can_check_keys};
 use crate::decision::obligations::ServiceTarget;
 use crate::decision::prompt_evidence::hash_shared_parts;
-use crate::decision::quota_pool::LocalQuota;
+use crate::decision::quota_pool::{LocalQuota, QuotaDraw};
 use crate::decision::route_table::RouteTable;
 use crate::edge::forward::body::read_body;
 use crate::edge::forward::client_memory::ClientMemory;
@@ -27,7 +27,7 @@
 use crate::gateway::declaration::{RouteRule, ServiceName, WorkspaceRule};
 use crate::gateway::state::{CoordinatorRequest, FleetSnapshot, GatewayState};
 use crate::gateway::wire::{ClientHeaders, ModelTarget};
-use crate::ids::{PartHash, Tokens};
+use crate::ids::{PartHash, Revision, Tokens};
 
 /// Time that a request waits for the coordinator to grant quota tokens.
 const QUOTA_TIMEOUT: Duration = Duration::from_millis(500);
@@ -158,7 +158,7 @@
     if let Some(target) = &header.target {
         state.lock_traffic().model_use(&service, &target.model).arrivals += 1;
     }
-    let quota = reserve_quota(state, workspace.as_ref(), &header).await?;
+    let quota = reserve_quota(state, workspace.as_ref(), declaration.revision, &header).await?;
     record.tokens = quota.tokens;
     // A request that the quota refuses says nothing about its model.
     let generation = declaration.services.get(&service).and_then(|rule| rule.generation.as_ref());
@@ -257,7 +257,8 @@
 /// its prompt tokens plus its maximum number of generated tokens, or the default of
 /// the workspace if the client does not send these counts. They are taken from the
 /// tokens that this host holds for the workspace. If those do not suffice, the rest
-/// is requested from the coordinator.
+/// is requested from the coordinator. `revision` is that of the declaration which
+/// contains the workspace.
 ///
 /// # Errors
 ///
@@ -266,6 +267,7 @@
 async fn reserve_quota(
     state: &Arc<GatewayState>,
     workspace: Option<&Arc<WorkspaceRule>>,
+    revision: Revision,
     header: &ClientHeaders,
 ) -> Result<QuotaReservation, RequestRefusal> {
     let no_reservation = QuotaReservation { state: state.clone(), workspace: None, tokens: 0 };
@@ -294,11 +296,13 @@
     };
     let missing_tokens = tokens - partial.tokens;
     let (reply, answer) = oneshot::channel();
-    let request = CoordinatorRequest::Quota {
+    let draw = QuotaDraw {
         workspace: workspace.name.clone(),
         tokens: missing_tokens,
-        reply,
+        quota: (&**workspace).into(),
+        revision,
     };
+    let request = CoordinatorRequest::Quota { draw, reply };
     let answer = match state.coordinator_requests.try_send(request) {
         Ok(()) => timeout(QUOTA_TIMEOUT, answer).await.ok().and_then(Result::ok),
         // The queue of requests to the coordinator is full.
--- a/crates/skylarkgw/src/gateway/control/draws.rs
+++ b/crates/skylarkgw/src/gateway/control/draws.rs
@@ -1,5 +1,6 @@
 //! Draws tokens from the coordinator, and answers the draws of other hosts as one.
 
+use std::cmp::Ordering;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -7,10 +8,11 @@
 use tokio::time::{sleep, timeout};
 
 use crate::decision::coordinator::{EngineLimits, QuotaAnswer};
+use crate::decision::quota_pool::QuotaDraw;
 use crate::gateway::clock::time_since_boot;
 use crate::gateway::control::{ControlContext, lock};
 use crate::gateway::state::CoordinatorRequest;
-use crate::ids::{EndpointId, HostId, Tokens, WorkspaceId};
+use crate::ids::{EndpointId, HostId};
 use crate::telemetry::CoordinatorWork;
 
 /// Longest time that a client request waits for quota tokens, including retries
@@ -22,17 +24,18 @@
 impl ControlContext {
     /// Draws quota tokens for one client request, or returns `None` if this host
     /// is not the coordinator.
-    pub fn draw_tokens(
-        &self,
-        host: &HostId,
-        workspace: &str,
-        tokens: Tokens,
-    ) -> Option<QuotaAnswer> {
-        self.with_coordinator(|now, coordinator| {
-            self.measure_work(CoordinatorWork::Draw, || {
-                coordinator.draw(now, host, workspace, tokens)
-            })
-        })
+    pub fn draw_tokens(&self, host: &HostId, draw: &QuotaDraw) -> Option<QuotaAnswer> {
+        let declaration = self.state.snapshot.load().declaration.clone();
+        let revision = declaration.map_or(0, |declaration| declaration.revision);
+        let answer = self.with_coordinator(|now, coordinator| {
+            self.measure_work(CoordinatorWork::Draw, || coordinator.draw(now, host, draw))
+        })?;
+        self.state.metrics.fleet.count_coordinator_draw(match revision.cmp(&draw.revision) {
+            Ordering::Less => "older",
+            Ordering::Equal => "same",
+            Ordering::Greater => "newer",
+        });
+        Some(answer)
     }
 
     /// Draws one request to an engine from its limits, or returns `None` if this host is
@@ -56,19 +59,13 @@
     /// timeout. After a release of the lease another host takes it within a few
     /// hundred milliseconds; after a failure of the coordinator the lease must
     /// expire first.
-    async fn draw_tokens_with_retry(
-        &self,
-        host: HostId,
-        workspace: WorkspaceId,
-        tokens: Tokens,
-    ) -> QuotaAnswer {
+    async fn draw_tokens_with_retry(&self, host: HostId, draw: QuotaDraw) -> QuotaAnswer {
         loop {
-            if let Some(answer) = self.draw_tokens(&host, &workspace, tokens) {
+            if let Some(answer) = self.draw_tokens(&host, &draw) {
                 return answer;
             }
             if let Some(client) = self.connect_coordinator().await
-                && let Some(answer) =
-                    client.draw_tokens(host.clone(), workspace.clone(), tokens).await
+                && let Some(answer) = client.draw_tokens(host.clone(), draw.clone()).await
             {
                 return answer;
             }
@@ -79,11 +76,9 @@
     /// Answers one request of the traffic thread.
     async fn handle_request(self: &Arc<Self>, request: CoordinatorRequest) {
         match request {
-            CoordinatorRequest::Quota { workspace, tokens, reply } => {
+            CoordinatorRequest::Quota { draw, reply } => {
                 let host = self.state.settings.host.clone();
-                let answer =
-                    timeout(QUOTA_TIMEOUT, self.draw_tokens_with_retry(host, workspace, tokens));
-                let answer = answer.await;
+                let answer = timeout(QUOTA_TIMEOUT, self.draw_tokens_with_retry(host, draw)).await;
                 self.state.metrics.fleet.count_quota_draw(match &answer {
                     Ok(QuotaAnswer::Granted) => "granted",
                     Ok(QuotaAnswer::Refused { .. }) => "refused",
--- a/crates/skylarkgw/src/gateway/control/exchange.rs
+++ b/crates/skylarkgw/src/gateway/control/exchange.rs
@@ -65,7 +65,9 @@
             let contact = lock(&self.contact);
             (contact.notice_version, contact.registry_version, contact.evacuations.0)
         };
-        let view = self.state.snapshot.load().view.clone();
+        let snapshot = self.state.snapshot.load_full();
+        let (view, declaration) = (snapshot.view.clone(), snapshot.declaration.as_ref());
+        let revision = declaration.map_or(0, |declaration| declaration.revision);
         let prompts = self.state.lock_prompt_guard().build_report(now);
         let statements = self.state.lock_engine_statements().build_report(now);
         let service = self.state.lock_service_log().build_report(now);
@@ -85,6 +87,7 @@
                 .map(|(workspace, quota)| (workspace.clone(), quota.take_unneeded(now)))
                 .filter(|(_, tokens)| *tokens > 0)
                 .collect(),
+            revision,
             wanted: local_quotas
                 .iter_mut()
                 .map(|(workspace, quota)| (workspace.clone(), quota.tokens_to_request(now)))
--- a/crates/skylarkgw/src/gateway/peers.rs
+++ b/crates/skylarkgw/src/gateway/peers.rs
@@ -18,11 +18,12 @@
 use crate::decision::evacuations::DeclaredEvacuation;
 use crate::decision::fleet_planner::AdapterRequest;
 use crate::decision::freshness::EXCHANGE_TIMEOUT;
+use crate::decision::quota_pool::QuotaDraw;
 use crate::decision::store_order::StorePosition;
 use crate::gateway::control::ControlContext;
 use crate::gateway::declaration::FleetDeclaration;
 use crate::gateway::registry::EngineEntry;
-use crate::ids::{EndpointId, HostId, Revision, Tokens, WorkspaceId};
+use crate::ids::{EndpointId, HostId, Revision};
 use serde::{Deserialize, Serialize};
 
 /// Longest time to open a connection to the coordinator.
@@ -79,7 +80,7 @@
     /// Returns what this host knows, also if it is not the coordinator.
     async fn ask(question: DeputyQuestion) -> DeputyAnswer;
     /// Draws quota tokens for one client request.
-    async fn draw(host: HostId, workspace: WorkspaceId, tokens: Tokens) -> Option<QuotaAnswer>;
+    async fn draw(host: HostId, draw: QuotaDraw) -> Option<QuotaAnswer>;
     /// Draws one request to an engine from its limits.
     async fn draw_request(
         host: HostId,
@@ -108,14 +109,8 @@
         self.control.answer_question(question)
     }
 
-    async fn draw(
-        self,
-        _: context::Context,
-        host: HostId,
-        workspace: WorkspaceId,
-        tokens: Tokens,
-    ) -> Option<QuotaAnswer> {
-        self.control.draw_tokens(&host, &workspace, tokens)
+    async fn draw(self, _: context::Context, host: HostId, draw: QuotaDraw) -> Option<QuotaAnswer> {
+        self.control.draw_tokens(&host, &draw)
     }
 
     async fn draw_request(
@@ -198,16 +193,8 @@
     ///
     /// `None` means that the outcome is unknown, or that the host is not the
     /// coordinator.
-    pub async fn draw_tokens(
-        &self,
-        host: HostId,
-        workspace: WorkspaceId,
-        tokens: Tokens,
-    ) -> Option<QuotaAnswer> {
-        self.client
-            .draw(context_with_timeout(QUOTA_CALL_TIMEOUT), host, workspace, tokens)
-            .await
-            .ok()?
+    pub async fn draw_tokens(&self, host: HostId, draw: QuotaDraw) -> Option<QuotaAnswer> {
+        self.client.draw(context_with_timeout(QUOTA_CALL_TIMEOUT), host, draw).await.ok()?
     }
 
     /// Draws one request to an engine from its limits.
--- a/crates/skylarkgw/src/gateway/state.rs
+++ b/crates/skylarkgw/src/gateway/state.rs
@@ -21,7 +21,7 @@
 use crate::decision::memory_budget::BudgetLimits;
 use crate::decision::obligations::ServiceLog;
 use crate::decision::prompt_guard::PromptGuard;
-use crate::decision::quota_pool::LocalQuota;
+use crate::decision::quota_pool::{LocalQuota, QuotaDraw};
 use crate::decision::route_table::RouteTable;
 use crate::decision::stop_plan::StopPlan;
 use crate::decision::store_order::StorePosition;
@@ -32,7 +32,7 @@
 use crate::gateway::registry::EngineEntry;
 use crate::gateway::settings::GatewaySettings;
 use crate::gateway::wire::HeaderCodec;
-use crate::ids::{EndpointId, Tokens, WorkspaceId};
+use crate::ids::{EndpointId, WorkspaceId};
 use crate::telemetry::Metrics;
 
 /// Part of the memory of the process that is used for clients.
@@ -125,10 +125,8 @@
 pub enum CoordinatorRequest {
     /// Draws quota tokens for one client request.
     Quota {
-        /// Workspace whose quota is charged.
-        workspace: WorkspaceId,
-        /// Number of tokens.
-        tokens: Tokens,
+        /// Tokens to draw, and the quota that this host knows.
+        draw: QuotaDraw,
         /// Receives the answer; dropped if no coordinator is reachable in time.
         reply: oneshot::Sender<QuotaAnswer>,
     },
--- a/crates/skylarkgw/src/telemetry/fleet_metrics.rs
+++ b/crates/skylarkgw/src/telemetry/fleet_metrics.rs
@@ -38,6 +38,7 @@
     store_calls: IntCounterVec,
     exchanges: IntCounterVec,
     quota_draws: IntCounterVec,
+    coordinator_draws: IntCounterVec,
     engine_draws: IntCounterVec,
     cold_draws: IntCounterVec,
     cold_engines: IntGauge,
@@ -149,6 +150,11 @@
                 "Draws of quota tokens for single requests by outcome",
                 &["outcome"],
             )?,
+            coordinator_draws: counter(
+                "skylark_coordinator_draws_total",
+                "Draws of quota tokens that this host answered as coordinator, by its declaration compared with that of the drawing host",
+                &["declaration"],
+            )?,
             engine_draws: counter(
                 "skylark_engine_draws_total",
                 "Draws of single requests to engines that named a request rate by outcome",
@@ -209,6 +215,11 @@
         self.quota_draws.with_label_values(&[outcome]).inc();
     }
 
+    /// Counts a draw of quota tokens that this host answered as coordinator.
+    pub fn count_coordinator_draw(&self, declaration: &str) {
+        self.coordinator_draws.with_label_values(&[declaration]).inc();
+    }
+
     /// Counts a draw of one request to an engine that is cold or has named a limit.
     pub fn count_engine_draw(&self, is_cold: bool, outcome: &str) {
         let draws = if is_cold { &self.cold_draws } else { &self.engine_draws };
--- a/crates/skylarkgw/tests/decisions/quota.rs
+++ b/crates/skylarkgw/tests/decisions/quota.rs
@@ -11,8 +11,9 @@
 use rand_chacha::ChaCha8Rng;
 use skylarkgw::decision::freshness::exchange_interval;
 use skylarkgw::decision::quota_pool::{
-    FALLBACK_DURATION, LocalQuota, PoolStart, QuotaPool, QuotaTolerance,
+    FALLBACK_DURATION, LocalQuota, PoolStart, QuotaDraw, QuotaPool, QuotaTolerance, WorkspaceQuota,
 };
+use skylarkgw::ids::Revision;
 
 use crate::samples::{ms, workspace};
 
@@ -46,7 +47,7 @@
 impl Fleet {
     fn new(hosts: usize) -> Fleet {
         let mut pool = QuotaPool::new(ms(0), TOLERANCE, PoolStart::First);
-        pool.set_workspaces(ms(0), &[workspace(SHOP, "key", RATE)]);
+        pool.set_workspaces(ms(0), 1, &[workspace(SHOP, "key", RATE)]);
         let hosts = (0..hosts).map(|host| Arc::from(format!("host-{host}")));
         let quotas = hosts.map(|host| (host, LocalQuota::new(ms(0)))).collect();
         Fleet { pool, quotas, spent: Vec::new() }
@@ -158,7 +159,7 @@
 #[test]
 fn request_larger_than_the_burst_requires_a_full_bucket_and_overdraws_it() {
     let mut pool = QuotaPool::new(ms(0), TOLERANCE, PoolStart::First);
-    pool.set_workspaces(ms(0), &[workspace(SHOP, "key", RATE)]);
+    pool.set_workspaces(ms(0), 1, &[workspace(SHOP, "key", RATE)]);
     let host: Arc<str> = "host".into();
     let draw = |pool: &mut QuotaPool, now| {
         let grant = pool.draw(ms(now), &host, SHOP, RATE * 2, RATE * 2);
@@ -193,7 +194,7 @@
 #[test]
 fn pool_withholds_the_tokens_that_a_silent_host_may_spend() {
     let mut pool = QuotaPool::new(ms(0), TOLERANCE, PoolStart::First);
-    pool.set_workspaces(ms(0), &[workspace(SHOP, "key", RATE)]);
+    pool.set_workspaces(ms(0), 1, &[workspace(SHOP, "key", RATE)]);
     let (silent, live): (Arc<str>, Arc<str>) = ("silent".into(), "live".into());
     let mut fallback_per_s = 0.0;
     for now in (0..3_000).step_by(100) {
@@ -219,7 +220,7 @@
         for now in (0..24_000).step_by(10) {
             if now > 8_000 && now < 16_000 && now % interval == 0 {
                 fleet.pool = QuotaPool::new(ms(now), TOLERANCE, PoolStart::AfterRelease);
-                fleet.pool.set_workspaces(ms(now), &[workspace(SHOP, "key", RATE)]);
+                fleet.pool.set_workspaces(ms(now), 1, &[workspace(SHOP, "key", RATE)]);
             }
             if now % 80 == 0 {
                 fleet.exchange(now);
@@ -241,7 +242,7 @@
     for hosts in [12, 133, 295, 1_100] {
         let mut fleet = Fleet::new(hosts);
         fleet.pool = QuotaPool::new(ms(0), TOLERANCE, PoolStart::AfterLoss);
-        fleet.pool.set_workspaces(ms(0), &[workspace(SHOP, "key", RATE)]);
+        fleet.pool.set_workspaces(ms(0), 1, &[workspace(SHOP, "key", RATE)]);
         let mut random = ChaCha8Rng::seed_from_u64(hosts as u64);
         let interval = exchange_interval(hosts as u32).as_millis() as u64;
         let mut refused = 0;
@@ -287,7 +288,7 @@
 #[test]
 fn retry_delays_of_refused_requests_are_spread_out() {
     let mut pool = QuotaPool::new(ms(0), TOLERANCE, PoolStart::First);
-    pool.set_workspaces(ms(0), &[workspace(SHOP, "key", RATE)]);
+    pool.set_workspaces(ms(0), 1, &[workspace(SHOP, "key", RATE)]);
     let host: Arc<str> = "host".into();
     let mut waits = Vec::new();
     for _ in 0..20 {
@@ -307,11 +308,11 @@
     for changes in 1..=2 {
         let (host, mut granted): (Arc<str>, Vec<(u64, u64)>) = ("host".into(), Vec::new());
         let mut pool = QuotaPool::new(ms(0), TOLERANCE, PoolStart::First);
-        pool.set_workspaces(ms(0), &[workspace(SHOP, "key", RATE)]);
+        pool.set_workspaces(ms(0), 1, &[workspace(SHOP, "key", RATE)]);
         for now in (0..24_000).step_by(50) {
             if now >= 12_000 && now < 12_000 + changes * 2_000 && now % 2_000 == 0 {
                 pool = QuotaPool::new(ms(now), TOLERANCE, PoolStart::AfterLoss);
-                pool.set_workspaces(ms(now), &[workspace(SHOP, "key", RATE)]);
+                pool.set_workspaces(ms(now), 1, &[workspace(SHOP, "key", RATE)]);
             }
             let grant = pool.draw(ms(now), &host, SHOP, 2_000, 2_000).unwrap_or_default();
             granted.push((now, grant.tokens));
@@ -370,7 +371,7 @@
         let mut fleet = Fleet::new(20);
         let start_pool = |fleet: &mut Fleet, now, start| {
             fleet.pool = QuotaPool::new(ms(now), TOLERANCE, start);
-            fleet.pool.set_workspaces(ms(now), std::slice::from_ref(&rule));
+            fleet.pool.set_workspaces(ms(now), 1, std::slice::from_ref(&rule));
         };
         start_pool(&mut fleet, 0, PoolStart::First);
         let lost_at = random.random_range(2_700..4_500);
@@ -392,3 +393,97 @@
         assert!(spent <= bound, "seed {seed}: {spent} of {bound}");
     }
 }
+
+/// Draws requests of 500 tokens every 10 ms for 4 s, by a declaration that states `rate`, and
+/// returns the tokens that the pool granted; `None` if it knows that there is no limit.
+fn draw_for_a_while(pool: &mut QuotaPool, revision: Revision, rate: u64) -> Option<u64> {
+    const TOKENS: u64 = 500;
+    let quota = WorkspaceQuota { tokens_per_s: rate, burst_tokens: rate };
+    let draw = QuotaDraw { workspace: SHOP.into(), tokens: TOKENS, quota, revision };
+    let mut granted = 0;
+    for now in (1_000..5_000).step_by(10) {
+        granted += pool.draw_for_request(ms(now), &"host".into(), &draw)?.tokens;
+    }
+    Some(granted)
+}
+
+/// Returns a pool whose coordinator has read a declaration with revision 2.
+fn pool_with_declaration(rate: Option<u64>) -> QuotaPool {
+    let mut pool = QuotaPool::new(ms(0), TOLERANCE, PoolStart::AfterLoss);
+    let workspace = rate.map(|rate| workspace(SHOP, "key", rate));
+    pool.set_workspaces(ms(0), 2, &workspace);
+    pool
+}
+
+/// Tokens that a workspace with [`RATE`] gets in 4 s of demand, with what had gathered before.
+const EARNED: std::ops::RangeInclusive<u64> = RATE * 3..=RATE * 6;
+
+// Guards against a coordinator that takes what it has not read for "no limit".
+#[test]
+fn quota_of_the_drawing_host_applies_until_its_declaration_is_read() {
+    for known in [None, Some(None), Some(Some(0)), Some(Some(RATE * 100))] {
+        let mut pool = match known {
+            None => QuotaPool::new(ms(0), TOLERANCE, PoolStart::AfterLoss),
+            Some(rate) => pool_with_declaration(rate),
+        };
+        let granted = draw_for_a_while(&mut pool, 3, RATE).expect("a limit");
+        assert!(EARNED.contains(&granted), "{granted} tokens, known {known:?}");
+        let level = pool.level(ms(5_000), SHOP);
+        pool.set_workspaces(ms(5_000), 3, &[workspace(SHOP, "key", RATE)]);
+        assert_eq!(pool.level(ms(5_000), SHOP), level, "tokens are granted twice");
+    }
+}
+
+// Guards against a quota that falls back to an older one with each draw of a host that has
+// not read the newest declaration.
+#[test]
+fn newest_declaration_of_any_host_applies() {
+    let mut pool = pool_with_declaration(Some(RATE * 100));
+    assert!(EARNED.contains(&draw_for_a_while(&mut pool, 3, RATE).expect("a limit")));
+    let level = pool.level(ms(5_000), SHOP).expect("a bucket");
+    let old = draw_for_a_while(&mut pool, 2, RATE * 100).expect("a limit");
+    assert!(old as f64 <= level + 1.0, "{old} tokens by the older declaration, {level} left");
+}
+
+// Guards against tokens for a workspace that was removed, and against refusals for one whose
+// limit was.
+#[test]
+fn draw_by_an_older_declaration_follows_the_newer_one_of_the_coordinator() {
+    assert_eq!(draw_for_a_while(&mut pool_with_declaration(None), 1, RATE), Some(0));
+    assert_eq!(draw_for_a_while(&mut pool_with_declaration(Some(0)), 1, RATE), None);
+    let granted = draw_for_a_while(&mut pool_with_declaration(Some(RATE)), 1, RATE * 100);
+    assert!(EARNED.contains(&granted.expect("a limit")));
+}
+
+// Guards against a quota of a host that outlasts the declaration in which it ended.
+#[test]
+fn quota_of_a_host_ends_with_the_declaration_that_removes_it() {
+    let mut pool = pool_with_declaration(Some(0));
+    assert!(draw_for_a_while(&mut pool, 3, RATE).is_some());
+    pool.set_workspaces(ms(5_000), 4, &[workspace(SHOP, "key", 0)]);
+    assert_eq!(draw_for_a_while(&mut pool, 3, RATE), None);
+}
+
+// Guards against tokens that a host draws ahead by an older declaration than its own, or
+// spends at its last rate beside those that the coordinator grants.
+#[test]
+fn host_with_a_newer_declaration_draws_nothing_in_advance() {
+    for known in [None, Some(Some(RATE * 100))] {
+        let mut pool = match known {
+            None => QuotaPool::new(ms(0), TOLERANCE, PoolStart::AfterLoss),
+            Some(rate) => pool_with_declaration(rate),
+        };
+        let host: Arc<str> = "host".into();
+        let mut quota = LocalQuota::new(ms(0));
+        quota.add_grant(ms(0), 0, RATE as f64);
+        for now in (0..4_000).step_by(80) {
+            pool.record_report(ms(now), &host);
+            let grant = pool.draw_in_advance(ms(now), &host, SHOP, RATE, 3).expect("a limit");
+            quota.add_grant(ms(now), grant.tokens, grant.fallback_per_s);
+            assert!(!quota.try_spend(ms(now), 1), "at {now} ms, known {known:?}");
+        }
+        let granted = draw_for_a_while(&mut pool, 3, RATE).expect("a limit");
+        assert!(EARNED.contains(&granted), "{granted} tokens");
+        assert!(pool.draw_in_advance(ms(6_000), &host, SHOP, RATE, 3).expect("a limit").tokens > 0);
+    }
+}
