Keep the limits of engines that the coordinator has not read

Callers would see: an engine that has named a request rate turns requests away, because it gets more than that from all hosts together.

Cause: a draw for an engine without a bucket was granted as one for an engine that has no limit any more. A bucket was made only for engines in the coordinator's registry, so one that it had not read had no limit.

Evidence: limit_of_an_engine_holds_while_the_coordinator_has_not_read_the_registry failed before with "limit 1: 400 requests in 4 s before, of 11".

Change: the limit that the drawing host knows applies to an engine that is not listed. Its bucket starts empty and ends with a registry that does not list it.

Measured: the test and the others of the module pass.

--- a/crates/skylarkgw/src/decision/coordinator.rs
+++ b/crates/skylarkgw/src/decision/coordinator.rs
@@ -180,6 +180,7 @@
             self.quota_pool.set_engine_limit(stamp.as_of, &engine, None);
             self.planner.set_engine_limit(&engine, None);
         }
+        self.quota_pool.retain_engines(|engine| self.listed.contains_key(engine));
         self.obligations.update_engines(stamp.as_of, engines);
         self.planner.update_registry(engines);
         self.refresh_notices();
@@ -459,7 +460,7 @@
     /// Draws one request to an engine from the limit that it named.
     ///
     /// `limit` is the limit that the host knows, in requests per second. It applies if
-    /// this coordinator has not heard of the engine's limit yet.
+    /// this coordinator has not heard of the engine or of its limit yet.
     pub fn draw_request(
         &mut self,
         now: Duration,
@@ -467,16 +468,20 @@
         engine: &EndpointId,
         limit: f64,
     ) -> QuotaAnswer {
-        let listed = self.registry.get(engine).filter(|_| !self.statements.has_observed(engine));
-        if let Some(started_ms) = listed.map(|listed| listed.entry.started_ms) {
-            let fact = StatedFact::Limit(Some(limit));
-            self.record_statement(now, engine, started_ms, Duration::ZERO, fact);
+        match self.registry.get(engine).map(|listed| listed.entry.started_ms) {
+            Some(started_ms) if !self.statements.has_observed(engine) => {
+                let fact = StatedFact::Limit(Some(limit));
+                self.record_statement(now, engine, started_ms, Duration::ZERO, fact);
+            }
+            Some(_) => {}
+            // The registry of this coordinator may be older than that of the host.
+            None => self.quota_pool.set_engine_limit(now, engine, Some(limit)),
         }
         match self.quota_pool.draw_request(now, host, engine) {
             Some(grant) if grant.tokens == 0 => {
                 QuotaAnswer::Refused { retry_after: grant.retry_after }
             }
-            // An engine without a token bucket has no limit any more.
+            // A listed engine without a token bucket has no limit any more.
             _ => QuotaAnswer::Granted,
         }
     }
--- a/crates/skylarkgw/src/decision/quota_pool.rs
+++ b/crates/skylarkgw/src/decision/quota_pool.rs
@@ -454,6 +454,11 @@
         bucket.level = bucket.level.min(burst);
     }
 
+    /// Removes the limits of engines for which `is_listed` returns `false`.
+    pub fn retain_engines(&mut self, is_listed: impl Fn(&EndpointId) -> bool) {
+        self.engine_buckets.retain(|engine, _| is_listed(engine));
+    }
+
     /// Takes back tokens of a workspace that a host has drawn and does not need.
     pub fn return_tokens(&mut self, now: Duration, workspace: &str, tokens: Tokens) {
         self.advance(now);
--- a/crates/skylarkgw/tests/decisions/limits.rs
+++ b/crates/skylarkgw/tests/decisions/limits.rs
@@ -236,3 +236,33 @@
     assert!(limits.record_answer(ms(2), &engine, STARTED_MS, &name_limit(None), true));
     assert_eq!(limits.limit(ENGINE, STARTED_MS), None);
 }
+
+/// Draws a request to the engine from the coordinator every 10 ms for a while, and returns how
+/// many were granted.
+fn count_draws(coordinator: &mut Coordinator, from: u64, duration: u64, limit: f64) -> usize {
+    let (host, engine) = ("edge-0".into(), ENGINE.into());
+    let times = (from..from + duration).step_by(10);
+    times
+        .filter(|now| {
+            let answer = coordinator.draw_request(ms(*now), &host, &engine, limit);
+            answer == QuotaAnswer::Granted
+        })
+        .count()
+}
+
+// Guards against a coordinator that takes an engine which it has not read for one without a
+// limit.
+#[test]
+fn limit_of_an_engine_holds_while_the_coordinator_has_not_read_the_registry() {
+    let tolerance = QuotaTolerance { window: ms(8_000), overshoot: 0.1, slack_tokens: 17_000.0 };
+    for limit in [1.0, 2.4, 8.0] {
+        let mut coordinator = Coordinator::new(ms(0), 1, tolerance, PoolStart::AfterLoss);
+        let unread = count_draws(&mut coordinator, 0, 4_000, limit);
+        coordinator.update_registry(StoreStamp::default(), &[engine(ENGINE, &["sage"])]);
+        let read = count_draws(&mut coordinator, 4_000, 4_000, limit);
+        let allowed = count_allowed(limit);
+        assert!(unread <= allowed, "limit {limit}: {unread} requests in 4 s before, of {allowed}");
+        assert!(unread + read <= allowed * 2, "limit {limit}: {unread} and then {read} requests");
+        assert!(read as f64 >= limit * 4.0 * 0.5, "limit {limit}: {read} requests in 4 s after");
+    }
+}
