Reject answers whose status is not from 200 to 599

Callers saw, on other systems: an engine in trouble sent an answer with the status 000, and the client got it. Here 000 ends as 502 without a signature, but 101, 600 and 999 were passed on as the engine's answer. After 101 the connection of the client answered no further request.

Cause: the HTTP library accepts statuses from 100 to 999 and returns 101 like a final answer, since another protocol could follow. Nothing asked whether a status is final.

Change: HttpConnection::send returns an error for such a status. All clients of endpoints and of the store use it, so the request counts as one that may have run, and the connection is closed.

--- a/crates/skylarkgw/src/endpoint/connection.rs
+++ b/crates/skylarkgw/src/endpoint/connection.rs
@@ -1,10 +1,11 @@
 //! An HTTP/1.1 connection that reports whether a failed request was sent.
 
 use std::net::SocketAddr;
+use std::ops::RangeInclusive;
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{Request, Response};
+use http::{Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
@@ -20,6 +21,9 @@
 /// response uses.
 const MAX_BUFFER_BYTES: usize = 16 * 1024;
 
+/// Statuses of final responses in HTTP.
+const FINAL_STATUSES: RangeInclusive<u16> = 200..=599;
+
 /// Error of a request on a connection.
 #[derive(Debug, Error)]
 pub enum ConnectionError {
@@ -44,6 +48,9 @@
     /// The connection failed after at least a part of the request may have been sent.
     #[error("the connection failed after the request was sent")]
     Broken(#[source] hyper::Error),
+    /// The status of the answer is none that a final answer can have.
+    #[error("the answer has the invalid status {0}")]
+    InvalidStatus(StatusCode),
     /// No complete response arrived in time.
     #[error("no complete answer arrived in time")]
     ResponseTimeout,
@@ -73,6 +80,7 @@
             ConnectionError::ConnectTimeout { .. } => "connect-timeout",
             ConnectionError::NotSent(_) => "not-sent",
             ConnectionError::Broken(_) => "broken",
+            ConnectionError::InvalidStatus(_) => "invalid-status",
             ConnectionError::ResponseTimeout => "answer-timeout",
             ConnectionError::OtherAnswer => "other-answer",
             ConnectionError::Body(_) => "body-broken",
@@ -138,8 +146,8 @@
     ///
     /// # Errors
     ///
-    /// [`ConnectionError::NotSent`] if no byte was sent,
-    /// [`ConnectionError::Broken`] otherwise.
+    /// [`ConnectionError::NotSent`] if no byte was sent, [`ConnectionError::InvalidStatus`] if
+    /// the status is not final, [`ConnectionError::Broken`] otherwise.
     pub async fn send(
         &mut self,
         request: Request<SegmentBody>,
@@ -152,6 +160,11 @@
             }
         })?;
         self.head_limit.stop();
+        // 101 arrives like a final status, but no request asks for another protocol. The
+        // library accepts statuses up to 999.
+        if !FINAL_STATUSES.contains(&response.status().as_u16()) {
+            return Err(ConnectionError::InvalidStatus(response.status()));
+        }
         Ok(response)
     }
 
--- a/crates/skylarkgw/tests/endpoint/main.rs
+++ b/crates/skylarkgw/tests/endpoint/main.rs
@@ -5,6 +5,7 @@
 mod budgets;
 mod replays;
 mod segments;
+mod statuses;
 
 use std::net::SocketAddr;
 use std::sync::Arc;
