Count the loads that began under the predecessor of a coordinator

Callers would see: more loads from the weight store than it allows begin within a window, and each takes longer.

Cause: the planner counts the loads of its own term. A host that takes the lease began with zero, which it took for what it had not heard.

Change: replies tell the number of recent loads, and hosts tell the next coordinator. Until one of them has, the number is unknown, and no load from the weight store begins before the window of a predecessor's loads has passed.

--- a/crates/skylarkgw/src/decision/coordinator.rs
+++ b/crates/skylarkgw/src/decision/coordinator.rs
@@ -116,7 +116,12 @@
             averaged_at: now,
             quota_pool: QuotaPool::new(now, tolerance, start),
             cold_pool: ColdPool::new(now),
-            planner: FleetPlanner::default(),
+            planner: match start {
+                PoolStart::First => FleetPlanner::default(),
+                PoolStart::AfterRelease | PoolStart::AfterLoss => {
+                    FleetPlanner::after_predecessor(now)
+                }
+            },
             notices: SharedMap::new(token),
             registry: SharedMap::new(token),
             listed: HashMap::new(),
@@ -347,6 +352,9 @@
         }
         // The numbers of a predecessor mean other engines.
         let is_numbered = version_token(report.registry_version) == self.token;
+        if let Some(told) = report.store_loads.filter(|_| !is_numbered) {
+            self.planner.adopt_store_loads(now, told);
+        }
         let (running, paces) =
             if is_numbered { (report.running, report.paces) } else { Default::default() };
         self.paces.record(now, &paces);
@@ -388,6 +396,7 @@
             trials,
             statements: self.statements.delta_since(now, report.statements.version),
             evacuations: None,
+            store_loads: self.planner.recent_store_loads(now),
             age: KnowledgeAge::default(),
             lease: None,
         }
--- a/crates/skylarkgw/src/decision/coordinator/messages.rs
+++ b/crates/skylarkgw/src/decision/coordinator/messages.rs
@@ -11,7 +11,7 @@
 use crate::decision::dispatch::pace_board::PacePage;
 use crate::decision::engine_statements::{EngineStatement, StatementReport};
 use crate::decision::evacuations::{DeclaredEvacuation, EvacuationAge};
-use crate::decision::fleet_planner::EngineNotice;
+use crate::decision::fleet_planner::{EngineNotice, RecentLoads};
 use crate::decision::model_demand::ModelUse;
 use crate::decision::obligations::ServiceReport;
 use crate::decision::prompt_guard::PromptReport;
@@ -63,6 +63,8 @@
     pub evacuation_version: MapVersion,
     /// Whether models, adapters and engines serve the requests for them.
     pub service: ServiceReport,
+    /// Loads from the weight store of which the last coordinator told; `None` if none did.
+    pub store_loads: Option<RecentLoads>,
 }
 
 /// Decision on the tokens of one request.
@@ -131,6 +133,9 @@
     pub evacuations: Option<(MapVersion, Vec<DeclaredEvacuation>)>,
     /// Revision and ages of the coordinator's declaration, registry and evacuations.
     pub age: KnowledgeAge,
+    /// Loads from the weight store that the next coordinator has to count; `None` while those
+    /// of the predecessors are unknown.
+    pub store_loads: Option<RecentLoads>,
     /// Position of the lease record and the remaining time of the lease, if the
     /// coordinator still holds it.
     pub lease: Option<(StorePosition, Duration)>,
--- a/crates/skylarkgw/src/decision/fleet_planner.rs
+++ b/crates/skylarkgw/src/decision/fleet_planner.rs
@@ -8,15 +8,17 @@
 mod adapters;
 mod ledger;
 mod registry;
+mod store_loads;
 mod vacancy;
 
-use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use crate::decision::evacuations::EvacuationView;
 use crate::decision::fleet_planner::ledger::{EngineLedger, MemoryRule};
+use crate::decision::fleet_planner::store_loads::StoreLoads;
 use crate::decision::fleet_planner::vacancy::VacancyLog;
 use crate::decision::model_demand::DemandEstimate;
 use crate::decision::model_plan::{EngineSnapshot, ModelDemand, PlanChange, plan_change};
@@ -26,6 +28,7 @@
 use crate::ids::{EndpointId, ModelName};
 
 pub use adapters::{AdapterDecision, AdapterRequest};
+pub use store_loads::RecentLoads;
 pub use vacancy::{PlacementEvent, VacancyWait};
 
 /// Time between the start of draining a model and its unload. Hosts receive the
@@ -100,8 +103,7 @@
 #[derive(Debug, Default)]
 pub struct FleetPlanner {
     engines: BTreeMap<EndpointId, EngineLedger>,
-    /// Start times of recent loads from the weight store.
-    store_loads: VecDeque<Duration>,
+    store_loads: StoreLoads,
     /// Request rates that engines have named, in requests per second.
     limits: HashMap<EndpointId, f64>,
     /// Engines that serve none of the requests sent to them.
@@ -125,6 +127,24 @@
 }
 
 impl FleetPlanner {
+    /// Creates the planner of a coordinator whose term begins at `now`, after a predecessor
+    /// that may have begun loads. Without one, [`FleetPlanner::default`] applies.
+    pub fn after_predecessor(now: Duration) -> FleetPlanner {
+        let store_loads = StoreLoads::after_predecessor(now);
+        FleetPlanner { store_loads, ..FleetPlanner::default() }
+    }
+
+    /// Adds loads from the weight store that a host heard of from a predecessor.
+    pub fn adopt_store_loads(&mut self, now: Duration, told: RecentLoads) {
+        self.store_loads.adopt(now, told);
+    }
+
+    /// Returns the loads from the weight store that a successor has to count, or `None`
+    /// while those of the predecessors are unknown.
+    pub fn recent_store_loads(&self, now: Duration) -> Option<RecentLoads> {
+        self.store_loads.recent(now)
+    }
+
     /// Records that an engine has said that it leaves, so that its models count as lost.
     pub fn set_engine_leaving(&mut self, engine: &EndpointId) {
         if let Some(ledger) = self.engines.get_mut(engine) {
@@ -173,9 +193,7 @@
         }
         self.rejected_adapters.retain(|_, at| now.saturating_sub(*at) < REJECTED_ADAPTER_TIME);
         self.loading_at.retain(|_, at| now.saturating_sub(*at) < LOAD_RECORD_LIFETIME);
-        while self.store_loads.front().is_some_and(|at| now.saturating_sub(*at) > window) {
-            self.store_loads.pop_front();
-        }
+        self.store_loads.expire(now, window);
         for service in declaration.services.values() {
             let Some(rule) = &service.generation else { continue };
             self.update_suspects(&service.name, obligations);
@@ -193,7 +211,7 @@
             let limit = (rule.store_loads_per_s * window.as_secs_f64() * STORE_RATE_SHARE) as usize;
             let mut engines = self.snapshot_engines(&service.name, rule, running);
             for _ in 0..MAX_CHANGES_PER_CALL {
-                let store_loads = limit.saturating_sub(self.store_loads.len()) as u32;
+                let store_loads = self.store_loads.remaining(limit);
                 let Some(change) = plan_change(rule, &engines, &demand, store_loads) else { break };
                 let touched = self.list_touched_engines(&change);
                 calls.extend(self.begin_change(now, token, change));
@@ -370,7 +388,7 @@
                 let ledger = self.engines.get_mut(&engine)?;
                 ledger.reserved = None;
                 if from_store {
-                    self.store_loads.push_back(now);
+                    self.store_loads.record(now);
                 }
                 ledger.loading = Some((model.clone(), now));
                 Some(PlannerCall::Order(ledger.open_order(
--- a/crates/skylarkgw/src/decision/fleet_planner/vacancy.rs
+++ b/crates/skylarkgw/src/decision/fleet_planner/vacancy.rs
@@ -269,7 +269,7 @@
                 continue;
             }
             let limit = (rule.store_loads_per_s * window.as_secs_f64() * STORE_RATE_SHARE) as usize;
-            let store_loads = limit.saturating_sub(self.store_loads.len()) as u32;
+            let store_loads = self.store_loads.remaining(limit);
             let mut engines = self.snapshot_engines(&service.name, rule, running);
             for engine in &mut engines {
                 // Orders for adapters follow the planned changes and do not prevent them.
--- a/crates/skylarkgw/src/gateway/control/exchange.rs
+++ b/crates/skylarkgw/src/gateway/control/exchange.rs
@@ -12,7 +12,7 @@
 use crate::decision::deputies::DeputyHost;
 use crate::decision::dispatch::engine_loads::{EngineNumber, RegisteredEngine};
 use crate::decision::evacuations::DeclaredEvacuation;
-use crate::decision::fleet_planner::EngineNotice;
+use crate::decision::fleet_planner::{EngineNotice, RecentLoads};
 use crate::decision::freshness::{EXCHANGE_INTERVAL, contact_timeout, exchange_interval};
 use crate::decision::quota_pool::LocalQuota;
 use crate::decision::shared_map::version_token;
@@ -37,6 +37,8 @@
     notices: HashMap<EndpointId, Arc<EngineNotice>>,
     /// Version and list of the evacuations as the coordinator sent them.
     pub(super) evacuations: (MapVersion, Vec<DeclaredEvacuation>),
+    /// Loads from the weight store of which a coordinator told, and when it did.
+    store_loads: Option<(RecentLoads, Duration)>,
     /// Whether the last reply was a part, after which more follows.
     expects_part: bool,
 }
@@ -61,9 +63,13 @@
     ///
     /// Usage counts cover the time since the previous report and are reset.
     fn build_report(&self, now: Duration) -> HostReport {
-        let (notice_version, registry_version, evacuation_version) = {
+        let (notice_version, registry_version, evacuation_version, store_loads) = {
             let contact = lock(&self.contact);
-            (contact.notice_version, contact.registry_version, contact.evacuations.0)
+            let since_told = |told_at: Duration| now.saturating_sub(told_at);
+            let store_loads = contact.store_loads;
+            let store_loads = store_loads.map(|(loads, told_at)| loads.after(since_told(told_at)));
+            let (notices, registry) = (contact.notice_version, contact.registry_version);
+            (notices, registry, contact.evacuations.0, store_loads)
         };
         let snapshot = self.state.snapshot.load_full();
         let (view, declaration) = (snapshot.view.clone(), snapshot.declaration.as_ref());
@@ -105,6 +111,7 @@
             statements,
             evacuation_version,
             service,
+            store_loads,
         }
     }
 
@@ -177,6 +184,9 @@
             info!("coordinator found", kv: { hosts });
         }
         contact.last_reply_at = Some(now);
+        if let Some(loads) = reply.store_loads {
+            contact.store_loads = Some((loads, now));
+        }
         let has_notice_part = reply.notices.as_ref().is_some_and(|delta| !delta.is_last);
         contact.expects_part = has_registry_part || has_notice_part;
         if let Some(delta) = reply.notices {
--- a/crates/skylarkgw/tests/decisions/fleet_model/engines.rs
+++ b/crates/skylarkgw/tests/decisions/fleet_model/engines.rs
@@ -107,6 +107,12 @@
         }
     }
 
+    /// Returns whether an accepted order loads a model from the weight store.
+    pub(super) fn loads_from_store(&self, order: &EngineOrder) -> bool {
+        let has_copy = self.entry.copies_on_disk.contains(&order.model);
+        order.kind == OrderKind::Load && order.adapter.is_none() && !has_copy
+    }
+
     pub(super) fn report(&self) -> EngineReport {
         let adapters = |model: &ModelName| {
             let held = self.adapters.iter().filter(|(name, _)| name == model);
--- a/crates/skylarkgw/tests/decisions/main.rs
+++ b/crates/skylarkgw/tests/decisions/main.rs
@@ -35,6 +35,7 @@
 mod starvation;
 mod statements;
 mod stops;
+mod store_loads;
 mod store_order;
 mod store_restores;
 mod urgency;
--- a/crates/skylarkgw/tests/decisions/starvation.rs
+++ b/crates/skylarkgw/tests/decisions/starvation.rs
@@ -99,6 +99,27 @@
     assert_served(6, SMALL_FLEET, &[(ms(6_000), crash), lose(11_000), lose(17_000)]);
 }
 
+/// Guards against a coordinator that counts no loads which its predecessor began, so that
+/// both together exceed the rate of the weight store.
+#[test]
+fn loads_under_two_coordinators_keep_the_rate_of_the_weight_store() {
+    // Engines that lose all that they hold have more models to load than the rate allows.
+    let size = FleetSize { engines: 40, models: 60, adapters: 0, store_loads_per_s: 2.4 };
+    // Loads that may begin in 5 s, with the tolerance of the deployments.
+    let bound = (size.store_loads_per_s * 5.0 * 1.1) as usize + 3;
+    let crash = (ms(8_000), FleetFault::Crash { engines: 36, down: None });
+    let join = (ms(8_200), FleetFault::Join { engines: 36 });
+    for lost_at in [11_000, 12_000, 12_500] {
+        let lose = (ms(lost_at), FleetFault::LoseCoordinator { pause: ms(500) });
+        let mut fleet = FleetModel::new(lost_at, size, vec![crash.clone(), join.clone(), lose]);
+        fleet.run(size, Duration::from_secs(20));
+        let most = fleet.count_most_store_loads();
+        assert!(most <= bound, "lost at {lost_at} ms: {most} loads of {bound} in 5 s");
+        // The rate is used.
+        assert!(most >= (size.store_loads_per_s * 5.0 * 0.8) as usize, "{most} loads in 5 s");
+    }
+}
+
 /// Guards against a rare adapter that gets no place, because frequent ones keep all
 /// adapter places of the engines that hold its model.
 #[test]
