--- a/crates/skylarkgw/src/decision/coordinator.rs
+++ b/crates/skylarkgw/src/decision/coordinator.rs
@@ -97,7 +97,7 @@
     /// Creates the state of a new lease holder with the given fencing token.
     ///
     /// `tolerance` is the window over which quotas are counted and the excess
-    /// that is tolerated. `start` is what is known about earlier grants.
+    /// that is tolerated. `start` is what is known about the coordinators before.
     pub fn new(
         now: Duration,
         token: u64,
--- a/crates/skylarkgw/src/decision/quota_pool.rs
+++ b/crates/skylarkgw/src/decision/quota_pool.rs
@@ -252,7 +252,7 @@
     start: PoolStart,
 }
 
-/// What is known about the grants before a pool was created.
+/// What is known about the coordinators before, and so about their grants.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub enum PoolStart {
     /// Nothing can have been granted, so the buckets start full.
--- a/crates/skylarkgw/src/edge/forward/connection.rs
+++ b/crates/skylarkgw/src/edge/forward/connection.rs
@@ -206,8 +206,7 @@
         let (requests, has_partial_request) = (record.requests, record.clock.has_partial_head());
         let idle_ms = self.age().saturating_sub(record.last_byte_at).as_millis() as u64;
         let has_unread_bytes = self.has_unread_bytes();
-        let declaration = state.snapshot.load().declaration.clone();
-        let revision = declaration.map_or(0, |declaration| declaration.revision);
+        let revision = state.snapshot.load().revision();
         info!("client connection closed", kv: {
             reason = reason.label(), requests, last_request, idle_ms, has_partial_request,
             has_unread_bytes, revision
--- a/crates/skylarkgw/src/gateway/control.rs
+++ b/crates/skylarkgw/src/gateway/control.rs
@@ -151,7 +151,7 @@
     pub fn handle_report(&self, report: HostReport) -> Option<CoordinatorReply> {
         let now = time_since_boot();
         let lease = lock(&self.lease).remaining(now);
-        let declaration = self.state.snapshot.load().declaration.clone();
+        let revision = self.state.snapshot.load().revision();
         let known_version = report.evacuation_version;
         let (reply, token, stamp, events) = self.with_coordinator(|now, coordinator| {
             let reply =
@@ -164,7 +164,7 @@
             log_quarantine_events(events);
         }
         let age = KnowledgeAge {
-            revision: declaration.map_or(0, |declaration| declaration.revision),
+            revision,
             declaration: self.state.declaration_age(now),
             registry: now.saturating_sub(stamp.as_of),
             registry_position: stamp.position,
@@ -416,9 +416,7 @@
                 let engines: Vec<_> = lock(&self.directory).engines(now).cloned().collect();
                 coordinator.update_registry(lock(&self.directory).stamp(), &engines);
                 *lock(&self.coordinator) = Some(coordinator);
-                let snapshot = self.state.snapshot.load();
-                let declaration = snapshot.declaration.as_ref();
-                let revision = declaration.map_or(0, |declaration| declaration.revision);
+                let revision = self.state.snapshot.load().revision();
                 let (start, engines) = (start.label(), engines.len());
                 info!("coordinator lease taken", kv: { token, start, revision, engines });
             }
--- a/crates/skylarkgw/src/gateway/control/deputy.rs
+++ b/crates/skylarkgw/src/gateway/control/deputy.rs
@@ -64,9 +64,8 @@
             return;
         }
         let Some(address) = lock(&self.guide).begin_question(sent_at) else { return };
-        let declaration = self.state.snapshot.load().declaration.clone();
         let question = DeputyQuestion {
-            revision: declaration.map_or(0, |declaration| declaration.revision),
+            revision: self.state.snapshot.load().revision(),
             registry_position: lock(&self.directory).stamp().position,
         };
         let answer = match CoordinatorClient::open(address).await {
@@ -105,8 +104,7 @@
         if let Some(declaration) = answer.declaration {
             self.apply_declaration(declaration);
         }
-        let declaration = self.state.snapshot.load().declaration.clone();
-        let revision = declaration.map_or(0, |declaration| declaration.revision);
+        let revision = self.state.snapshot.load().revision();
         if is_confirmed_by(revision, answer.age.revision) {
             self.state.record_declaration_time(sent_at.saturating_sub(answer.age.declaration));
         }
--- a/crates/skylarkgw/src/gateway/control/draws.rs
+++ b/crates/skylarkgw/src/gateway/control/draws.rs
@@ -25,8 +25,7 @@
     /// Draws quota tokens for one client request, or returns `None` if this host
     /// is not the coordinator.
     pub fn draw_tokens(&self, host: &HostId, draw: &QuotaDraw) -> Option<QuotaAnswer> {
-        let declaration = self.state.snapshot.load().declaration.clone();
-        let revision = declaration.map_or(0, |declaration| declaration.revision);
+        let revision = self.state.snapshot.load().revision();
         let answer = self.with_coordinator(|now, coordinator| {
             self.measure_work(CoordinatorWork::Draw, || coordinator.draw(now, host, draw))
         })?;
--- a/crates/skylarkgw/src/gateway/control/exchange.rs
+++ b/crates/skylarkgw/src/gateway/control/exchange.rs
@@ -65,15 +65,12 @@
     fn build_report(&self, now: Duration) -> HostReport {
         let (notice_version, registry_version, evacuation_version, store_loads) = {
             let contact = lock(&self.contact);
-            let since_told = |told_at: Duration| now.saturating_sub(told_at);
-            let store_loads = contact.store_loads;
-            let store_loads = store_loads.map(|(loads, told_at)| loads.after(since_told(told_at)));
-            let (notices, registry) = (contact.notice_version, contact.registry_version);
-            (notices, registry, contact.evacuations.0, store_loads)
+            let loads = contact.store_loads;
+            let loads = loads.map(|(loads, told_at)| loads.after(now.saturating_sub(told_at)));
+            (contact.notice_version, contact.registry_version, contact.evacuations.0, loads)
         };
         let snapshot = self.state.snapshot.load_full();
-        let (view, declaration) = (snapshot.view.clone(), snapshot.declaration.as_ref());
-        let revision = declaration.map_or(0, |declaration| declaration.revision);
+        let (view, revision) = (&snapshot.view, snapshot.revision());
         let prompts = self.state.lock_prompt_guard().build_report(now);
         let statements = self.state.lock_engine_statements().build_report(now);
         let service = self.state.lock_service_log().build_report(now);
--- a/crates/skylarkgw/src/gateway/control/knowledge.rs
+++ b/crates/skylarkgw/src/gateway/control/knowledge.rs
@@ -102,8 +102,7 @@
         age: &KnowledgeAge,
         registry: Option<MapDelta<RegisteredEngine>>,
     ) -> Option<Arc<HashMap<EndpointId, EngineNumber>>> {
-        let declaration = self.state.snapshot.load().declaration.clone();
-        let revision = declaration.map_or(0, |declaration| declaration.revision);
+        let revision = self.state.snapshot.load().revision();
         if is_confirmed_by(revision, age.revision) {
             self.state.record_declaration_time(sent_at.saturating_sub(age.declaration));
         }
@@ -218,8 +217,7 @@
     ///
     /// This also updates hosts that cannot reach the store.
     pub(super) async fn fetch_declaration(&self, client: &CoordinatorClient, revision: Revision) {
-        let current = self.state.snapshot.load().declaration.clone();
-        if current.map_or(0, |current| current.revision) >= revision {
+        if self.state.snapshot.load().revision() >= revision {
             return;
         }
         match client.fetch_declaration().await {
@@ -237,8 +235,7 @@
     while let Some(update) = updates.recv().await {
         let StoreUpdate::Current { value: declaration, position, as_of } = update else { continue };
         let (now, answered) = (time_since_boot(), declaration.revision);
-        let in_force = control.state.snapshot.load().declaration.clone();
-        let in_force = in_force.map_or(0, |declaration| declaration.revision);
+        let in_force = control.state.snapshot.load().revision();
         let (stamp, age) = (StoreStamp { position, as_of }, control.state.declaration_age(now));
         let mut confirmation = lock(&control.confirmation);
         let is_confirmed = confirmation.record_answer(now, stamp, answered, in_force, age);
--- a/crates/skylarkgw/src/gateway/state.rs
+++ b/crates/skylarkgw/src/gateway/state.rs
@@ -32,7 +32,7 @@
 use crate::gateway::registry::EngineEntry;
 use crate::gateway::settings::GatewaySettings;
 use crate::gateway::wire::HeaderCodec;
-use crate::ids::{EndpointId, WorkspaceId};
+use crate::ids::{EndpointId, Revision, WorkspaceId};
 use crate::telemetry::Metrics;
 
 /// Part of the memory of the process that is used for clients.
@@ -62,6 +62,13 @@
     pub view: Arc<FleetView>,
 }
 
+impl FleetSnapshot {
+    /// Returns the revision of the declaration in force, or zero without one.
+    pub fn revision(&self) -> Revision {
+        self.declaration.as_ref().map_or(0, |declaration| declaration.revision)
+    }
+}
+
 /// Origin of a copy of the engine registry.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct RegistryOrigin {
