--- a/crates/standins/tests/fleet/stops.rs
+++ b/crates/standins/tests/fleet/stops.rs
@@ -154,8 +154,9 @@
                 .send()
                 .await
                 .expect("the connection stays open");
-            assert_eq!(response.status(), 200);
+            let status = response.status();
             let text = response.text().await.expect("the stream is complete");
+            assert_eq!(status, 200, "{address} {text}");
             assert_eq!(parse_chat_stream(&text), (whole_text(&flatten_prompt(&prompt), 12), true));
             self.answered.fetch_add(1, Ordering::Relaxed);
             tokio::time::sleep(Duration::from_millis(10)).await;
