--- /dev/null
+++ b/review/standins-3/src/bin/quota_fraction.rs
@@ -0,0 +1,125 @@
+//! A configuration lowers a tenant's cap below one token a second, and the cap is gone.
+//!
+//! Exit code 1: QUOTA was broken, 0: it held, 2: the case could not run.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::exit;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::Duration;
+
+use review_standins::consumer::{Ask, Cap, ask, declare, most_used};
+use review_standins::engine::Engine;
+use review_standins::fleet::Gateway;
+use review_standins::record::Record;
+use review_standins::store::Store;
+
+const CAP: Cap = Cap { rate_per_s: 20_000.0, burst: 20_000.0 };
+/// The lower cap, which shuts the tenant out but for the tolerance.
+const LOWER_CAP: Cap = Cap { rate_per_s: 0.5, burst: 1.0 };
+/// Prompt tokens and the maximum number of generated ones.
+const USAGE: (u64, u64) = (826, 294);
+const CONSUMERS: u64 = 20;
+/// Time between the end of a request and the next one of the same consumer.
+const PAUSE: Duration = Duration::from_millis(400);
+const CALM: Duration = Duration::from_secs(5);
+/// `config_apply_ms`, and the window after which a lower limit binds.
+const BINDING: Duration = Duration::from_secs(2 + 8);
+const REST: Duration = Duration::from_secs(9);
+
+struct Shared {
+    record: Record,
+    addresses: Vec<SocketAddr>,
+    is_done: AtomicBool,
+    next: AtomicU64,
+    sent: Mutex<HashMap<String, u64>>,
+}
+
+fn consume(shared: &Shared, number: u64) {
+    let address = shared.addresses[(number % shared.addresses.len() as u64) as usize];
+    while !shared.is_done.load(Ordering::SeqCst) {
+        let count = shared.next.fetch_add(1, Ordering::SeqCst);
+        let id = format!("{:016x}", 0x9c41_d07b_0000_0000_u64 + count);
+        shared.sent.lock().unwrap().insert(id.clone(), shared.record.now_ms());
+        let end = match ask(address, &Ask { id: &id, key: "key-of-shop", usage: USAGE, patience: None }) {
+            Ok(Some((status, body))) => format!("{status} with {} bytes", body.len()),
+            Ok(None) => "closed without an answer".to_owned(),
+            Err(error) => error.to_string(),
+        };
+        shared.record.line(&format!("consumer {number} sent {id}: {end}"));
+        thread::sleep(PAUSE);
+    }
+}
+
+fn run() -> std::io::Result<bool> {
+    let is_troubled = std::env::var("TROUBLE").as_deref() != Ok("0");
+    let mut folders = std::env::args().skip(1).map(PathBuf::from);
+    let (folder, temporary) = (folders.next().expect("a folder"), folders.next().expect("another"));
+    let record = Record::create(&folder.join("record.txt"))?;
+    record.line(&format!("TROUBLE={}", u8::from(is_troubled)));
+    let store = Store::start()?;
+    let events = (4, Duration::from_millis(30));
+    let engines = [
+        Engine::start("i-7f3a91c1", "models", "sage", 64, events, &record)?,
+        Engine::start("i-7f3a91c2", "models", "sage", 64, events, &record)?,
+    ];
+    engines.iter().for_each(|engine| engine.check_in(&store));
+    store.put("config", "main", &declare(3, "20000", "20000"));
+    let start = |number| Gateway::start(number, &store, &temporary, "");
+    let gateways: Vec<Gateway> = (1..=2).map(start).collect::<Result<_, _>>()?;
+    if !gateways.iter().all(Gateway::wait_until_ready) {
+        record.line("a gateway did not get ready");
+        exit(2);
+    }
+    let shared = Arc::new(Shared {
+        record: record.clone(),
+        addresses: gateways.iter().map(|gateway| gateway.address).collect(),
+        is_done: AtomicBool::new(false),
+        next: AtomicU64::new(1),
+        sent: Mutex::default(),
+    });
+    let start = |number| {
+        let shared = shared.clone();
+        thread::spawn(move || consume(&shared, number))
+    };
+    let consumers: Vec<_> = (0..CONSUMERS).map(start).collect();
+    thread::sleep(CALM);
+    if is_troubled {
+        store.put("config", "main", &declare(4, "0.5", "1"));
+        record.line("version 4 is confirmed: 0.5 tokens a second, burst 1");
+    }
+    thread::sleep(BINDING);
+    let bound_from = record.now_ms();
+    record.line("the cap binds from here on");
+    thread::sleep(REST);
+    shared.is_done.store(true, Ordering::SeqCst);
+    consumers.into_iter().for_each(|consumer| drop(consumer.join()));
+    drop(gateways);
+    let runs: Vec<_> =
+        engines.iter().flat_map(|engine| engine.runs.lock().unwrap().clone()).collect();
+    let mut sent = shared.sent.lock().unwrap().clone();
+    sent.retain(|_, at_ms| *at_ms >= bound_from);
+    let allowed = if is_troubled { LOWER_CAP.allowed() } else { CAP.allowed() };
+    let (most, from) = most_used(runs.iter(), "shop", &sent);
+    let text = format!("most in 8 s: {most} tokens from {from} ms on, allowed {allowed}");
+    record.line(&text);
+    println!("{text}");
+    if runs.len() < 50 {
+        record.line("too few requests ran");
+        exit(2);
+    }
+    Ok(most > allowed)
+}
+
+fn main() {
+    match run() {
+        Ok(is_broken) => exit(i32::from(is_broken)),
+        Err(error) => {
+            eprintln!("the case could not run: {error}");
+            exit(2);
+        }
+    }
+}
