--- a/review/standins-3/src/fleet.rs
+++ b/review/standins-3/src/fleet.rs
@@ -19,6 +19,16 @@
     pub address: SocketAddr,
     readiness: SocketAddr,
     child: Child,
+    settings: PathBuf,
+}
+
+/// Starts the program of the deploy file, whose output is added to a log.
+fn spawn(settings: &Path) -> std::io::Result<Child> {
+    let program = std::env::var("GATEWAY").unwrap_or("target/release/skylark-gateway".to_owned());
+    let log = settings.with_extension("log");
+    let log = File::options().create(true).append(true).open(log)?;
+    let command = &mut Command::new(program);
+    command.env("SKYLARKGW_SETTINGS", settings).stdout(log.try_clone()?).stderr(log).spawn()
 }
 
 impl Drop for Gateway {
@@ -29,9 +39,8 @@
 }
 
 impl Gateway {
-    /// Starts the program of the deploy file. `folder` is a temporary one.
+    /// Starts a gateway. `folder` is a temporary one.
     pub fn start(number: u8, store: &Store, folder: &Path, further: &str) -> std::io::Result<Gateway> {
-        let program = std::env::var("GATEWAY").unwrap_or("target/release/skylark-gateway".to_owned());
         // Two runs at once do not share addresses.
         let [_, _, high, low] = std::process::id().to_be_bytes();
         let ip = Ipv4Addr::new(127, 10 + number, high, low.max(1));
@@ -55,14 +64,32 @@
         );
         let path: PathBuf = folder.join(format!("{name}.conf"));
         std::fs::write(&path, settings)?;
-        let log = File::create(folder.join(format!("{name}.log")))?;
-        let child = Command::new(program)
-            .env("SKYLARKGW_SETTINGS", &path)
-            .stdout(log.try_clone()?)
-            .stderr(log)
-            .spawn()?;
+        let child = spawn(&path)?;
         let at = |port: u16| SocketAddr::from((ip, port));
-        Ok(Gateway { name, address: at(callers), readiness: at(readiness), child })
+        Ok(Gateway { name, address: at(callers), readiness: at(readiness), child, settings: path })
+    }
+
+    /// Memory of the process that no file backs, in bytes, or zero if it has ended.
+    pub fn memory(&self) -> u64 {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id()));
+        let status = status.unwrap_or_default();
+        let line = status.lines().find_map(|line| line.strip_prefix("RssAnon:"));
+        let kilobytes = line.and_then(|line| line.trim().strip_suffix("kB")?.trim().parse().ok());
+        kilobytes.unwrap_or(0_u64) * 1024
+    }
+
+    /// Kills the process with SIGKILL, as the platform does.
+    pub fn kill(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+
+    /// Starts the process again, at the same addresses.
+    pub fn restart(&mut self) -> std::io::Result<()> {
+        let text = std::fs::read_to_string(&self.settings)?;
+        std::fs::write(&self.settings, text.replace("bootstrap=true", "bootstrap=false"))?;
+        self.child = spawn(&self.settings)?;
+        Ok(())
     }
 
     pub fn is_ready(&self) -> bool {
