--- a/review/standins-3/src/bin/quota_overdraft.rs
+++ b/review/standins-3/src/bin/quota_overdraft.rs
@@ -42,8 +42,8 @@
         let count = shared.next.fetch_add(1, Ordering::SeqCst);
         let id = format!("{:016x}", 0x9c41_d07b_0000_0000_u64 + count);
         shared.sent.lock().unwrap().insert(id.clone(), shared.record.now_ms());
-        let end = match ask(address, &Ask { id: &id, key: "key-of-shop", usage: USAGE, patience: None }) {
-            Ok(Some((status, body))) => format!("{status} with {} bytes", body.len()),
+        let end = match ask(address, &Ask { id: &id, key: "key-of-shop", model: "sage", usage: USAGE, patience: None }) {
+            Ok(Some(answer)) => format!("{} with {} bytes", answer.status, answer.length),
             Ok(None) => "closed without an answer".to_owned(),
             Err(error) => error.to_string(),
         };
@@ -65,7 +65,7 @@
         Engine::start("i-7f3a91c2", "models", "sage", 64, events, &record)?,
     ];
     engines.iter().for_each(|engine| engine.check_in(&store));
-    store.put("config", "main", &declare(3, "4200", "4200"));
+    store.put("config", "main", &declare(3, "4200", "4200", 800_000));
     let start = |number| Gateway::start(number, &store, &temporary, "");
     let mut gateways: Vec<Gateway> = (1..=HOSTS).map(start).collect::<Result<_, _>>()?;
     if !gateways.iter().all(Gateway::wait_until_ready) {
--- a/review/standins-3/src/bin/quota_refunds.rs
+++ b/review/standins-3/src/bin/quota_refunds.rs
@@ -49,8 +49,8 @@
         let leaves = number % 10 < shared.leavers && shared.is_disturbed.load(Ordering::SeqCst);
         shared.sent.lock().unwrap().insert(id.clone(), shared.record.now_ms());
         let patience = leaves.then_some(PATIENCE);
-        let end = match ask(address, &Ask { id: &id, key: "key-of-shop", usage: USAGE, patience }) {
-            Ok(Some((status, body))) => format!("{status} with {} bytes", body.len()),
+        let end = match ask(address, &Ask { id: &id, key: "key-of-shop", model: "sage", usage: USAGE, patience }) {
+            Ok(Some(answer)) => format!("{} with {} bytes", answer.status, answer.length),
             Ok(None) => "closed without an answer".to_owned(),
             Err(_) if leaves => "left".to_owned(),
             Err(error) => error.to_string(),
@@ -75,7 +75,7 @@
         Engine::start("i-7f3a91c2", "models", "sage", 64, events, &record)?,
     ];
     engines.iter().for_each(|engine| engine.check_in(&store));
-    store.put("config", "main", &declare(3, "20000", "20000"));
+    store.put("config", "main", &declare(3, "20000", "20000", 800_000));
     let start = |number| Gateway::start(number, &store, &temporary, "");
     let gateways: Vec<Gateway> = (1..=2).map(start).collect::<Result<_, _>>()?;
     if !gateways.iter().all(Gateway::wait_until_ready) {
--- a/review/standins-3/src/engine.rs
+++ b/review/standins-3/src/engine.rs
@@ -1,11 +1,11 @@
 //! Stand-in of a model engine: streams, reports, orders and check-ins.
 
 use std::io::{BufReader, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use crate::http::{Message, read_message, write_answer};
 use crate::json;
@@ -27,7 +27,16 @@
     pub address: SocketAddr,
     service: String,
     slots: u32,
-    model: String,
+    /// Models that the engine holds, and the one that it loads.
+    models: Arc<Mutex<(Vec<String>, Option<String>)>>,
+    /// Time that a load from the weight store takes.
+    load_time: Duration,
+    store: Arc<Mutex<Option<Store>>>,
+    beat: Arc<AtomicU64>,
+    has_ended: Arc<AtomicBool>,
+    /// Time at which the engine is taken away, once it has notice.
+    leaves_at: Arc<Mutex<Option<Instant>>>,
+    streams: Arc<Mutex<Vec<TcpStream>>>,
     born_ms: u64,
     events: u32,
     gap: Duration,
@@ -38,7 +47,7 @@
 }
 
 impl Engine {
-    /// Starts an engine that holds `model` and answers with `events` events, `gap` apart.
+    /// Starts an engine that holds `model`, or none if that is empty, and answers with `events` events, `gap` apart.
     pub fn start(
         id: &str,
         service: &str,
@@ -48,13 +57,20 @@
         record: &Record,
     ) -> std::io::Result<Engine> {
         let listener = TcpListener::bind("127.0.0.1:0")?;
+        let held = Some(model.to_owned()).filter(|model| !model.is_empty()).into_iter();
         let born = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         let engine = Engine {
             id: id.to_owned(),
             address: listener.local_addr()?,
             service: service.to_owned(),
             slots,
-            model: model.to_owned(),
+            models: Arc::new(Mutex::new((held.collect(), None))),
+            load_time: Duration::from_millis(6_400),
+            store: Arc::default(),
+            beat: Arc::default(),
+            has_ended: Arc::default(),
+            leaves_at: Arc::default(),
+            streams: Arc::default(),
             born_ms: born.as_millis() as u64,
             events,
             gap,
@@ -66,6 +82,9 @@
         let serving = engine.clone();
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
+                if serving.has_ended.load(Ordering::SeqCst) {
+                    return;
+                }
                 let engine = serving.clone();
                 thread::spawn(move || engine.serve(stream));
             }
@@ -74,33 +93,109 @@
     }
 
     fn models(&self) -> String {
-        format!("[{{\"name\":\"{}\",\"version\":1,\"adapters\":[]}}]", self.model)
+        let models = self.models.lock().unwrap().0.clone();
+        let models = models
+            .iter()
+            .map(|name| format!("{{\"name\":\"{name}\",\"version\":1,\"adapters\":[]}}"));
+        format!("[{}]", models.collect::<Vec<_>>().join(","))
+    }
+
+    /// Takes the engine away after a notice, whatever it runs. Its entry says so, and is
+    /// removed when it has left.
+    pub fn take_away(&self, notice: Duration) {
+        *self.leaves_at.lock().unwrap() = Some(Instant::now() + notice);
+        self.write_entry();
+        thread::sleep(notice);
+        self.has_ended.store(true, Ordering::SeqCst);
+        // The listener is closed once it has seen this connection.
+        let _ = TcpStream::connect(self.address);
+        for stream in self.streams.lock().unwrap().drain(..) {
+            let _ = stream.shutdown(Shutdown::Both);
+        }
+        if let Some(store) = &*self.store.lock().unwrap() {
+            store.remove("servers", &self.id);
+        }
+    }
+
+    /// Writes the entry of the engine, unless it has ended.
+    fn write_entry(&self) {
+        if self.has_ended.load(Ordering::SeqCst) {
+            return;
+        }
+        let Some(store) = self.store.lock().unwrap().clone() else { return };
+        let beat = self.beat.fetch_add(1, Ordering::SeqCst) + 1;
+        let leaves_at = *self.leaves_at.lock().unwrap();
+        let state = match leaves_at.map(|at| at.saturating_duration_since(Instant::now())) {
+            Some(left) => format!("\"draining\",\"remaining_ms\":{}", left.as_millis()),
+            None => "\"ready\"".to_owned(),
+        };
+        let spec = format!(
+            "{{\"service\":\"{}\",\"address\":\"{}\",\"zone\":\"a\",\"version\":\"v1\",\
+             \"slots\":{},\"state\":{state},\"cold_remaining_ms\":0,\"stage\":\"unified\",\
+             \"models\":{},\"sequence\":{beat},\"born\":{}}}",
+            self.service, self.address, self.slots, self.models(), self.born_ms
+        );
+        store.put("servers", &self.id, &spec);
     }
 
     /// Registers the engine, and renews its entry every 1.2 s.
     pub fn check_in(&self, store: &Store) {
-        let (engine, store) = (self.clone(), store.clone());
-        let write = move |beat: u64| {
-            let spec = format!(
-                "{{\"service\":\"{}\",\"address\":\"{}\",\"zone\":\"a\",\"version\":\"v1\",\
-                 \"slots\":{},\"state\":\"ready\",\"cold_remaining_ms\":0,\"stage\":\"unified\",\
-                 \"models\":{},\"sequence\":{beat},\"born\":{}}}",
-                engine.service, engine.address, engine.slots, engine.models(), engine.born_ms
-            );
-            store.put("servers", &engine.id, &spec);
-        };
-        write(1);
+        *self.store.lock().unwrap() = Some(store.clone());
+        self.write_entry();
+        let engine = self.clone();
         thread::spawn(move || {
-            for beat in 2.. {
+            loop {
                 thread::sleep(Duration::from_millis(1_200));
-                write(beat);
+                engine.write_entry();
             }
         });
     }
 
+    /// Carries out an order, one at a time, and returns the status of the answer.
+    fn take_order(&self, body: &str) -> &'static str {
+        let Some(model) = json::text_member(body, "model").map(str::to_owned) else {
+            return "400 Bad Request";
+        };
+        let mut models = self.models.lock().unwrap();
+        let expected = json::number_member(body, "expected_revision");
+        let known = self.sequence.load(Ordering::SeqCst);
+        if models.1.is_some() || expected.is_some_and(|expected| expected != known) {
+            return "409 Conflict";
+        }
+        let is_held = models.0.contains(&model);
+        match json::text_member(body, "operation") {
+            Some("load") if is_held => "200 OK",
+            Some("load") => {
+                self.sequence.fetch_add(1, Ordering::SeqCst);
+                models.1 = Some(model);
+                let engine = self.clone();
+                thread::spawn(move || {
+                    thread::sleep(engine.load_time);
+                    let mut models = engine.models.lock().unwrap();
+                    let loaded = models.1.take();
+                    models.0.extend(loaded);
+                    drop(models);
+                    engine.record.line(&format!("{} has loaded a model", engine.id));
+                    engine.write_entry();
+                });
+                "202 Accepted"
+            }
+            Some("unload") if !is_held => "200 OK",
+            Some("unload") => {
+                self.sequence.fetch_add(1, Ordering::SeqCst);
+                models.0.retain(|held| *held != model);
+                "202 Accepted"
+            }
+            _ => "400 Bad Request",
+        }
+    }
+
     fn serve(&self, stream: TcpStream) {
         let _ = stream.set_nodelay(true);
         let Ok(mut writer) = stream.try_clone() else { return };
+        if let Ok(stream) = stream.try_clone() {
+            self.streams.lock().unwrap().push(stream);
+        }
         let mut reader = BufReader::new(stream);
         while let Ok(Some(request)) = read_message(&mut reader) {
             if self.answer(&mut writer, &request).is_err() {
@@ -116,8 +211,9 @@
             "/-/report" => {
                 let (sequence, running) =
                     (self.sequence.load(Ordering::SeqCst), self.running.load(Ordering::SeqCst));
+                let is_busy = self.models.lock().unwrap().1.is_some();
                 let body = format!(
-                    "{{\"stage\":\"unified\",\"models\":{},\"busy\":false,\"sequence\":{sequence},\
+                    "{{\"stage\":\"unified\",\"models\":{},\"busy\":{is_busy},\"sequence\":{sequence},\
                      \"queue_depth\":0,\"running\":{running},\"kv_used\":0,\"kv_total\":90000,\
                      \"handles\":0,\"pending\":[],\"born\":{}}}",
                     self.models(), self.born_ms
@@ -125,18 +221,20 @@
                 return write_answer(writer, "200 OK", &[("Content-Type", "application/json")], &body);
             }
             "/-/order" => {
-                let (body, known) = (request.text(), self.sequence.load(Ordering::SeqCst));
-                let expected = json::number_member(&body, "expected_revision");
-                self.record.line(&format!("{} gets the order {body}", self.id));
-                // The stand-in takes no other model: it always works on another order.
-                let _ = expected.is_some_and(|expected| expected != known);
-                return write_answer(writer, "409 Conflict", &[], "");
+                let body = request.text();
+                let status = self.take_order(&body);
+                self.record.line(&format!("{} gets the order {body}: {status}", self.id));
+                return write_answer(writer, status, &[], "");
             }
             _ => {}
         }
         if request.header("x-expect-instance").is_some_and(|expected| expected != self.id) {
             return write_answer(writer, "421 Misdirected Request", &named, "");
         }
+        let model = request.header("x-model").unwrap_or_default();
+        if !self.models.lock().unwrap().0.iter().any(|held| held == model) {
+            return write_answer(writer, "421 Misdirected Request", &named, "");
+        }
         if self.running.fetch_add(1, Ordering::SeqCst) >= self.slots {
             self.running.fetch_sub(1, Ordering::SeqCst);
             let headers = [("X-Attempt-Id", id.as_str()), ("X-Not-Executed", "1")];
