--- a/review/standins-3/src/bin/quota_hoard.rs
+++ b/review/standins-3/src/bin/quota_hoard.rs
@@ -50,7 +50,10 @@
         let model = MODELS[MODEL];
         shared.sent.lock().unwrap().insert(id.clone(), shared.record.now_ms());
         let mut pause = PAUSE;
-        let end = match ask(address, &Ask { id: &id, key: "key-of-shop", model, usage: USAGE, patience: None }) {
+        let end = match ask(
+            address,
+            &Ask { id: &id, key: "key-of-shop", model, usage: USAGE, patience: None },
+        ) {
             Ok(Some(answer)) => {
                 pause = pause.max(answer.retry_after);
                 format!("{} with {} bytes", answer.status, answer.length)
--- a/review/standins-3/src/bin/quota_overdraft.rs
+++ b/review/standins-3/src/bin/quota_overdraft.rs
@@ -42,7 +42,10 @@
         let count = shared.next.fetch_add(1, Ordering::SeqCst);
         let id = format!("{:016x}", 0x9c41_d07b_0000_0000_u64 + count);
         shared.sent.lock().unwrap().insert(id.clone(), shared.record.now_ms());
-        let end = match ask(address, &Ask { id: &id, key: "key-of-shop", model: "sage", usage: USAGE, patience: None }) {
+        let end = match ask(
+            address,
+            &Ask { id: &id, key: "key-of-shop", model: "sage", usage: USAGE, patience: None },
+        ) {
             Ok(Some(answer)) => format!("{} with {} bytes", answer.status, answer.length),
             Ok(None) => "closed without an answer".to_owned(),
             Err(error) => error.to_string(),
--- a/review/standins-3/src/bin/quota_refunds.rs
+++ b/review/standins-3/src/bin/quota_refunds.rs
@@ -49,7 +49,10 @@
         let leaves = number % 10 < shared.leavers && shared.is_disturbed.load(Ordering::SeqCst);
         shared.sent.lock().unwrap().insert(id.clone(), shared.record.now_ms());
         let patience = leaves.then_some(PATIENCE);
-        let end = match ask(address, &Ask { id: &id, key: "key-of-shop", model: "sage", usage: USAGE, patience }) {
+        let end = match ask(
+            address,
+            &Ask { id: &id, key: "key-of-shop", model: "sage", usage: USAGE, patience },
+        ) {
             Ok(Some(answer)) => format!("{} with {} bytes", answer.status, answer.length),
             Ok(None) => "closed without an answer".to_owned(),
             Err(_) if leaves => "left".to_owned(),
--- a/review/standins-3/src/consumer.rs
+++ b/review/standins-3/src/consumer.rs
@@ -54,8 +54,7 @@
 }
 
 /// The models that are declared.
-pub const MODELS: [&str; 8] =
-    ["sage", "thyme", "basil", "mint", "dill", "rue", "lovage", "borage"];
+pub const MODELS: [&str; 8] = ["sage", "thyme", "basil", "mint", "dill", "rue", "lovage", "borage"];
 
 /// Usage cap of a tenant, and the tolerance of the settings.
 #[derive(Clone, Copy, Debug)]
--- a/review/standins-3/src/engine.rs
+++ b/review/standins-3/src/engine.rs
@@ -133,7 +133,11 @@
             "{{\"service\":\"{}\",\"address\":\"{}\",\"zone\":\"a\",\"version\":\"v1\",\
              \"slots\":{},\"state\":{state},\"cold_remaining_ms\":0,\"stage\":\"unified\",\
              \"models\":{},\"sequence\":{beat},\"born\":{}}}",
-            self.service, self.address, self.slots, self.models(), self.born_ms
+            self.service,
+            self.address,
+            self.slots,
+            self.models(),
+            self.born_ms
         );
         store.put("servers", &self.id, &spec);
     }
@@ -216,9 +220,15 @@
                     "{{\"stage\":\"unified\",\"models\":{},\"busy\":{is_busy},\"sequence\":{sequence},\
                      \"queue_depth\":0,\"running\":{running},\"kv_used\":0,\"kv_total\":90000,\
                      \"handles\":0,\"pending\":[],\"born\":{}}}",
-                    self.models(), self.born_ms
+                    self.models(),
+                    self.born_ms
+                );
+                return write_answer(
+                    writer,
+                    "200 OK",
+                    &[("Content-Type", "application/json")],
+                    &body,
                 );
-                return write_answer(writer, "200 OK", &[("Content-Type", "application/json")], &body);
             }
             "/-/order" => {
                 let body = request.text();
--- a/review/standins-3/src/fleet.rs
+++ b/review/standins-3/src/fleet.rs
@@ -40,7 +40,12 @@
 
 impl Gateway {
     /// Starts a gateway. `folder` is a temporary one.
-    pub fn start(number: u8, store: &Store, folder: &Path, further: &str) -> std::io::Result<Gateway> {
+    pub fn start(
+        number: u8,
+        store: &Store,
+        folder: &Path,
+        further: &str,
+    ) -> std::io::Result<Gateway> {
         // Two runs at once do not share addresses.
         let [_, _, high, low] = std::process::id().to_be_bytes();
         let ip = Ipv4Addr::new(127, 10 + number, high, low.max(1));
--- a/review/standins-3/src/json.rs
+++ b/review/standins-3/src/json.rs
@@ -5,7 +5,9 @@
     let bytes = text.as_bytes();
     let mut position = text.find('{')? + 1;
     loop {
-        while position < bytes.len() && (bytes[position].is_ascii_whitespace() || bytes[position] == b',') {
+        while position < bytes.len()
+            && (bytes[position].is_ascii_whitespace() || bytes[position] == b',')
+        {
             position += 1;
         }
         if bytes.get(position) != Some(&b'"') {
--- a/review/standins-3/src/store.rs
+++ b/review/standins-3/src/store.rs
@@ -105,7 +105,8 @@
         let Ok(mut writer) = stream.try_clone() else { return };
         let mut reader = BufReader::new(stream);
         while let Ok(Some(request)) = read_message(&mut reader) {
-            let answer = if self.is_silent.load(Ordering::SeqCst) { None } else { self.answer(&request) };
+            let answer =
+                if self.is_silent.load(Ordering::SeqCst) { None } else { self.answer(&request) };
             let Some((status, body)) = answer else {
                 // A connection on which an answer is lost returns nothing further.
                 thread::sleep(Duration::from_secs(15));
@@ -140,9 +141,13 @@
             ("GET", None) => {
                 let content = self.content.0.lock().unwrap();
                 let after = query("after").unwrap_or_default();
-                let of_kind = content.objects.iter().filter(|((known, name), _)| known == kind && *name > after);
-                let items: Vec<String> =
-                    of_kind.map(|((_, name), (at, spec))| Content::object(name, *at, spec)).collect();
+                let of_kind = content
+                    .objects
+                    .iter()
+                    .filter(|((known, name), _)| known == kind && *name > after);
+                let items: Vec<String> = of_kind
+                    .map(|((_, name), (at, spec))| Content::object(name, *at, spec))
+                    .collect();
                 let (items, at) = (items.join(","), content.revision);
                 Some(("200 OK", format!("{{\"items\":[{items}],\"has_more\":false,\"at\":{at}}}")))
             }
@@ -169,7 +174,9 @@
                     Some((at, spec)) if expected.is_some_and(|expected| expected != at) => {
                         ("409 Conflict", Content::object(&name, at, &spec))
                     }
-                    Some((at, known)) if known == spec => ("200 OK", Content::object(&name, at, &spec)),
+                    Some((at, known)) if known == spec => {
+                        ("200 OK", Content::object(&name, at, &spec))
+                    }
                     _ => ("200 OK", content.write(kind, &name, &spec)),
                 };
                 drop(content);
@@ -187,9 +194,12 @@
             if self.is_silent.load(Ordering::SeqCst) {
                 return None;
             }
-            let events = content.events.iter().filter(|(at, known, ..)| *at > after && known == kind);
+            let events =
+                content.events.iter().filter(|(at, known, ..)| *at > after && known == kind);
             let events: Vec<String> = events
-                .map(|(_, _, object, deleted)| format!("{{\"deleted\":{deleted},\"object\":{object}}}"))
+                .map(|(_, _, object, deleted)| {
+                    format!("{{\"deleted\":{deleted},\"object\":{object}}}")
+                })
                 .collect();
             let left = deadline.saturating_duration_since(Instant::now());
             if !events.is_empty() || left.is_zero() {
