--- a/review/standins-3/src/bin/quota_hoard.rs
+++ b/review/standins-3/src/bin/quota_hoard.rs
@@ -86,7 +86,7 @@
     let gateways: Vec<Gateway> = (1..=2).map(begin).collect::<Result<_, _>>()?;
     if !gateways.iter().all(Gateway::wait_until_ready) {
         record.line("a gateway did not get ready");
-        exit(2);
+        return Err(std::io::Error::other("a gateway did not get ready"));
     }
     let shared = Arc::new(Shared {
         record: record.clone(),
@@ -123,7 +123,7 @@
     println!("{text}");
     if runs.len() < 50 {
         record.line("too few requests ran");
-        exit(2);
+        return Err(std::io::Error::other("too few requests ran"));
     }
     Ok(most > CAP.allowed())
 }
--- a/review/standins-3/src/bin/quota_overdraft.rs
+++ b/review/standins-3/src/bin/quota_overdraft.rs
@@ -21,7 +21,7 @@
 const CAP: Cap = Cap { rate_per_s: 4_200.0, burst: 4_200.0 };
 const USAGE: (u64, u64) = (3_700, 300);
 const HOSTS: u8 = 20;
-const CONSUMERS: u64 = 60;
+const CONSUMERS: u64 = 120;
 /// Time between the end of a request and the next one of the same consumer.
 const PAUSE: Duration = Duration::from_millis(900);
 const CALM: Duration = Duration::from_secs(10);
@@ -73,7 +73,7 @@
     let mut gateways: Vec<Gateway> = (1..=HOSTS).map(start).collect::<Result<_, _>>()?;
     if !gateways.iter().all(Gateway::wait_until_ready) {
         record.line("a gateway did not get ready");
-        exit(2);
+        return Err(std::io::Error::other("a gateway did not get ready"));
     }
     let shared = Arc::new(Shared {
         record: record.clone(),
@@ -95,7 +95,9 @@
         let holder = holder.unwrap_or_default().to_owned();
         let Some(place) = gateways.iter().position(|gateway| gateway.name == holder) else {
             record.line("no gateway has written to the store under a condition");
-            exit(2);
+            return Err(std::io::Error::other(
+                "no gateway has written to the store under a condition",
+            ));
         };
         record.line(&format!("{holder} is killed"));
         drop(gateways.remove(place));
@@ -112,7 +114,7 @@
     println!("{text}");
     if runs.len() < 10 {
         record.line("too few requests ran");
-        exit(2);
+        return Err(std::io::Error::other("too few requests ran"));
     }
     Ok(most > CAP.allowed())
 }
